--- /dev/null
+++ b/cmd/chestnutmux/main.go
@@ -0,0 +1,3 @@
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/hostclient/doc.go
@@ -0,0 +1,2 @@
+// Package hostclient talks to the platform's host list over HTTP with JSON.
+package hostclient
--- /dev/null
+++ b/internal/hostclient/wire.go
@@ -0,0 +1,41 @@
+package hostclient
+
+import "chestnutmux.example/chestnutmux/pkg/model"
+
+// Role tells the hosts of the list apart.
+type Role string
+
+// The roles of hosts.
+const (
+	RoleEntry  Role = "entry"
+	RoleWorker Role = "worker"
+	RoleRunner Role = "runner"
+)
+
+// State is the platform's view of a host; it lags behind the truth.
+type State string
+
+// The states of hosts; a host that is gone is no longer listed.
+const (
+	StateLive    State = "live"
+	StateLeaving State = "leaving"
+)
+
+// Host is one entry of the host list.
+type Host struct {
+	ID       model.HostID    `json:"id"`
+	Role     Role            `json:"role"`
+	Addr     string          `json:"addr"`                // host:port of its HTTP listener
+	PeerAddr string          `json:"peer-addr,omitempty"` // host:port for JSON-RPC, entry hosts only
+	Domain   model.DomainID  `json:"domain"`
+	Region   model.RegionID  `json:"region"`
+	Rack     model.RackID    `json:"rack,omitempty"`    // workers only
+	Index    int             `json:"index,omitempty"`   // position in the rack, workers only
+	Service  model.ServiceID `json:"service,omitempty"` // runners only
+	State    State           `json:"state"`
+}
+
+// List is the reply of the host list.
+type List struct {
+	Hosts []Host `json:"hosts"`
+}
--- /dev/null
+++ b/internal/workerclient/doc.go
@@ -0,0 +1,2 @@
+// Package workerclient talks to the workers of the platform over HTTP with JSON.
+package workerclient
--- /dev/null
+++ b/pkg/model/id.go
@@ -0,0 +1,83 @@
+package model
+
+import "cmp"
+
+// HostID identifies an entry host, worker or runner of the platform.
+type HostID string
+
+// DomainID names a failure domain.
+type DomainID string
+
+// RegionID names a region, a set of failure domains with short delays between them.
+type RegionID string
+
+// RackID names a rack, unique within its failure domain.
+type RackID string
+
+// WorkspaceID names a workspace, the tenant that owns jobs, quotas and guarantees.
+type WorkspaceID string
+
+// ClassID names a job class.
+type ClassID string
+
+// ServiceID names a service with a set of runners.
+type ServiceID string
+
+// CallerID names a caller within a workspace.
+type CallerID string
+
+// OperatorID names an operator who may publish configuration.
+type OperatorID string
+
+// GuaranteeID names a guaranteed shape.
+type GuaranteeID string
+
+// JobID identifies a job; the submitter may choose it to make a submission idempotent.
+type JobID string
+
+// GangID identifies one attempt of a job, "<job>/<attempt>".
+type GangID string
+
+// TaskID identifies one member of a gang, "<job>/<attempt>/<index>".
+type TaskID string
+
+// RequestID identifies a service request; for non-idempotent requests it is a UUIDv7.
+type RequestID string
+
+// BootID changes each time a worker process starts.
+type BootID string
+
+// Accelerators counts whole accelerators.
+type Accelerators int
+
+// Cores counts processor cores.
+type Cores int
+
+// Megabytes measures memory in units of 2^20 bytes.
+type Megabytes int64
+
+// Bytes measures payloads and traffic in bytes.
+type Bytes int64
+
+// Version numbers the configurations in force; 0 means none.
+type Version int64
+
+// Offset is a position in a log stream.
+type Offset int64
+
+// Millis is a duration on the wire, in milliseconds.
+type Millis int64
+
+// Term orders planners of a failure domain; a worker refuses lower terms than the highest it has seen.
+type Term struct {
+	Number uint64 `json:"number"`
+	Host   HostID `json:"host"`
+}
+
+// Compare orders terms by number, then by host id.
+func (t Term) Compare(u Term) int {
+	if c := cmp.Compare(t.Number, u.Number); c != 0 {
+		return c
+	}
+	return cmp.Compare(t.Host, u.Host)
+}
