--- /dev/null
+++ b/internal/asserter/doc.go
@@ -0,0 +1,2 @@
+// Package asserter counts and logs violations of run-time invariants.
+package asserter
--- /dev/null
+++ b/internal/recorder/histogram.go
@@ -0,0 +1,80 @@
+package recorder
+
+import (
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// maxMillis bounds recorded times; a week covers the longest jobs.
+	maxMillis = int64(7 * 24 * time.Hour / time.Millisecond)
+	// significantDigits gives a relative error of 1%, and keeps a histogram at a few kilobytes.
+	significantDigits = 2
+	// maxSeries bounds the label pairs of one metric, so that a flood of names cannot exhaust memory.
+	maxSeries = 1024
+)
+
+// Summary holds the quantiles of a histogram, in milliseconds.
+type Summary struct {
+	Count int64   `json:"count"`
+	Mean  float64 `json:"mean-ms"`
+	P50   int64   `json:"p50-ms"`
+	P99   int64   `json:"p99-ms"`
+	P999  int64   `json:"p99.9-ms"`
+	Max   int64   `json:"max-ms"`
+}
+
+// Histograms holds one histogram of times for each pair of labels; its zero value is empty.
+type Histograms struct {
+	mu     sync.Mutex
+	series map[string]*hdrhistogram.Histogram
+}
+
+// Record adds a time to the histogram of the labels, usually a workspace and a class.
+func (h *Histograms) Record(labels string, d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s, ok := h.series[labels]
+	if !ok {
+		if len(h.series) >= maxSeries {
+			return
+		}
+		if h.series == nil {
+			h.series = map[string]*hdrhistogram.Histogram{}
+		}
+		s = hdrhistogram.New(1, maxMillis, significantDigits)
+		h.series[labels] = s
+	}
+	ms := min(max(d.Milliseconds(), 0), maxMillis)
+	_ = s.RecordValue(ms) // cannot fail: ms is within the range
+}
+
+// Summaries returns the quantiles of each histogram.
+func (h *Histograms) Summaries() map[string]Summary {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := make(map[string]Summary, len(h.series))
+	for labels, s := range h.series {
+		out[labels] = Summary{
+			Count: s.TotalCount(),
+			Mean:  s.Mean(),
+			P50:   s.ValueAtQuantile(50),
+			P99:   s.ValueAtQuantile(99),
+			P999:  s.ValueAtQuantile(99.9),
+			Max:   s.Max(),
+		}
+	}
+	return out
+}
+
+// String returns the summaries as JSON; it makes Histograms an expvar.Var.
+func (h *Histograms) String() string {
+	b, err := json.Marshal(h.Summaries())
+	if err != nil {
+		return "{}"
+	}
+	return string(b)
+}
--- /dev/null
+++ b/internal/server/json.go
@@ -0,0 +1,94 @@
+package server
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+
+	"chestnutmux.example/chestnutmux/pkg/client"
+	"chestnutmux.example/chestnutmux/pkg/model"
+)
+
+var statusOf = map[model.ErrorKind]int{
+	model.KindInvalid:        http.StatusBadRequest,
+	model.KindConflict:       http.StatusConflict,
+	model.KindUnauthorized:   http.StatusUnauthorized,
+	model.KindForbidden:      http.StatusForbidden,
+	model.KindNotFound:       http.StatusNotFound,
+	model.KindLogUnavailable: http.StatusServiceUnavailable,
+	model.KindNotReady:       http.StatusServiceUnavailable,
+	model.KindOverloaded:     http.StatusTooManyRequests,
+	model.KindDeadline:       http.StatusGatewayTimeout,
+	model.KindDraining:       http.StatusServiceUnavailable,
+	model.KindNeverRunnable:  http.StatusUnprocessableEntity,
+	model.KindAlreadyClaimed: http.StatusConflict,
+	model.KindNoRunner:       http.StatusServiceUnavailable,
+	model.KindUpstream:       http.StatusBadGateway,
+	model.KindTooLarge:       http.StatusRequestEntityTooLarge,
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	w.WriteHeader(status)
+	_, _ = w.Write(data)
+}
+
+// writeError writes a typed error; any other error is one of unknown outcome.
+func writeError(w http.ResponseWriter, err error) {
+	var e *model.Error
+	if !errors.As(err, &e) {
+		e = &model.Error{
+			Outcome: model.OutcomeUnknown, Kind: model.KindUpstream,
+			Message: err.Error(), Remedy: "repeat with the same id",
+		}
+	}
+	status, ok := statusOf[e.Kind]
+	if !ok {
+		status = http.StatusBadGateway
+	}
+	if e.Outcome != "" {
+		w.Header().Set(client.HeaderOutcome, string(e.Outcome))
+	}
+	if e.RetryAfterMS > 0 {
+		seconds := (e.RetryAfterMS + 999) / 1000
+		w.Header().Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
+	}
+	if e.Kind == model.KindDraining {
+		w.Header().Set("Connection", "close")
+	}
+	writeJSON(w, status, e)
+}
+
+// readJSON decodes a bounded body strictly; on failure it writes the error and returns false.
+func readJSON(w http.ResponseWriter, r *http.Request, out any) bool {
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxJSON))
+	d.DisallowUnknownFields()
+	err := d.Decode(out)
+	if err == nil && d.More() {
+		err = errors.New("more than one JSON value")
+	}
+	if err == nil {
+		return true
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		writeError(w, &model.Error{
+			Outcome: model.OutcomeNotRun, Kind: model.KindTooLarge,
+			Message: "the body is larger than " + strconv.Itoa(maxJSON) + " bytes", Remedy: "send less",
+		})
+		return false
+	}
+	writeError(w, &model.Error{
+		Outcome: model.OutcomeNotRun, Kind: model.KindInvalid,
+		Message: "cannot read the body: " + err.Error(), Remedy: "send one JSON object with the documented fields",
+	})
+	return false
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,172 @@
+package settings
+
+import (
+	"net/netip"
+	"net/url"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+
+	"chestnutmux.example/chestnutmux/pkg/model"
+)
+
+// Defaults of the intervals; section 3 of docs/design.md gives the reasons.
+const (
+	DefaultPoll            model.Millis = 1_000
+	DefaultTaskLease       model.Millis = 20_000
+	DefaultReserveTTL      model.Millis = 2_000
+	DefaultCheckpointBound model.Millis = 1_000
+	DefaultHostListPoll    model.Millis = 1_000
+	DefaultClaimWindow     model.Millis = 900_000
+	DefaultDrainBound      model.Millis = 30_000
+	DefaultRetention       model.Millis = 86_400_000
+	DefaultPass            model.Millis = 100
+)
+
+// Settings is what an entry host needs to know to start; all else is published configuration.
+type Settings struct {
+	HostID        model.HostID   `json:"host-id"`
+	FailureDomain model.DomainID `json:"failure-domain"`
+	Region        model.RegionID `json:"region"`
+	Listen        string         `json:"listen"`                // IP:port of the HTTP listener
+	PeerListen    string         `json:"peer-listen"`           // IP:port of the JSON-RPC listener
+	LogURL        string         `json:"log-url"`               // of the platform's log service
+	HostListURL   string         `json:"host-list-url"`         // of the platform's host list
+	PeerSecret    string         `json:"peer-secret"`           // shared by all entry hosts
+	OperatorToken string         `json:"operator-token-sha256"` // hex digest of the token for the first publish
+	LogLevel      string         `json:"log-level"`             // trace, debug, info, warn, error
+
+	Poll            model.Millis `json:"poll-ms"`             // between polls of a worker
+	TaskLease       model.Millis `json:"task-lease-ms"`       // of a running task
+	ReserveTTL      model.Millis `json:"reserve-ttl-ms"`      // lease of a reservation
+	CheckpointBound model.Millis `json:"checkpoint-bound-ms"` // before a preempted task is stopped
+	HostListPoll    model.Millis `json:"host-list-poll-ms"`
+	ClaimWindow     model.Millis `json:"claim-window-ms"` // oldest non-idempotent request accepted
+	DrainBound      model.Millis `json:"drain-bound-ms"`  // longest graceful shutdown
+	Retention       model.Millis `json:"retention-ms"`    // of the log service
+	Pass            model.Millis `json:"pass-ms"`         // shortest time between planning passes
+}
+
+// Duration converts milliseconds on the wire or in settings.
+func Duration(ms model.Millis) time.Duration {
+	return time.Duration(ms) * time.Millisecond
+}
+
+// Load reads and checks a settings file; the error lists all faults with their positions.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "settings: cannot read the file; check the path given with --settings")
+	}
+	s, faults := Parse(data)
+	if len(faults) > 0 {
+		return Settings{}, &FaultsError{Path: path, Faults: faults}
+	}
+	return s, nil
+}
+
+func (s *Settings) setDefaults() {
+	for _, d := range []struct {
+		p *model.Millis
+		v model.Millis
+	}{
+		{&s.Poll, DefaultPoll},
+		{&s.TaskLease, DefaultTaskLease},
+		{&s.ReserveTTL, DefaultReserveTTL},
+		{&s.CheckpointBound, DefaultCheckpointBound},
+		{&s.HostListPoll, DefaultHostListPoll},
+		{&s.ClaimWindow, DefaultClaimWindow},
+		{&s.DrainBound, DefaultDrainBound},
+		{&s.Retention, DefaultRetention},
+		{&s.Pass, DefaultPass},
+	} {
+		if *d.p == 0 {
+			*d.p = d.v
+		}
+	}
+	if s.LogLevel == "" {
+		s.LogLevel = "info"
+	}
+}
+
+// check calls report with the key and text of each fault.
+func (s *Settings) check(report func(key, text string)) {
+	required := []struct{ key, value string }{
+		{"host-id", string(s.HostID)},
+		{"failure-domain", string(s.FailureDomain)},
+		{"region", string(s.Region)},
+		{"listen", s.Listen},
+		{"peer-listen", s.PeerListen},
+		{"log-url", s.LogURL},
+		{"host-list-url", s.HostListURL},
+	}
+	for _, r := range required {
+		if r.value == "" {
+			report(r.key, "is missing; add it")
+		}
+	}
+	s.checkAddresses(report)
+	s.checkIntervals(report)
+	if hclog.LevelFromString(s.LogLevel) == hclog.NoLevel {
+		report("log-level", "is unknown; use trace, debug, info, warn or error")
+	}
+	if n := len(s.OperatorToken); n != 0 && n != sha256HexLen {
+		report("operator-token-sha256", "is no SHA-256 digest; give 64 hexadecimal digits")
+	}
+}
+
+// sha256HexLen is the length of a SHA-256 digest in hexadecimal digits.
+const sha256HexLen = 64
+
+func (s *Settings) checkAddresses(report func(key, text string)) {
+	for _, a := range []struct{ key, value string }{
+		{"listen", s.Listen}, {"peer-listen", s.PeerListen},
+	} {
+		if a.value == "" {
+			continue
+		}
+		if _, err := netip.ParseAddrPort(a.value); err != nil {
+			report(a.key, "is no IP address with port; write it like 10.0.0.1:7000")
+		}
+	}
+	for _, u := range []struct{ key, value string }{
+		{"log-url", s.LogURL}, {"host-list-url", s.HostListURL},
+	} {
+		if u.value == "" {
+			continue
+		}
+		if p, err := url.Parse(u.value); err != nil || p.Scheme != "http" || p.Host == "" {
+			report(u.key, "is no URL; write it like http://10.0.0.1:8000")
+		}
+	}
+}
+
+func (s *Settings) checkIntervals(report func(key, text string)) {
+	for _, i := range []struct {
+		key   string
+		value model.Millis
+	}{
+		{"poll-ms", s.Poll},
+		{"task-lease-ms", s.TaskLease},
+		{"reserve-ttl-ms", s.ReserveTTL},
+		{"checkpoint-bound-ms", s.CheckpointBound},
+		{"host-list-poll-ms", s.HostListPoll},
+		{"claim-window-ms", s.ClaimWindow},
+		{"drain-bound-ms", s.DrainBound},
+		{"retention-ms", s.Retention},
+		{"pass-ms", s.Pass},
+	} {
+		if i.value < 0 {
+			report(i.key, "is negative; give a positive number of milliseconds")
+		}
+	}
+	// Two polls may be lost before a gang is given up, and a renewal must still arrive in time.
+	if s.TaskLease < 3*s.Poll {
+		report("task-lease-ms", "is shorter than three polls; raise it or lower poll-ms")
+	}
+	if s.Retention < 2*s.ClaimWindow {
+		report("retention-ms", "is shorter than two claim windows; claims would be lost before they expire")
+	}
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,56 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const valid = `{
+  // Identity of this entry host.
+  "host-id": "kartli-a-e1",
+  "failure-domain": "kartli-a",
+  "region": "kartli",
+  "listen": "127.0.0.1:7001",
+  "peer-listen": "127.0.0.1:7101",
+  "log-url": "http://127.0.0.1:8000",
+  "host-list-url": "http://127.0.0.1:8001",
+}`
+
+// Guards against defaults that are lost when a key is absent.
+func TestParseDefaults(t *testing.T) {
+	is := is.New(t)
+	s, faults := Parse([]byte(valid))
+	is.Equal(len(faults), 0)
+	is.Equal(s.Poll, DefaultPoll)
+	is.Equal(s.LogLevel, "info")
+}
+
+// Guards against a check that stops at the first fault or loses its position.
+func TestParseReportsAllFaults(t *testing.T) {
+	is := is.New(t)
+	text := strings.Replace(valid, `"region": "kartli",`, `"regoin": "kartli", "poll-ms": "soon",`, 1)
+	text = strings.Replace(text, "127.0.0.1:7001", "localhost", 1)
+	_, faults := Parse([]byte(text))
+	got := map[string]Fault{}
+	for _, f := range faults {
+		got[f.Key] = f
+	}
+	is.Equal(len(faults), 4)
+	is.Equal(got["regoin"].Line, 5)
+	is.Equal(got["regoin"].Column, 3)
+	is.Equal(got["poll-ms"].Line, 5)
+	is.Equal(got["listen"].Line, 6)
+	is.Equal(got["region"].Line, 0)
+}
+
+// Guards against a panic on input that is no settings file.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(valid))
+	f.Add([]byte(`[]`))
+	f.Add([]byte(`{"poll-ms": 1e99, "poll-ms": null}`))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		Parse(data)
+	})
+}
--- /dev/null
+++ b/pkg/client/caller.go
@@ -0,0 +1,91 @@
+package client
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"chestnutmux.example/chestnutmux/pkg/model"
+)
+
+// Submit hands in a job; a repeat with the same id and content is one job.
+func (c *Client) Submit(ctx context.Context, spec model.JobSpec) (model.Job, error) {
+	var j model.Job
+	err := c.do(ctx, http.MethodPost, "/v1/jobs", spec, &j)
+	return j, err
+}
+
+// Job returns a job, after waiting up to wait for it to end.
+func (c *Client) Job(ctx context.Context, id model.JobID, wait time.Duration) (model.Job, error) {
+	var j model.Job
+	path := "/v1/jobs/" + url.PathEscape(string(id)) + "?wait-ms=" + strconv.FormatInt(wait.Milliseconds(), 10)
+	err := c.do(ctx, http.MethodGet, path, nil, &j)
+	return j, err
+}
+
+// Jobs lists the jobs of the caller's workspace that are waiting, running or ended recently.
+func (c *Client) Jobs(ctx context.Context) ([]model.Job, error) {
+	var reply model.JobsReply
+	err := c.do(ctx, http.MethodGet, "/v1/jobs", nil, &reply)
+	return reply.Jobs, err
+}
+
+// Cancel asks for the end of a job.
+func (c *Client) Cancel(ctx context.Context, id model.JobID) error {
+	return c.do(ctx, http.MethodDelete, "/v1/jobs/"+url.PathEscape(string(id)), nil, nil)
+}
+
+// Explain tells why a job waits.
+func (c *Client) Explain(ctx context.Context, id model.JobID) (model.Explanation, error) {
+	var e model.Explanation
+	err := c.do(ctx, http.MethodGet, "/v1/jobs/"+url.PathEscape(string(id))+"/explain", nil, &e)
+	return e, err
+}
+
+// Call describes a service request.
+type Call struct {
+	Service    model.ServiceID
+	RequestID  model.RequestID // UUIDv7 when not idempotent
+	Class      model.ClassID   // empty means the service's first class
+	Idempotent bool
+	Deadline   time.Time
+	Body       []byte
+}
+
+// Answer is the whole answer to a service request.
+type Answer struct {
+	Body   []byte
+	Runner model.HostID
+}
+
+// Call sends a service request and waits for its answer; a failure is a *model.Error with an outcome.
+func (c *Client) Call(ctx context.Context, call Call) (Answer, error) {
+	header := http.Header{}
+	header.Set(HeaderRequestID, string(call.RequestID))
+	header.Set(HeaderIdempotent, strconv.FormatBool(call.Idempotent))
+	if call.Class != "" {
+		header.Set(HeaderClass, string(call.Class))
+	}
+	if !call.Deadline.IsZero() {
+		header.Set(HeaderDeadline, strconv.FormatInt(time.Until(call.Deadline).Milliseconds(), 10))
+	}
+	path := "/v1/services/" + url.PathEscape(string(call.Service)) + "/call"
+	resp, data, err := c.send(ctx, http.MethodPost, path, header, bytes.NewReader(call.Body))
+	if err != nil {
+		return Answer{}, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return Answer{}, decodeError(resp, data)
+	}
+	if got := resp.Header.Get(HeaderRequestID); got != string(call.RequestID) {
+		return Answer{}, &model.Error{
+			Outcome: model.OutcomeUnknown, Kind: model.KindUpstream,
+			Message: "client: the answer belongs to request " + got,
+			Remedy:  "repeat with the same id",
+		}
+	}
+	return Answer{Body: data, Runner: model.HostID(resp.Header.Get(HeaderRunner))}, nil
+}
--- /dev/null
+++ b/pkg/client/client.go
@@ -0,0 +1,116 @@
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+
+	"chestnutmux.example/chestnutmux/pkg/model"
+)
+
+// Headers of requests and answers.
+const (
+	HeaderRequestID  = "Request-Id"
+	HeaderDeadline   = "Deadline-Ms" // remaining milliseconds
+	HeaderIdempotent = "Idempotent"  // true or false; absent means false
+	HeaderClass      = "Class"
+	HeaderOutcome    = "Outcome"
+	HeaderRunner     = "Runner"
+)
+
+// maxReply bounds an answer that the client reads.
+const maxReply = 64 << 20
+
+// Client sends requests to one entry host or to the balancer before them.
+type Client struct {
+	// Base is the URL of the entry host, for example http://10.0.0.1:7000.
+	Base string
+	// Token is the bearer token of the caller or operator.
+	Token string
+	// HTTP is used when set, else http.DefaultClient.
+	HTTP *http.Client
+}
+
+// send performs a request; a connection that could not be made is not-run, any later failure unknown.
+func (c *Client) send(ctx context.Context, method, path string, header http.Header, body io.Reader) (*http.Response, []byte, error) {
+	r, err := http.NewRequestWithContext(ctx, method, strings.TrimSuffix(c.Base, "/")+path, body)
+	if err != nil {
+		return nil, nil, &model.Error{
+			Outcome: model.OutcomeNotRun, Kind: model.KindInvalid,
+			Message: "client: " + err.Error(), Remedy: "correct the address of the entry host",
+		}
+	}
+	for k, v := range header {
+		r.Header[k] = v
+	}
+	if c.Token != "" {
+		r.Header.Set("Authorization", "Bearer "+c.Token)
+	}
+	sent := traceSent(r)
+	resp, err := c.http().Do(sent.request)
+	if err != nil {
+		return nil, nil, sent.failure(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	if err != nil {
+		return nil, nil, sent.failure(err)
+	}
+	return resp, data, nil
+}
+
+func (c *Client) http() *http.Client {
+	if c.HTTP != nil {
+		return c.HTTP
+	}
+	return http.DefaultClient
+}
+
+// do sends in as JSON and decodes the answer into out; either may be nil.
+func (c *Client) do(ctx context.Context, method, path string, in, out any) error {
+	var body io.Reader
+	header := http.Header{}
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return &model.Error{
+				Outcome: model.OutcomeNotRun, Kind: model.KindInvalid,
+				Message: "client: " + err.Error(), Remedy: "correct the request",
+			}
+		}
+		body = bytes.NewReader(data)
+		header.Set("Content-Type", "application/json")
+	}
+	resp, data, err := c.send(ctx, method, path, header, body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return decodeError(resp, data)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return &model.Error{
+			Outcome: model.OutcomeUnknown, Kind: model.KindUpstream,
+			Message: "client: cannot read the answer: " + err.Error(), Remedy: "check that the address is an entry host",
+		}
+	}
+	return nil
+}
+
+// decodeError reads the typed error of an answer; other bodies give an error of kind upstream.
+func decodeError(resp *http.Response, data []byte) error {
+	e := &model.Error{}
+	if err := json.Unmarshal(data, e); err != nil || e.Kind == "" {
+		return &model.Error{
+			Outcome: model.OutcomeUnknown, Kind: model.KindUpstream,
+			Message: "client: status " + resp.Status, Remedy: "check that the address is an entry host",
+		}
+	}
+	return e
+}
--- /dev/null
+++ b/pkg/client/operator.go
@@ -0,0 +1,34 @@
+package client
+
+import (
+	"context"
+	"net/http"
+
+	"chestnutmux.example/chestnutmux/pkg/model"
+)
+
+// Config returns the configuration in force on the entry host.
+func (c *Client) Config(ctx context.Context) (model.ConfigReply, error) {
+	var reply model.ConfigReply
+	err := c.do(ctx, http.MethodGet, "/v1/config", nil, &reply)
+	return reply, err
+}
+
+// Publish changes the configuration; the error tells a conflict, faults or an unreachable log.
+func (c *Client) Publish(ctx context.Context, p model.Publish) (model.Version, error) {
+	var reply model.PublishReply
+	err := c.do(ctx, http.MethodPost, "/v1/config", p, &reply)
+	return reply.Version, err
+}
+
+// Status describes the entry host.
+func (c *Client) Status(ctx context.Context) (model.Status, error) {
+	var s model.Status
+	err := c.do(ctx, http.MethodGet, "/v1/status", nil, &s)
+	return s, err
+}
+
+// Drain makes the entry host shut down gracefully.
+func (c *Client) Drain(ctx context.Context) error {
+	return c.do(ctx, http.MethodPost, "/v1/drain", nil, nil)
+}
