--- /dev/null
+++ b/internal/claimer/claimer.go
@@ -0,0 +1,107 @@
+package claimer
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"chestnutmux.example/chestnutmux/pkg/model"
+)
+
+// Default bounds of a Claimer.
+const (
+	DefaultWindow = 15 * time.Minute // design 3.11, claim-window
+	DefaultSkew   = time.Minute      // design 3.11, claims are kept for the window plus this
+	// DefaultMaxResults covers the largest normal rate, 20 non-idempotent requests a second
+	// per host for one window.
+	DefaultMaxResults = 20_000
+	// DefaultMaxBytes keeps the answers within a quarter of the 64 MB that a daemon may use.
+	DefaultMaxBytes = 16 << 20
+)
+
+// ErrNotSent is matched by an append error when the claim certainly never reached the log service.
+var ErrNotSent = errors.New("claimer: claim was not sent to the log")
+
+// Claim is one entry of the claims stream.
+type Claim struct {
+	Workspace model.WorkspaceID `json:"workspace"`
+	Request   model.RequestID   `json:"request"`
+	Host      model.HostID      `json:"host"`
+	// Nonce differs for each claim, so that a host that restarted or evicted its record
+	// does not take an earlier claim of its own host id for the present one.
+	Nonce string `json:"nonce"`
+}
+
+// Appender appends claims to the log.
+type Appender interface {
+	// Append returns the offset of the record that holds the claim; an error matches
+	// ErrNotSent when no append was sent, any other error leaves the result open.
+	Append(ctx context.Context, c Claim) (model.Offset, error)
+}
+
+// Fold is the state computed from the claims stream.
+type Fold interface {
+	// WaitApplied returns nil once all records up to and including the offset are applied.
+	WaitApplied(ctx context.Context, offset model.Offset) error
+	// Winner returns the first claim of the request in offset order, as it was appended.
+	Winner(ws model.WorkspaceID, id model.RequestID) (Claim, bool)
+	// ViewStart returns the log time since when all claims are known; zero means that none is missing.
+	ViewStart() time.Time
+}
+
+// AnswerSource asks another entry host for the result of a request that it claimed.
+type AnswerSource interface {
+	// Answer waits for the result while the request is in progress there; an error means unknown.
+	Answer(ctx context.Context, host model.HostID, ws model.WorkspaceID, id model.RequestID) (Result, error)
+}
+
+// Verdict is the end of a claim.
+type Verdict string
+
+// The verdicts.
+const (
+	VerdictWon     Verdict = "won"
+	VerdictLost    Verdict = "lost"
+	VerdictRefused Verdict = "refused" // this host sends nothing for the claim
+)
+
+// Decision says whether the host may send the request.
+type Decision struct {
+	Verdict Verdict
+	Host    model.HostID // the winner, when lost
+	Err     *model.Error // the answer to the caller, when refused
+}
+
+// Request identifies a non-idempotent request.
+type Request struct {
+	Workspace model.WorkspaceID
+	ID        model.RequestID
+	// Digest is the same for repeats of the same request only; it covers caller, service, class and body.
+	Digest string
+}
+
+// Result is the outcome of a request as kept for repeats and sent to other entry hosts.
+type Result struct {
+	Digest      string       `json:"digest"`
+	Body        []byte       `json:"body,omitempty"`
+	ContentType string       `json:"content-type,omitempty"`
+	Runner      model.HostID `json:"runner,omitempty"`
+	Error       *model.Error `json:"error,omitempty"` // nil when answered
+}
+
+// RunFunc sends a claimed request once; Result.Error is set unless it was answered.
+type RunFunc func(ctx context.Context) Result
+
+// Options are the parts and bounds of a Claimer; zero bounds mean the defaults.
+type Options struct {
+	Host       model.HostID
+	Appender   Appender
+	Fold       Fold
+	Answers    AnswerSource
+	Window     time.Duration
+	Skew       time.Duration
+	MaxResults int
+	MaxBytes   model.Bytes
+	Now        func() time.Time // nil means time.Now
+	Nonce      func() string    // nil means random; must never repeat
+}
--- /dev/null
+++ b/internal/router/api.go
@@ -0,0 +1,75 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"chestnutmux.example/chestnutmux/internal/hostclient"
+	"chestnutmux.example/chestnutmux/internal/queuer"
+	"chestnutmux.example/chestnutmux/internal/runnerclient"
+	"chestnutmux.example/chestnutmux/pkg/model"
+)
+
+// Request is one service request of an authenticated caller.
+type Request struct {
+	ID          model.RequestID
+	Service     model.ServiceID
+	Workspace   model.WorkspaceID
+	Caller      model.CallerID
+	Class       model.ClassID // empty means the first class of the service
+	Idempotent  bool
+	ContentType string
+	Body        []byte
+	Deadline    time.Time // required
+}
+
+// Answer is the whole answer of a runner.
+type Answer struct {
+	Body        []byte
+	ContentType string
+	Runner      model.HostID
+	Attempts    int
+}
+
+// Sender sends requests to one runner; runnerclient.Client is the real one.
+type Sender interface {
+	// Send returns the whole answer or an error that runnerclient.NotRun can tell apart.
+	Send(ctx context.Context, req runnerclient.Request) (runnerclient.Answer, error)
+	// SetMaxConns changes this host's share of the runner's connections.
+	SetMaxConns(n int)
+	// Close releases idle connections once nothing is in progress.
+	Close()
+}
+
+// DialFunc makes the sender for a runner; it opens no connection.
+type DialFunc func(host hostclient.Host, o runnerclient.Options) Sender
+
+// Hooks observe the router; nil functions are skipped, and all are called from the router's task.
+type Hooks struct {
+	Wait      func(ws model.WorkspaceID, class model.ClassID, d time.Duration)
+	Service   func(ws model.WorkspaceID, class model.ClassID, d time.Duration)
+	Outcome   func(ws model.WorkspaceID, class model.ClassID, outcome model.Outcome, kind model.ErrorKind)
+	Shed      func(ws model.WorkspaceID, class model.ClassID, kind model.ErrorKind)
+	Retry     func(ws model.WorkspaceID, class model.ClassID)
+	LinkBytes func(ws model.WorkspaceID, class model.ClassID, n model.Bytes)
+	Invariant func(name, detail string) // an answer carried the id of another request
+}
+
+// Options are the place and bounds of a Router; zero values mean the defaults.
+type Options struct {
+	Domain model.DomainID
+	Region model.RegionID
+	Limits queuer.Limits // of each service's queue
+	// LinkBytesPerSecond is what all entry hosts together may send over the link between regions.
+	LinkBytesPerSecond model.Bytes
+	Dial               DialFunc
+	Hooks              Hooks
+	Seed               uint64
+}
+
+// Load is a snapshot of the router for heartbeats and status.
+type Load struct {
+	Queued   int
+	InFlight int
+	Free     int // free slots of this host's share on runners that take requests
+}
