--- /dev/null
+++ b/pkg/parser/doc.go
@@ -0,0 +1,2 @@
+// Package parser reads configuration files, JSON with comments.
+package parser
--- /dev/null
+++ b/pkg/parser/parser_test.go
@@ -0,0 +1,42 @@
+package parser
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a misspelt or repeated field that is silently ignored.
+func TestParseRejects(t *testing.T) {
+	for name, text := range map[string]string{
+		"unknown field":  "{\n  // two workspaces\n  \"workspaces\": {\"a\": {\"qouta\": 8}}}",
+		"repeated name":  "{\n\n\"workspaces\": {\"a\": {}, \"a\": {}}}",
+		"wrong type":     "{\n\n\"workspaces\": {\"a\": {\"quota\": \"8\"}}}",
+		"unknown object": "{\n\n\"workspace\": {}}",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := Parse([]byte(text))
+			is.True(err != nil)
+			is.True(strings.Contains(err.Error(), "line 3"))
+		})
+	}
+}
+
+// Guards against comments or trailing commas that are refused.
+func TestParseAccepts(t *testing.T) {
+	is := is.New(t)
+	set, err := Parse([]byte(`{"workspaces": {"a": {"quota": 8,}, /* last */ },}`))
+	is.NoErr(err)
+	is.Equal(int(set.Workspaces["a"].Quota), 8)
+}
+
+// Guards against a panic on arbitrary files.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`{"workspaces": {"a": {"quota": 8}}}`))
+	f.Add([]byte(`{"classes": []}`))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		_, _ = Parse(data)
+	})
+}
