--- /dev/null
+++ b/internal/hostclient/client.go
@@ -0,0 +1,99 @@
+package hostclient
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxList bounds the host list; the design size has about ten thousand hosts of 200 bytes.
+const maxList = 16 << 20
+
+// Client reads the host list and keeps the last one.
+type Client struct {
+	url  string
+	http *http.Client
+
+	mu   sync.Mutex
+	last Snapshot
+}
+
+// Snapshot is a host list with its age.
+type Snapshot struct {
+	Hosts  []Host
+	ReadAt time.Time // when the request for it was sent; zero means that none was read yet
+	Err    error     // of the latest read, nil when it succeeded
+}
+
+// Age returns how old the list is at most.
+func (s Snapshot) Age(now time.Time) time.Duration { return now.Sub(s.ReadAt) }
+
+// NewClient returns a client for the service at the address.
+func NewClient(addr string) *Client {
+	dialer := &net.Dialer{Timeout: time.Second}
+	return &Client{url: "http://" + addr + "/v1/hosts", http: &http.Client{
+		Timeout: 5 * time.Second,
+		Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxIdleConnsPerHost: 1,
+			IdleConnTimeout:     time.Minute,
+		},
+	}}
+}
+
+// Read reads the list; when that fails the last list is returned with the error set.
+func (c *Client) Read(ctx context.Context) Snapshot {
+	start := time.Now()
+	hosts, err := c.get(ctx)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case err != nil:
+		c.last.Err = err
+	case start.Before(c.last.ReadAt):
+		// A later read has already answered.
+	default:
+		c.last = Snapshot{Hosts: hosts, ReadAt: start}
+	}
+	return c.last
+}
+
+// Last returns the last list without reading.
+func (c *Client) Last() Snapshot {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.last
+}
+
+func (c *Client) get(ctx context.Context) ([]Host, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "hostclient: request")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "hostclient: read host list")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Newf("hostclient: read host list: status %d", resp.StatusCode)
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxList+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "hostclient: read host list")
+	}
+	if len(data) > maxList {
+		return nil, errors.Newf("hostclient: host list exceeds %d bytes", maxList)
+	}
+	var l List
+	if err := json.Unmarshal(data, &l); err != nil {
+		return nil, errors.Wrap(err, "hostclient: decode host list")
+	}
+	return l.Hosts, nil
+}
--- /dev/null
+++ b/internal/peerclient/wire.go
@@ -0,0 +1,78 @@
+package peerclient
+
+import (
+	"context"
+	"encoding/json"
+
+	"chestnutmux.example/chestnutmux/pkg/model"
+)
+
+// The methods between entry hosts; hello comes first on a connection.
+const (
+	methodHello       = "hello"
+	methodHeartbeat   = "heartbeat"
+	methodConfigSince = "config-since"
+	methodAnswer      = "answer"
+	methodJobsSince   = "jobs-since"
+)
+
+// Heartbeat is the state of an entry host, as parameters and as the result of a heartbeat.
+type Heartbeat struct {
+	Host     model.HostID   `json:"host"`
+	Domain   model.DomainID `json:"domain"`
+	Version  model.Version  `json:"version"` // configuration in force
+	Term     model.Term     `json:"term"`    // highest term seen in its domain
+	Planner  bool           `json:"planner,omitempty"`
+	Load     int            `json:"load"` // service requests in flight and waiting
+	Draining bool           `json:"draining,omitempty"`
+}
+
+// ConfigSinceParams asks for the configuration when it is newer than the version.
+type ConfigSinceParams struct {
+	Version model.Version `json:"version"`
+}
+
+// ConfigSinceResult holds the configuration; Data is empty when there is no newer one.
+type ConfigSinceResult struct {
+	Version model.Version   `json:"version"`
+	Data    json.RawMessage `json:"data,omitempty"`
+}
+
+// AnswerParams asks the winner of a claim for the answer to a request.
+type AnswerParams struct {
+	Workspace model.WorkspaceID `json:"workspace"`
+	Request   model.RequestID   `json:"request"`
+}
+
+// AnswerResult holds the answer to a request; Outcome is unknown when the peer has none.
+type AnswerResult struct {
+	Outcome     model.Outcome `json:"outcome"`
+	ContentType string        `json:"content-type,omitempty"`
+	Body        []byte        `json:"body,omitempty"`
+	Error       *model.Error  `json:"error,omitempty"`
+}
+
+// JobsSinceParams asks for the job records from an offset of the jobs stream on.
+type JobsSinceParams struct {
+	Offset model.Offset `json:"offset"`
+}
+
+// JobsSinceResult holds job records as the peer's fold knows them, and the offset to ask from next.
+type JobsSinceResult struct {
+	Next model.Offset    `json:"next"`
+	Data json.RawMessage `json:"data,omitempty"`
+}
+
+// Handler answers the calls of peers; it is called from several goroutines.
+type Handler interface {
+	Heartbeat(context.Context, Heartbeat) (Heartbeat, error)
+	ConfigSince(context.Context, ConfigSinceParams) (ConfigSinceResult, error)
+	Answer(context.Context, AnswerParams) (AnswerResult, error)
+	JobsSince(context.Context, JobsSinceParams) (JobsSinceResult, error)
+}
+
+// hello is the first call on a connection.
+type hello struct {
+	Host   model.HostID `json:"host"`
+	Secret string       `json:"secret,omitempty"`
+}
