Add fakes of the platform and the command that runs them

Tests and the demo need the platform's log, host list, workers, runners and the links between entry hosts, with faults that are set at run time.

Add these fakes below internal/fake, each with the same fault switches, a lease table without sockets for property tests, and chestnutmux-fakes, which starts a deployment file in one process.

--- /dev/null
+++ b/internal/fake/fault/http.go
@@ -0,0 +1,143 @@
+package fault
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+
+	"chestnutmux.example/chestnutmux/pkg/model"
+)
+
+// MaxBody is the largest request body that a fake reads, in bytes.
+const MaxBody = 4 << 20
+
+// HeaderHostID names the header in which an entry host gives its id.
+const HeaderHostID = "Host-Id"
+
+// Wrap applies the faults to all requests of next but those below /admin/, and serves
+// /admin/faults and /admin/stats; stats adds counters to the switch's own and may be nil.
+func (s *Switch) Wrap(next http.Handler, stats func() map[string]int64) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /admin/faults", func(w http.ResponseWriter, _ *http.Request) {
+		WriteJSON(w, http.StatusOK, s.Get())
+	})
+	mux.HandleFunc("POST /admin/faults", func(w http.ResponseWriter, r *http.Request) {
+		var f Faults
+		if ReadJSON(w, r, &f) {
+			s.Set(f)
+			WriteJSON(w, http.StatusOK, f)
+		}
+	})
+	mux.HandleFunc("GET /admin/stats", func(w http.ResponseWriter, _ *http.Request) {
+		all := s.Stats()
+		if stats != nil {
+			for k, v := range stats() {
+				all[k] = v
+			}
+		}
+		WriteJSON(w, http.StatusOK, all)
+	})
+	mux.Handle("/admin/", next)
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) { s.serve(w, r, next) })
+	return mux
+}
+
+func (s *Switch) serve(w http.ResponseWriter, r *http.Request, next http.Handler) {
+	s.requests.Add(1)
+	_, generation, _ := s.watch()
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBody))
+	if err != nil {
+		writeBodyError(w, err)
+		return
+	}
+	s.bytesIn.Add(int64(len(body)))
+	from := model.HostID(r.Header.Get(HeaderHostID))
+	ctx := r.Context()
+	if r.Method != http.MethodGet {
+		// A request that was received takes effect even if its client gives up meanwhile.
+		ctx = context.WithoutCancel(ctx)
+	}
+	if f, _, changed := s.watch(); f.cut(from) {
+		if f.CutSilent {
+			select {
+			case <-changed:
+			case <-r.Context().Done():
+			}
+		}
+		s.abort()
+	}
+	if !s.hold(ctx, generation) || !s.delay(ctx, generation) {
+		s.abort()
+	}
+	if s.Get().Down {
+		Error(w, http.StatusServiceUnavailable, model.KindNotReady, "the service is down")
+		return
+	}
+	req := r.WithContext(ctx)
+	req.Body = io.NopCloser(bytes.NewReader(body))
+	a := &answer{header: http.Header{}, status: http.StatusOK}
+	next.ServeHTTP(a, req)
+	if !s.hold(ctx, generation) {
+		s.abort()
+	}
+	f := s.Get()
+	if f.cut(from) || f.AnswerLost && r.Method != http.MethodGet {
+		s.abort()
+	}
+	for k, v := range a.header {
+		w.Header()[k] = v
+	}
+	w.WriteHeader(a.status)
+	n, _ := w.Write(a.body.Bytes())
+	s.bytesOut.Add(int64(n))
+}
+
+// abort closes the connection without an answer.
+func (s *Switch) abort() {
+	s.dropped.Add(1)
+	panic(http.ErrAbortHandler)
+}
+
+// answer keeps an answer back until the faults allow to send it.
+type answer struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+func (a *answer) Header() http.Header         { return a.header }
+func (a *answer) WriteHeader(status int)      { a.status = status }
+func (a *answer) Write(p []byte) (int, error) { return a.body.Write(p) }
+
+// ReadJSON decodes a body of at most MaxBody bytes; on failure it answers and reports false.
+func ReadJSON(w http.ResponseWriter, r *http.Request, v any) bool {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, MaxBody)).Decode(v); err != nil {
+		writeBodyError(w, err)
+		return false
+	}
+	return true
+}
+
+// WriteJSON answers with v as JSON.
+func WriteJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// Error answers with a typed error.
+func Error(w http.ResponseWriter, status int, kind model.ErrorKind, message string) {
+	WriteJSON(w, status, &model.Error{Kind: kind, Message: message})
+}
+
+func writeBodyError(w http.ResponseWriter, err error) {
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		Error(w, http.StatusRequestEntityTooLarge, model.KindTooLarge, "the body exceeds 4 MiB")
+		return
+	}
+	Error(w, http.StatusBadRequest, model.KindInvalid, "body: "+err.Error())
+}
--- /dev/null
+++ b/internal/fake/hosts/hosts.go
@@ -0,0 +1,161 @@
+package hosts
+
+import (
+	"cmp"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"chestnutmux.example/chestnutmux/internal/fake/fault"
+	"chestnutmux.example/chestnutmux/internal/hostclient"
+	"chestnutmux.example/chestnutmux/pkg/model"
+)
+
+// Options sets the lag of a host list.
+type Options struct {
+	Lag time.Duration // time until a change becomes visible
+	Now func() time.Time
+}
+
+// Hosts is the host list.
+type Hosts struct {
+	fault.Switch
+	now func() time.Time
+
+	mu      sync.Mutex
+	lag     time.Duration
+	actual  map[model.HostID]hostclient.Host
+	visible map[model.HostID]hostclient.Host
+	pending []change // ordered by time
+	routes  map[route]string
+}
+
+type change struct {
+	at   time.Time
+	id   model.HostID
+	host *hostclient.Host // nil removes
+}
+
+type route struct{ viewer, target model.HostID }
+
+// New returns a list that shows the given hosts at once.
+func New(opts Options, initial ...hostclient.Host) *Hosts {
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
+	h := &Hosts{now: opts.Now, lag: opts.Lag, actual: map[model.HostID]hostclient.Host{}, routes: map[route]string{}}
+	for _, x := range initial {
+		h.actual[x.ID] = x
+	}
+	h.visible = maps.Clone(h.actual)
+	return h
+}
+
+// Handler serves the list and its fault switches.
+func (h *Hosts) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/hosts", func(w http.ResponseWriter, r *http.Request) {
+		if h.Get().Refuse {
+			fault.Error(w, http.StatusServiceUnavailable, model.KindOverloaded, "the host list refuses requests")
+			return
+		}
+		fault.WriteJSON(w, http.StatusOK, h.List(model.HostID(r.Header.Get(fault.HeaderHostID))))
+	})
+	return h.Wrap(mux, nil)
+}
+
+// List returns the hosts that are visible now, ordered by id, with the peer addresses that the viewer is to use.
+func (h *Hosts) List(viewer model.HostID) hostclient.List {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.settle()
+	hosts := slices.AppendSeq(make([]hostclient.Host, 0, len(h.visible)), maps.Values(h.visible))
+	slices.SortFunc(hosts, func(a, b hostclient.Host) int { return cmp.Compare(a.ID, b.ID) })
+	for i, x := range hosts {
+		if addr, ok := h.routes[route{viewer, x.ID}]; ok {
+			hosts[i].PeerAddr = addr
+		}
+	}
+	return hostclient.List{Hosts: hosts}
+}
+
+// Host returns the actual entry of a host, regardless of the lag.
+func (h *Hosts) Host(id model.HostID) (hostclient.Host, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	x, ok := h.actual[id]
+	return x, ok
+}
+
+// Put adds or replaces a host.
+func (h *Hosts) Put(x hostclient.Host) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.actual[x.ID] = x
+	h.change(change{id: x.ID, host: &x})
+}
+
+// Update changes a listed host and reports whether it is listed.
+func (h *Hosts) Update(id model.HostID, f func(*hostclient.Host)) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	x, ok := h.actual[id]
+	if !ok {
+		return false
+	}
+	f(&x)
+	x.ID = id
+	h.actual[id] = x
+	h.change(change{id: id, host: &x})
+	return true
+}
+
+// Remove takes a host off the list and reports whether it was listed.
+func (h *Hosts) Remove(id model.HostID) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_, ok := h.actual[id]
+	delete(h.actual, id)
+	h.change(change{id: id})
+	return ok
+}
+
+// SetLag changes the lag of later changes.
+func (h *Hosts) SetLag(lag time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lag = lag
+}
+
+// SetRoute shows the viewer another peer address of the target, such as that of a relay.
+func (h *Hosts) SetRoute(viewer, target model.HostID, addr string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.routes[route{viewer, target}] = addr
+}
+
+// change queues a change; one that follows a shorter lag still keeps its place in the order.
+func (h *Hosts) change(c change) {
+	c.at = h.now().Add(h.lag)
+	if n := len(h.pending); n > 0 && h.pending[n-1].at.After(c.at) {
+		c.at = h.pending[n-1].at
+	}
+	h.pending = append(h.pending, c)
+	h.settle()
+}
+
+func (h *Hosts) settle() {
+	now := h.now()
+	n := 0
+	for n < len(h.pending) && !h.pending[n].at.After(now) {
+		if c := h.pending[n]; c.host == nil {
+			delete(h.visible, c.id)
+		} else {
+			h.visible[c.id] = *c.host
+		}
+		n++
+	}
+	h.pending = h.pending[n:]
+}
--- /dev/null
+++ b/internal/fake/platform/admin.go
@@ -0,0 +1,168 @@
+package platform
+
+import (
+	"net/http"
+	"time"
+
+	"chestnutmux.example/chestnutmux/internal/fake/fault"
+	"chestnutmux.example/chestnutmux/internal/fake/runner"
+	"chestnutmux.example/chestnutmux/internal/hostclient"
+	"chestnutmux.example/chestnutmux/pkg/model"
+)
+
+// Endpoint is one fake in the ready line and in the list of the admin listener.
+type Endpoint struct {
+	Name string `json:"name"`
+	Kind string `json:"kind"` // log, hosts, worker, runner or relay
+	Addr string `json:"addr"` // host:port
+	URL  string `json:"url,omitempty"`
+}
+
+// Ready tells where all fakes listen.
+type Ready struct {
+	Ready   bool       `json:"ready"`
+	Admin   string     `json:"admin"`
+	Log     string     `json:"log"`
+	Hosts   string     `json:"hosts"`
+	Workers []Endpoint `json:"workers"`
+	Runners []Endpoint `json:"runners"`
+	Relays  []Endpoint `json:"relays"`
+}
+
+// Ready returns the addresses of all fakes.
+func (p *Platform) Ready() Ready {
+	r := Ready{
+		Ready: true, Admin: p.AdminURL(), Log: p.LogURL(), Hosts: p.HostsURL(),
+		Workers: []Endpoint{}, Runners: []Endpoint{}, Relays: []Endpoint{},
+	}
+	for _, e := range p.Endpoints() {
+		switch e.Kind {
+		case "worker":
+			r.Workers = append(r.Workers, e)
+		case "runner":
+			r.Runners = append(r.Runners, e)
+		case "relay":
+			r.Relays = append(r.Relays, e)
+		}
+	}
+	return r
+}
+
+// Endpoints returns all fakes, ordered by name.
+func (p *Platform) Endpoints() []Endpoint {
+	var out []Endpoint
+	for _, name := range p.Names() {
+		f, err := p.fake(name)
+		if err != nil {
+			continue
+		}
+		e := Endpoint{Name: name, Kind: f.kind, Addr: f.addr()}
+		if f.kind != "relay" {
+			e.URL = "http://" + e.Addr
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+// adminHandler passes /admin/fakes/{name}/X on to /admin/X of the named fake.
+func (p *Platform) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /admin/fakes", func(w http.ResponseWriter, _ *http.Request) {
+		fault.WriteJSON(w, http.StatusOK, map[string][]Endpoint{"fakes": p.Endpoints()})
+	})
+	mux.HandleFunc("POST /admin/fakes/{name}/restart", func(w http.ResponseWriter, r *http.Request) {
+		done(w, p.Restart(r.PathValue("name")))
+	})
+	mux.HandleFunc("DELETE /admin/fakes/{name}", func(w http.ResponseWriter, r *http.Request) {
+		done(w, p.Kill(r.PathValue("name")))
+	})
+	mux.HandleFunc("/admin/fakes/{name}/{rest}", func(w http.ResponseWriter, r *http.Request) {
+		f, err := p.fake(r.PathValue("name"))
+		if err != nil {
+			fault.Error(w, http.StatusNotFound, model.KindNotFound, err.Error())
+			return
+		}
+		inner := r.Clone(r.Context())
+		inner.URL.Path, inner.URL.RawPath = "/admin/"+r.PathValue("rest"), ""
+		f.handler.ServeHTTP(w, inner)
+	})
+	mux.HandleFunc("PUT /admin/hosts/{id}", p.putHost)
+	mux.HandleFunc("DELETE /admin/hosts/{id}", func(w http.ResponseWriter, r *http.Request) {
+		if !p.Hosts.Remove(model.HostID(r.PathValue("id"))) {
+			fault.Error(w, http.StatusNotFound, model.KindNotFound, "the host is not listed")
+			return
+		}
+		done(w, nil)
+	})
+	mux.HandleFunc("POST /admin/partition", func(w http.ResponseWriter, r *http.Request) {
+		var body struct {
+			A      []model.HostID `json:"a"`
+			B      []model.HostID `json:"b"`
+			Silent bool           `json:"silent"`
+		}
+		if fault.ReadJSON(w, r, &body) {
+			p.Partition(body.A, body.B, body.Silent)
+			done(w, nil)
+		}
+	})
+	mux.HandleFunc("DELETE /admin/partition", func(w http.ResponseWriter, _ *http.Request) {
+		p.Heal()
+		done(w, nil)
+	})
+	mux.HandleFunc("GET /admin/ledger", func(w http.ResponseWriter, _ *http.Request) {
+		fault.WriteJSON(w, http.StatusOK, p.Ledger.Report(time.Now()))
+	})
+	mux.HandleFunc("GET /admin/runs", func(w http.ResponseWriter, _ *http.Request) {
+		fault.WriteJSON(w, http.StatusOK, runner.Runs{Runs: p.Runs()})
+	})
+	return mux
+}
+
+// putHost changes the given fields of a listed host, or lists an entry host again or anew.
+func (p *Platform) putHost(w http.ResponseWriter, r *http.Request) {
+	id := model.HostID(r.PathValue("id"))
+	var body struct {
+		State    hostclient.State `json:"state"`
+		Addr     string           `json:"addr"`
+		PeerAddr string           `json:"peer-addr"`
+		Domain   model.DomainID   `json:"domain"`
+	}
+	if !fault.ReadJSON(w, r, &body) {
+		return
+	}
+	if body.State != "" && body.State != hostclient.StateLive && body.State != hostclient.StateLeaving {
+		fault.Error(w, http.StatusBadRequest, model.KindInvalid, "state must be live or leaving")
+		return
+	}
+	var err error
+	if h, ok := p.Hosts.Host(id); !ok || h.Role == hostclient.RoleEntry && body.Addr+body.PeerAddr != "" {
+		e := EntryHost{ID: id, Addr: h.Addr, PeerAddr: h.PeerAddr, Domain: h.Domain}
+		if body.Addr != "" {
+			e.Addr = body.Addr
+		}
+		if body.PeerAddr != "" {
+			e.PeerAddr = body.PeerAddr
+		}
+		if body.Domain != "" {
+			e.Domain = body.Domain
+		}
+		if e.Addr == "" || e.Domain == "" {
+			fault.Error(w, http.StatusNotFound, model.KindNotFound, "the host is not listed; addr and domain list an entry host")
+			return
+		}
+		err = p.PutEntryHost(e)
+	}
+	if err == nil && body.State != "" {
+		err = p.SetLeaving(id, body.State == hostclient.StateLeaving)
+	}
+	done(w, err)
+}
+
+func done(w http.ResponseWriter, err error) {
+	if err != nil {
+		fault.Error(w, http.StatusNotFound, model.KindNotFound, err.Error())
+		return
+	}
+	fault.WriteJSON(w, http.StatusOK, struct{}{})
+}
--- /dev/null
+++ b/internal/fake/server/server.go
@@ -0,0 +1,78 @@
+package server
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// headerTimeout bounds how long a client may take to send its request headers.
+const headerTimeout = 5 * time.Second
+
+// Server is the HTTP listener of one fake.
+type Server struct {
+	handler http.Handler
+
+	mu   sync.Mutex
+	addr string
+	srv  *http.Server // nil while closed
+}
+
+// Start listens on addr, whose port may be 0, and serves the handler.
+func Start(addr string, handler http.Handler) (*Server, error) {
+	s := &Server{addr: addr, handler: handler}
+	if err := s.listen(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// Addr returns the host:port that the server listens on, also while it is closed.
+func (s *Server) Addr() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.addr
+}
+
+// URL returns the base URL of the server.
+func (s *Server) URL() string { return "http://" + s.Addr() }
+
+// Close closes the listener and all connections at once.
+func (s *Server) Close() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.close()
+}
+
+// Restart closes the listener and all connections and listens again on the same address.
+func (s *Server) Restart() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.close(); err != nil {
+		return err
+	}
+	return s.listen()
+}
+
+func (s *Server) close() error {
+	if s.srv == nil {
+		return nil
+	}
+	err := s.srv.Close()
+	s.srv = nil
+	return errors.Wrap(err, "server: close")
+}
+
+func (s *Server) listen() error {
+	ln, err := net.Listen("tcp", s.addr)
+	if err != nil {
+		return errors.Wrapf(err, "server: listen on %s", s.addr)
+	}
+	s.addr = ln.Addr().String()
+	s.srv = &http.Server{Handler: s.handler, ReadHeaderTimeout: headerTimeout}
+	go func(srv *http.Server) { _ = srv.Serve(ln) }(s.srv)
+	return nil
+}
