Implement service requests and claims

Entry hosts refused all requests because only the API existed. Claims are told apart by record id and index, as the appender and the claims fold give them.

--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
@@ -22,29 +23,45 @@
 // ErrNotSent is matched by an append error when the claim certainly never reached the log service.
 var ErrNotSent = errors.New("claimer: claim was not sent to the log")
 
-// Claim is one entry of the claims stream.
+// Claim reserves a request for one entry host.
 type Claim struct {
-	Workspace model.WorkspaceID `json:"workspace"`
-	Request   model.RequestID   `json:"request"`
-	Host      model.HostID      `json:"host"`
-	// Nonce differs for each claim, so that a host that restarted or evicted its record
-	// does not take an earlier claim of its own host id for the present one.
-	Nonce string `json:"nonce"`
+	Workspace model.WorkspaceID
+	Request   model.RequestID
+	Host      model.HostID
+}
+
+// Ref names one appended claim: the id of its record and its place in the record. It never repeats, so that
+// a host that restarted does not take an earlier claim of its own host id for the present one.
+type Ref struct {
+	Record string
+	Index  int
+}
+
+// Receipt is the result of an append.
+type Receipt struct {
+	Offset model.Offset // of the record that holds the claim
+	Ref    Ref
+}
+
+// Won is the first claim of a request in offset order.
+type Won struct {
+	Host model.HostID
+	Ref  Ref
 }
 
 // Appender appends claims to the log.
 type Appender interface {
-	// Append returns the offset of the record that holds the claim; an error matches
-	// ErrNotSent when no append was sent, any other error leaves the result open.
-	Append(ctx context.Context, c Claim) (model.Offset, error)
+	// Append returns where the claim was stored. An error that matches ErrNotSent, or a *model.Error with
+	// outcome not-run, says that no append was sent; any other error leaves the result open.
+	Append(ctx context.Context, c Claim) (Receipt, error)
 }
 
 // Fold is the state computed from the claims stream.
 type Fold interface {
 	// WaitApplied returns nil once all records up to and including the offset are applied.
 	WaitApplied(ctx context.Context, offset model.Offset) error
-	// Winner returns the first claim of the request in offset order, as it was appended.
-	Winner(ws model.WorkspaceID, id model.RequestID) (Claim, bool)
+	// Winner returns the first claim of the request.
+	Winner(ws model.WorkspaceID, id model.RequestID) (Won, bool)
 	// ViewStart returns the log time since when all claims are known; zero means that none is missing.
 	ViewStart() time.Time
 }
@@ -70,6 +87,7 @@
 	Verdict Verdict
 	Host    model.HostID // the winner, when lost
 	Err     *model.Error // the answer to the caller, when refused
+	Spent   bool         // refused after an append was sent, so the id can't be used again
 }
 
 // Request identifies a non-idempotent request.
@@ -103,5 +121,4 @@
 	MaxResults int
 	MaxBytes   model.Bytes
 	Now        func() time.Time // nil means time.Now
-	Nonce      func() string    // nil means random; must never repeat
 }
--- a/internal/router/api.go
+++ b/internal/router/api.go
@@ -44,7 +44,7 @@
 // DialFunc makes the sender for a runner; it opens no connection.
 type DialFunc func(host hostclient.Host, o runnerclient.Options) Sender
 
-// Hooks observe the router; nil functions are skipped, and all are called from the router's task.
+// Hooks observe the router; nil functions are skipped, and all must be fast and safe for concurrent use.
 type Hooks struct {
 	Wait      func(ws model.WorkspaceID, class model.ClassID, d time.Duration)
 	Service   func(ws model.WorkspaceID, class model.ClassID, d time.Duration)
--- /dev/null
+++ b/internal/router/runner.go
@@ -0,0 +1,122 @@
+package router
+
+import (
+	"hash/fnv"
+	"math/rand/v2"
+	"time"
+
+	"chestnutmux.example/chestnutmux/internal/hostclient"
+	"chestnutmux.example/chestnutmux/internal/limiter"
+	"chestnutmux.example/chestnutmux/internal/runnerclient"
+	"chestnutmux.example/chestnutmux/pkg/model"
+)
+
+// tier is the distance of a runner; nearer ones are used first.
+type tier int
+
+const (
+	tierDomain tier = iota
+	tierRegion
+	tierOther
+	tierCount
+)
+
+const (
+	// backoffBase keeps a refusal caused by disagreeing slot shares cheap: membership settles within about 1 s.
+	backoffBase = 100 * time.Millisecond
+	// backoffMax bounds how long a recovered runner stays unused.
+	backoffMax = 30 * time.Second
+	// slownessWeight is the weight of the newest latency, so that about ten answers decide.
+	slownessWeight = 0.2
+	// slownessHalfLife lets a runner that was slow be tried again once it has got few requests for a while.
+	slownessHalfLife = 10 * time.Second
+	// overdueFactor is the multiple of the usual service time after which a deadline is the runner's fault.
+	overdueFactor = 3
+)
+
+// runner is one row of the runner table.
+type runner struct {
+	host      hostclient.Host
+	sender    Sender
+	tier      tier
+	slots     int // of the runner
+	share     int // slots of this host
+	inFlight  int
+	othersUse int // slots that other hosts used at the last answer
+	leaving   bool
+	gone      bool // no longer in the table
+	slowness  float64
+	slowAt    time.Time
+	failures  int // in a row
+	failedAt  time.Time
+	retryAt   time.Time
+	budget    limiter.RetryBudget
+}
+
+// shareOf divides n slots among hosts by rank, rotating by runner, so that over all ranks exactly n are given out.
+func shareOf(id model.HostID, n, rank, hosts int) int {
+	if hosts <= 0 || rank < 0 || rank >= hosts || n <= 0 {
+		return 0
+	}
+	h := fnv.New32a()
+	h.Write([]byte(id))
+	turn := (rank + int(h.Sum32()%uint32(hosts))) % hosts
+	share := n / hosts
+	if turn < n%hosts {
+		share++
+	}
+	return share
+}
+
+// free returns how many more requests the runner may get from this host now.
+func (r *runner) free(now time.Time) int {
+	switch {
+	case r.leaving || r.gone || now.Before(r.retryAt):
+		return 0
+	case r.failures > 0 && r.inFlight > 0:
+		return 0 // a failing runner gets one trial at a time
+	}
+	return max(r.share-r.inFlight, 0)
+}
+
+// load orders candidates: the slots in use relative to the runner's slots, times its slowness.
+func (r *runner) load(now time.Time) float64 {
+	slow := 1.0
+	if r.slowness > 1 {
+		age := now.Sub(r.slowAt)
+		halves := float64(age) / float64(slownessHalfLife)
+		slow = 1 + (r.slowness-1)/(1+halves*halves)
+	}
+	own := float64(r.inFlight+1) / float64(max(r.share, 1))
+	others := float64(r.othersUse) / float64(max(r.slots, 1))
+	return (own + others) * slow
+}
+
+func (r *runner) note(st runnerclient.Status) {
+	if st.Leaving {
+		r.leaving = true
+	}
+	if st.FreeSlots >= 0 {
+		// inFlight no longer counts the answered request, and neither does the runner.
+		r.othersUse = max(r.slots-st.FreeSlots-r.inFlight, 0)
+	}
+}
+
+func (r *runner) succeeded(st runnerclient.Status, started time.Time) {
+	r.note(st)
+	if !started.Before(r.failedAt) {
+		r.failures, r.retryAt = 0, time.Time{}
+	}
+}
+
+// failed backs off; failures of attempts that were already in progress at the latest one count once.
+func (r *runner) failed(st runnerclient.Status, started, now time.Time, rng *rand.Rand) {
+	r.note(st)
+	if r.failures > 0 && started.Before(r.failedAt) {
+		return
+	}
+	r.failures++
+	d := min(backoffBase<<min(r.failures-1, 10), backoffMax)
+	// Jitter keeps the entry hosts from sending their trials at the same time.
+	r.failedAt, r.retryAt = now, now.Add(d/2+time.Duration(rng.Int64N(int64(d/2)+1)))
+}
--- a/internal/runnerclient/client.go
+++ b/internal/runnerclient/client.go
@@ -11,7 +11,6 @@
 	"net/http/httptrace"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"chestnutmux.example/chestnutmux/pkg/model"
@@ -101,8 +100,7 @@
 
 func newTransport(conns int) *http.Transport {
 	return &http.Transport{
-		Proxy:                  nil,
-		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:            dial,
 		MaxConnsPerHost:        conns,
 		MaxIdleConnsPerHost:    conns,
 		IdleConnTimeout:        idleTimeout,
@@ -111,6 +109,14 @@
 	}
 }
 
+func dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	c, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: c}, nil
+}
+
 // SetMaxConns changes the share of connections; requests in progress finish on the old ones.
 func (c *Client) SetMaxConns(n int) {
 	n = max(n, 1)
@@ -142,32 +148,22 @@
 		ctx, cancel = context.WithDeadline(ctx, req.Deadline)
 		defer cancel()
 	}
-	var touched atomic.Bool
-	hreq, err := c.newRequest(traced(ctx, &touched), req)
+	var t tracker
+	hreq, err := c.newRequest(httptrace.WithClientTrace(ctx, t.trace()), req)
 	if err != nil {
 		return Answer{}, &Error{NotRun: true, Status: Status{FreeSlots: -1}, Err: err}
 	}
 	tr := c.transport()
 	resp, err := tr.RoundTrip(hreq)
 	if err != nil {
-		// Without a connection nothing can have been written.
-		sent := touched.Load()
+		// The transport may still hold the request, so its connection is closed before the answer is given.
+		sent := t.abandon()
 		return Answer{}, &Error{NotRun: !sent, BytesSent: sent, Status: Status{FreeSlots: -1}, Err: err}
 	}
 	defer resp.Body.Close()
 	return c.read(resp, req)
 }
 
-// traced marks the request as possibly written once it has a connection. GotConn precedes any write,
-// so the mark errs on the side of unknown.
-func traced(ctx context.Context, touched *atomic.Bool) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn:      func(httptrace.GotConnInfo) { touched.Store(true) },
-		WroteHeaders: func() { touched.Store(true) },
-		WroteRequest: func(httptrace.WroteRequestInfo) { touched.Store(true) },
-	})
-}
-
 // newRequest leaves GetBody unset and sets no Idempotency-Key, so that http.Transport does not
 // replay the request on a second connection once it may have been written.
 func (c *Client) newRequest(ctx context.Context, req Request) (*http.Request, error) {
