--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -99,7 +99,8 @@
 	return f.status
 }
 
-// Do runs fn on the follower's goroutine, where it may use the fold; it fails when ctx ends or Run has returned.
+// Do runs fn on the follower's goroutine, where it may use the fold; it fails when ctx ends or Run has returned. It
+// must not be called on that goroutine itself.
 func (f *Follower) Do(ctx context.Context, fn func()) error {
 	c := call{fn: fn, ran: make(chan struct{})}
 	select {
@@ -116,6 +117,8 @@
 // Run follows the stream until ctx ends; it must be called once.
 func (f *Follower) Run(ctx context.Context) {
 	defer close(f.done)
+	var reads sync.WaitGroup
+	defer reads.Wait()
 	replies := make(chan reply, 1)
 	backoff := minBackoff
 	for ctx.Err() == nil {
@@ -126,8 +129,8 @@
 		if s := f.Status(); f.answered && s.UnreachableSince.IsZero() && from >= s.End {
 			wait = pollWait
 		}
-		go func() { replies <- f.read(ctx, from, wait) }()
-		r, ok := f.await(ctx, replies)
+		reads.Go(func() { replies <- f.read(ctx, from, wait) })
+		r, ok := await(ctx, f, replies)
 		if !ok {
 			return
 		}
@@ -145,27 +148,24 @@
 		}
 		f.apply(r, from)
 		if pause > 0 {
-			t := time.AfterFunc(pause, func() { replies <- reply{} })
-			if _, ok := f.await(ctx, replies); !ok {
-				t.Stop()
-				return
-			}
+			await(ctx, f, time.After(pause))
 		}
 	}
 }
 
-// await serves calls until a reply arrives; it reports false when ctx ends.
-func (f *Follower) await(ctx context.Context, replies <-chan reply) (reply, bool) {
+// await serves calls until the channel delivers; it reports false when ctx ends.
+func await[T any](ctx context.Context, f *Follower, delivery <-chan T) (T, bool) {
 	for {
 		select {
-		case r := <-replies:
-			return r, true
+		case v := <-delivery:
+			return v, true
 		case c := <-f.calls:
 			c.fn()
 			f.update(func(*Status) {})
 			close(c.ran)
 		case <-ctx.Done():
-			return reply{}, false
+			var zero T
+			return zero, false
 		}
 	}
 }
--- a/internal/logclient/client.go
+++ b/internal/logclient/client.go
@@ -151,7 +151,7 @@
 	return u
 }
 
-// do sends one request and hands the body of a 200 reply to decode; it returns the body of any reply.
+// do sends one request and hands the body of a successful reply to decode; it returns the body of any reply.
 func (c *Client) do(ctx context.Context, method, u string, body []byte, decode func([]byte) error) ([]byte, error) {
 	// Without a connection nothing can have been written, so that the request certainly had no effect.
 	var connected atomic.Bool
@@ -175,7 +175,7 @@
 	}
 	defer resp.Body.Close()
 	b, err := io.ReadAll(io.LimitReader(resp.Body, maxReply+1))
-	if resp.StatusCode != http.StatusOK {
+	if resp.StatusCode/100 != 2 {
 		return b, statusError(resp)
 	}
 	if err == nil && len(b) > maxReply {
--- a/internal/reducer/config.go
+++ b/internal/reducer/config.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"maps"
-	"time"
 
 	"chestnutmux.example/chestnutmux/internal/logclient"
 	"chestnutmux.example/chestnutmux/pkg/model"
@@ -47,7 +46,6 @@
 type Config struct {
 	tail
 	version     model.Version
-	changedMS   int64
 	set         model.Set
 	history     history
 	verdicts    map[string]Verdict
@@ -77,7 +75,7 @@
 		c.hold(rec)
 		entries, _ := decode(rec.Data, configFields)
 		for _, e := range entries {
-			if e.Snapshot != nil && c.Restore(*e.Snapshot) {
+			if e.Snapshot != nil && e.Snapshot.Next <= rec.Offset && c.Restore(*e.Snapshot) {
 				return
 			}
 		}
@@ -110,7 +108,7 @@
 	}
 	v, set := c.judge(p)
 	if v.State == VerdictAccepted {
-		c.version, c.set, c.changedMS = v.Version, set, c.pos.NowMS
+		c.version, c.set = v.Version, set
 		for _, ch := range p.Changes {
 			c.history.note(LastChange{Kind: ch.Kind, Name: ch.Name, Version: v.Version, Author: p.Author, Deleted: deleted(ch)})
 		}
@@ -222,8 +220,5 @@
 	return s
 }
 
-// Since returns the time from which the version in force has been in force on the log's clock.
-func (c *Config) Since() time.Time { return time.UnixMilli(c.changedMS).UTC() }
-
 // At returns the changes made after a base version.
 func (c *Config) At(base model.Version) View { return c.history.at(base) }
--- a/internal/reducer/jobs.go
+++ b/internal/reducer/jobs.go
@@ -119,7 +119,7 @@
 		j.hold(rec)
 		entries, _ := decode(rec.Data, jobFields)
 		for _, e := range entries {
-			if e.Snapshot != nil && j.Restore(*e.Snapshot) {
+			if e.Snapshot != nil && e.Snapshot.Next <= rec.Offset && j.Restore(*e.Snapshot) {
 				return
 			}
 		}
@@ -165,6 +165,9 @@
 		j.malformed++
 		return
 	}
+	if p, err := json.Marshal(s.Spec.Payload); err == nil && len(s.Spec.Payload) > 0 {
+		s.Spec.Payload = p // compact, as a snapshot would make it
+	}
 	digest := SpecDigest(s.Spec)
 	if first, ok := j.jobs[s.Spec.ID]; ok {
 		j.emit(JobEvent{Kind: JobRepeated, Job: *first, Identical: first.Digest == digest})
@@ -265,12 +268,15 @@
 	}
 	held := j.restore(s.Position)
 	j.jobs, j.final = make(map[model.JobID]*Job, len(s.Live)+len(s.Final)), nil
-	for _, job := range s.Live {
-		j.jobs[job.Spec.ID] = &job
-	}
-	for _, job := range s.Final {
+	for _, job := range slices.Concat(s.Live, s.Final) {
+		if _, ok := j.jobs[job.Spec.ID]; ok {
+			j.malformed++
+			continue
+		}
 		j.jobs[job.Spec.ID] = &job
-		j.final = append(j.final, job.Spec.ID)
+		if job.State.Final() {
+			j.final = append(j.final, job.Spec.ID)
+		}
 	}
 	j.rec, j.index = logclient.Record{}, 0
 	j.emit(JobEvent{Kind: JobsReplaced})
--- a/internal/reducer/tail.go
+++ b/internal/reducer/tail.go
@@ -25,9 +25,8 @@
 	Next     model.Offset `json:"next"`   // first offset that the snapshot does not cover
 	NowMS    int64        `json:"now-ms"` // latest time of the log, Unix milliseconds
 	Seen     []seenID     `json:"seen,omitempty"`
-	SnapNext model.Offset `json:"snap-next,omitempty"` // next offset after the latest snapshot in the stream
-	SnapAtMS int64        `json:"snap-at-ms,omitempty"`
-	Records  int          `json:"records"` // since the latest snapshot in the stream
+	SnapAtMS int64        `json:"snap-at-ms,omitempty"` // of the latest snapshot in the stream
+	Records  int          `json:"records"`              // since the latest snapshot in the stream
 }
 
 // tail is the part of a fold that deals with offsets, repeats and gaps.
@@ -80,7 +79,7 @@
 		return
 	}
 	if len(t.held) >= maxHeld {
-		t.held = append(t.held[:0:0], t.held[1:]...)
+		t.held = append(t.held[:0:0], t.held[maxHeld/4:]...)
 		t.heldFrom = t.held[0].Offset
 	}
 	t.held = append(t.held, rec)
@@ -113,7 +112,7 @@
 
 // snapshotSeen notes a snapshot entry in the stream.
 func (t *tail) snapshotSeen() {
-	t.pos.SnapNext, t.pos.SnapAtMS, t.pos.Records = t.pos.Next, t.pos.NowMS, 0
+	t.pos.SnapAtMS, t.pos.Records = t.pos.NowMS, 0
 }
 
 // closes reports whether a snapshot that covers the records before pos.Next can replace the state.
--- a/pkg/validator/pack.go
+++ b/pkg/validator/pack.go
@@ -29,33 +29,19 @@
 	return true
 }
 
-// block is a free aligned block. A cell of whole workers takes 2^i workers of one rack; smaller cells split a worker.
-type block struct {
-	workers      int                // power of two; 1 for a worker or a part of one
-	accelerators model.Accelerators // per worker
-}
-
-func (b block) size() model.Accelerators { return model.Accelerators(b.workers) * b.accelerators }
-
-// blocks splits the racks into their largest aligned blocks: a rack of 11 workers gives blocks of 8, 2 and 1. A worker
-// whose count of accelerators is no power of two is split likewise, and forms no blocks with its neighbours.
-func blocks(d model.FailureDomain) map[block]int {
-	free := map[block]int{}
+// blocks counts, by size, the largest aligned blocks of the racks: 11 workers of 8 accelerators give blocks of 64, 16
+// and 8. A worker whose count of accelerators is no power of two is split likewise, and forms no blocks with others.
+func blocks(d model.FailureDomain) map[model.Accelerators]int {
+	free := map[model.Accelerators]int{}
 	for _, r := range d.Racks {
-		if r.Accelerators == 0 {
-			continue
+		per, workers := int(r.Accelerators), r.Workers
+		split, unit, count := per, 1, workers
+		if per&(per-1) == 0 {
+			split, unit, count = workers, per, 1
 		}
-		if r.Accelerators&(r.Accelerators-1) == 0 {
-			for bit := 1; bit <= r.Workers; bit <<= 1 {
-				if r.Workers&bit != 0 {
-					free[block{bit, r.Accelerators}]++
-				}
-			}
-			continue
-		}
-		for bit := model.Accelerators(1); bit <= r.Accelerators; bit <<= 1 {
-			if r.Accelerators&bit != 0 {
-				free[block{1, bit}] += r.Workers
+		for bit := 1; bit <= split; bit <<= 1 {
+			if split&bit != 0 && unit > 0 {
+				free[model.Accelerators(bit*unit)] += count
 			}
 		}
 	}
@@ -65,10 +51,7 @@
 // pack places the cells largest first, each into the smallest block that fits, and returns what does not fit. As all
 // sizes are powers of two, the order makes the packing exact: a failure means that no packing exists.
 func pack(d model.FailureDomain, want demand) []shortage {
-	sizes := map[model.Accelerators]int{}
-	for b, n := range blocks(d) {
-		sizes[b.size()] += n
-	}
+	sizes := blocks(d)
 	var short []shortage
 	for _, cell := range slices.Backward(slices.Sorted(maps.Keys(want))) {
 		left := want[cell]
