--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -85,9 +85,11 @@
 // Decision says whether the host may send the request.
 type Decision struct {
 	Verdict Verdict
-	Host    model.HostID // the winner, when lost
+	Host    model.HostID // the winner, unless refused
 	Err     *model.Error // the answer to the caller, when refused
 	Spent   bool         // refused after an append was sent, so the id can't be used again
+
+	ref Ref // of the claim, when the append was confirmed
 }
 
 // Request identifies a non-idempotent request.
@@ -96,6 +98,9 @@
 	ID        model.RequestID
 	// Digest is the same for repeats of the same request only; it covers caller, service, class and body.
 	Digest string
+	// Repeat says that the caller may have sent the request before, to any entry host. A refusal is then unknown
+	// instead of not-run, because this host can't rule out that the earlier call was run elsewhere.
+	Repeat bool
 }
 
 // Result is the outcome of a request as kept for repeats and sent to other entry hosts.
--- a/internal/claimer/run.go
+++ b/internal/claimer/run.go
@@ -43,15 +43,23 @@
 	if err := c.checkWindow(id, now); err != nil {
 		return Decision{Verdict: VerdictRefused, Err: err}
 	}
+	if won, ok := c.opts.Fold.Winner(ws, id); ok {
+		return Decision{Verdict: VerdictLost, Host: won.Host}
+	}
 	rcpt, err := c.opts.Appender.Append(ctx, Claim{Workspace: ws, Request: id, Host: c.opts.Host})
 	if err != nil {
 		if notSent(err) {
-			e := notRun(model.KindLogUnavailable, "the claim could not be sent to the log: "+err.Error(), "retry later; the request id can be used again")
-			e.RetryAfterMS = retryAfterMS
-			return Decision{Verdict: VerdictRefused, Err: e}
+			return refuse(model.KindLogUnavailable, "the claim could not be sent to the log: "+err.Error(), "retry later; the request id can be used again")
 		}
 		return spent(model.KindLogUnavailable, "the log did not confirm the claim: "+err.Error())
 	}
+	d := c.settle(ctx, rcpt, ws, id)
+	d.ref = rcpt.Ref
+	return d
+}
+
+// settle waits until the confirmed claim is applied and compares it with the winner.
+func (c *Claimer) settle(ctx context.Context, rcpt Receipt, ws model.WorkspaceID, id model.RequestID) Decision {
 	if err := c.opts.Fold.WaitApplied(ctx, rcpt.Offset); err != nil {
 		return spent(model.KindLogUnavailable, "the claim could not be read back from the log: "+err.Error())
 	}
@@ -75,9 +83,15 @@
 
 // spent refuses a request whose claim may be in the log. The claim is never used, so not-run is certain.
 func spent(kind model.ErrorKind, message string) Decision {
-	e := notRun(kind, message, "retry with a new request id; this one can't be used again")
+	d := refuse(kind, message, "retry with a new request id; this one can't be used again")
+	d.Spent = true
+	return d
+}
+
+func refuse(kind model.ErrorKind, message, remedy string) Decision {
+	e := notRun(kind, message, remedy)
 	e.RetryAfterMS = retryAfterMS
-	return Decision{Verdict: VerdictRefused, Err: e, Spent: true}
+	return Decision{Verdict: VerdictRefused, Err: e}
 }
 
 func notSent(err error) bool {
@@ -89,61 +103,93 @@
 // the call that did; Result.Error is set unless the request was answered.
 // The context that run gets outlives ctx, so that a caller that goes away can fetch the answer by a repeat.
 func (c *Claimer) Do(ctx context.Context, req Request, run RunFunc) Result {
-	k := key{req.Workspace, req.ID}
-	at, ok := idTime(req.ID)
 	now := c.opts.Now()
+	at, ok := idTime(req.ID)
 	if !ok {
-		return Result{Digest: req.Digest, Error: c.checkWindow(req.ID, now)}
+		return refused(req, c.checkWindow(req.ID, now))
 	}
 	c.mu.Lock()
-	rec, first := c.store.enter(k, now)
+	rec, first := c.store.enter(key{req.Workspace, req.ID}, now)
 	if first {
 		rec.expires = at.Add(c.opts.Window + 2*c.opts.Skew)
 	}
 	c.mu.Unlock()
+	if rec == nil {
+		return refused(req, refuse(model.KindOverloaded, "too many non-idempotent requests are in progress", "retry later; the request id can be used again").Err)
+	}
+	if first {
+		return matched(c.first(ctx, rec, req, run), req.Digest)
+	}
+	res, ok := rec.wait(ctx)
 	switch {
-	case rec == nil:
-		e := notRun(model.KindOverloaded, "too many non-idempotent requests are in progress", "retry later; the request id can be used again")
-		e.RetryAfterMS = retryAfterMS
-		return Result{Digest: req.Digest, Error: e}
-	case !first:
-		res, ok := rec.wait(ctx)
-		if !ok {
-			return Result{Digest: req.Digest, Error: unknown(model.KindDeadline, "the first call with this request id is still in progress")}
-		}
+	case !ok:
+		return failed(req, unknown(model.KindDeadline, "the first call with this request id is still in progress"))
+	case !rec.refused:
 		return matched(res, req.Digest)
 	}
-	// Waiters are released even when run panics.
-	res, keep := Result{Digest: req.Digest, Error: unknown(model.KindUpstream, "the request was aborted")}, true
+	// The first call was refused here, but another host may have run the request since.
+	if won, ok := c.opts.Fold.Winner(req.Workspace, req.ID); ok && won.Host != c.opts.Host {
+		return matched(c.ask(ctx, won.Host, req), req.Digest)
+	}
+	return refused(req, res.Error)
+}
+
+// first runs the first call with an id on this host; the calls that wait for it are released even when run panics.
+func (c *Claimer) first(ctx context.Context, rec *record, req Request, run RunFunc) (res Result) {
+	res, keep := failed(req, unknown(model.KindUpstream, "the request was aborted")), true
 	defer func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.store.finish(rec, res, keep, c.opts.Now())
 	}()
-	res, keep = c.lead(ctx, req, run)
-	return matched(res, req.Digest)
-}
-
-// lead returns the result and whether it is to be kept for repeats.
-func (c *Claimer) lead(ctx context.Context, req Request, run RunFunc) (res Result, keep bool) {
 	d := c.Claim(ctx, req.Workspace, req.ID, c.opts.Now())
-	switch {
-	case d.Verdict == VerdictRefused:
-		return Result{Digest: req.Digest, Error: d.Err}, d.Spent
-	case d.Verdict == VerdictLost && d.Host == c.opts.Host:
-		return Result{Digest: req.Digest, Error: unknown(model.KindAlreadyClaimed, "this host claimed the request id before and no longer keeps its answer")}, false
-	case d.Verdict == VerdictLost:
-		res, err := c.opts.Answers.Answer(ctx, d.Host, req.Workspace, req.ID)
-		if err != nil {
-			return Result{Digest: req.Digest, Error: unknown(model.KindAlreadyClaimed, "entry host "+string(d.Host)+" claimed the request id and gave no answer: "+err.Error())}, false
+	if d.Verdict == VerdictWon && ctx.Err() != nil {
+		ref := d.ref
+		d = spent(model.KindDeadline, "the caller left or the deadline passed before the request was sent")
+		d.ref = ref
+	}
+	if d.Verdict == VerdictRefused {
+		// A claim that was refused for the log may have lost meanwhile; the winner knows more.
+		if won, ok := c.opts.Fold.Winner(req.Workspace, req.ID); ok && won.Host != c.opts.Host {
+			d = Decision{Verdict: VerdictLost, Host: won.Host}
 		}
-		return res, false
-	case ctx.Err() != nil:
-		return Result{Digest: req.Digest, Error: spent(model.KindDeadline, "the caller left or the deadline passed before the request was sent").Err}, true
 	}
-	res = run(context.WithoutCancel(ctx))
-	res.Digest = req.Digest
-	return res, true
+	switch d.Verdict {
+	case VerdictWon:
+		res = run(context.WithoutCancel(ctx))
+		res.Digest = req.Digest
+	case VerdictLost:
+		keep = false
+		res = c.ask(ctx, d.Host, req)
+	default:
+		rec.refused, rec.ref, keep = true, d.ref, d.Spent
+		res = refused(req, d.Err)
+	}
+	return res
+}
+
+// ask gets the result from the host whose claim won; it is the only one that may have run the request.
+func (c *Claimer) ask(ctx context.Context, host model.HostID, req Request) Result {
+	if host == c.opts.Host {
+		return failed(req, unknown(model.KindAlreadyClaimed, "this host claimed the request id before and no longer keeps its answer"))
+	}
+	res, err := c.opts.Answers.Answer(ctx, host, req.Workspace, req.ID)
+	if err != nil {
+		return failed(req, unknown(model.KindAlreadyClaimed, "entry host "+string(host)+" claimed the request id and gave no answer: "+err.Error()))
+	}
+	return res
+}
+
+func failed(req Request, err *model.Error) Result { return Result{Digest: req.Digest, Error: err} }
+
+// refused is the result of a call that this host sends nothing for.
+func refused(req Request, err *model.Error) Result {
+	if req.Repeat {
+		e := unknown(err.Kind, err.Message)
+		e.RetryAfterMS = err.RetryAfterMS
+		return failed(req, e)
+	}
+	return failed(req, err)
 }
 
 // Answer returns the result of a request that this host claimed, for other entry hosts;
@@ -155,7 +201,12 @@
 	if rec == nil {
 		return Result{}, false
 	}
-	return rec.wait(ctx)
+	if res, ok = rec.wait(ctx); !ok || !rec.refused {
+		return res, ok
+	}
+	// A refusal is the whole truth only if the winner is this very claim, not that of an earlier process of this host.
+	won, ok := c.opts.Fold.Winner(ws, id)
+	return res, ok && won.Host == c.opts.Host && won.Ref == rec.ref && rec.ref != Ref{}
 }
 
 // matched withholds the result of a different request that used the same id.
--- a/internal/claimer/store.go
+++ b/internal/claimer/store.go
@@ -12,11 +12,13 @@
 	request   model.RequestID
 }
 
-// record is a request in progress or its kept result; result is set before done is closed.
+// record is a request in progress or its kept result; refused, ref and result are set before done is closed.
 type record struct {
 	key     key
 	expires time.Time
 	done    chan struct{}
+	refused bool // this host sent nothing, but another host may run the request
+	ref     Ref  // of the refused claim, zero when the append was not confirmed
 	result  Result
 }
 
--- /dev/null
+++ b/internal/queuer/queue_test.go
@@ -0,0 +1,187 @@
+package queuer
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"chestnutmux.example/chestnutmux/pkg/model"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		f.Value.Set("1")
+	}
+	os.Exit(m.Run())
+}
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+// Guards against lost or doubled items, broken bounds, a caller's requests out of order, displacement of
+// anyone but the heaviest caller, and late items that are served.
+func TestQueueAgainstModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := Limits{Total: 12, Workspace: 8, Class: 6, Caller: 4}
+		q := New[int](limits)
+		now := epoch
+		var waiting []*Entry[int] // in order of arrival
+		count := func(match func(Key) bool) (n int) {
+			for _, e := range waiting {
+				if match(e.Key) {
+					n++
+				}
+			}
+			return n
+		}
+		drop := func(e *Entry[int]) {
+			for i, o := range waiting {
+				if o == e {
+					waiting = append(waiting[:i:i], waiting[i+1:]...)
+					return
+				}
+			}
+			t.Fatalf("item %d came out twice", e.Item)
+		}
+		next := 0
+		urgencies := []model.Urgency{model.UrgencyUrgent, model.UrgencyStandard, model.UrgencyBatch}
+		t.Repeat(map[string]func(*rapid.T){
+			"push": func(t *rapid.T) {
+				u := rapid.IntRange(0, 2).Draw(t, "urgency")
+				k := Key{
+					Workspace: model.WorkspaceID(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "workspace")),
+					Caller:    model.CallerID(rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "caller")),
+					Class:     model.ClassID(fmt.Sprint(u)), Urgency: urgencies[u],
+				}
+				next++
+				full := len(waiting) == limits.Total
+				e, displaced, err := q.Push(next, k, now.Add(time.Duration(rapid.IntRange(1, 50).Draw(t, "ttl"))))
+				mine := count(func(o Key) bool { return o.Workspace == k.Workspace && o.Caller == k.Caller })
+				over := mine >= limits.Caller ||
+					count(func(o Key) bool { return o.Workspace == k.Workspace && o.Class == k.Class }) >= limits.Class ||
+					count(func(o Key) bool { return o.Workspace == k.Workspace }) >= limits.Workspace
+				if (over || full && displaced == nil) != (err != nil) || (over || !full) && displaced != nil {
+					t.Fatalf("over %v full %v displaced %v err %v", over, full, displaced, err)
+				}
+				if displaced != nil {
+					v := displaced.Key
+					weight := func(k Key) int { return count(func(o Key) bool { return o == k }) }
+					for _, o := range waiting {
+						if levelOf(o.Key.Urgency) > levelOf(v.Urgency) || o.Key.Urgency == v.Urgency && weight(o.Key) > weight(v) {
+							t.Fatalf("displaced %v although %v is less urgent or heavier", v, o.Key)
+						}
+						if o.Key == v && o.Item > displaced.Item {
+							t.Fatalf("displaced item %d, older than %d", displaced.Item, o.Item)
+						}
+					}
+					if mine >= weight(v) || levelOf(v.Urgency) < levelOf(k.Urgency) {
+						t.Fatalf("arrival of %v with %d items displaced %v with %d", k, mine, v, weight(v))
+					}
+					drop(displaced)
+				}
+				if e != nil {
+					waiting = append(waiting, e)
+				}
+			},
+			"pop": func(t *rapid.T) {
+				e, ok := q.Pop()
+				if ok != (len(waiting) > 0) {
+					t.Fatalf("pop %v with %d waiting", ok, len(waiting))
+				}
+				if ok {
+					for _, o := range waiting {
+						if o.Key == e.Key && o.Item < e.Item {
+							t.Fatalf("item %d served before %d of the same caller", e.Item, o.Item)
+						}
+					}
+					drop(e)
+				}
+			},
+			"cancel": func(t *rapid.T) {
+				if len(waiting) == 0 {
+					return
+				}
+				e := rapid.SampledFrom(waiting).Draw(t, "entry")
+				if !q.Remove(e) || q.Remove(e) {
+					t.Fatal("an item must be removed exactly once")
+				}
+				drop(e)
+			},
+			"expire": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "step")))
+				for e, ok := q.Expired(now); ok; e, ok = q.Expired(now) {
+					drop(e)
+					if e.Deadline.After(now) {
+						t.Fatal("item expired before its deadline")
+					}
+				}
+				for _, e := range waiting {
+					if !e.Deadline.After(now) {
+						t.Fatal("late item kept")
+					}
+				}
+			},
+			"": func(t *rapid.T) {
+				if q.Len() != len(waiting) {
+					t.Fatalf("length %d, want %d", q.Len(), len(waiting))
+				}
+			},
+		})
+		for range waiting {
+			q.Pop()
+		}
+		if q.Len()+len(q.callers)+len(q.classes)+len(q.workspaces)+len(q.deadlines) != 0 {
+			t.Fatal("an empty queue keeps state of its former items")
+		}
+	})
+}
+
+func fill(q *Queue[int], n int, k Key) {
+	for i := range n {
+		q.Push(i, k, time.Time{})
+	}
+}
+
+func served(q *Queue[int], n int) map[Key]int {
+	m := map[Key]int{}
+	for range n {
+		if e, ok := q.Pop(); ok {
+			m[e.Key]++
+		}
+	}
+	return m
+}
+
+// Guards against a flood of urgent requests that stops all less urgent ones, and against reserves that are larger.
+func TestReservedShares(t *testing.T) {
+	is := is.New(t)
+	q := New[int](Limits{Total: 1000, Workspace: 1000, Class: 1000, Caller: 1000})
+	urgent, standard, batch := Key{Class: "u", Urgency: "urgent"}, Key{Class: "s"}, Key{Class: "b", Urgency: "batch"}
+	for _, k := range []Key{urgent, standard, batch} {
+		fill(q, 200, k)
+	}
+	got := served(q, 201) // at the 200th, both lower levels are owed an item and one of them waits for the next
+	is.Equal(got[urgent], 171)
+	is.Equal(got[standard], 20)
+	is.Equal(got[batch], 10)
+}
+
+// Guards against a caller or workspace that gets more because it asks for more.
+func TestFairShares(t *testing.T) {
+	is := is.New(t)
+	q := New[int](Limits{Total: 1000, Workspace: 1000, Class: 1000, Caller: 1000})
+	q.SetWeights(map[model.WorkspaceID]int{"heavy": 2})
+	large, small, other := Key{Workspace: "heavy", Caller: "large"}, Key{Workspace: "heavy", Caller: "small"}, Key{Workspace: "light"}
+	fill(q, 400, large)
+	fill(q, 20, small)
+	fill(q, 50, other)
+	got := served(q, 60)
+	is.Equal(got[small], 20)
+	is.Equal(got[large], 20)
+	is.Equal(got[other], 20)
+}
--- a/internal/runnerclient/client.go
+++ b/internal/runnerclient/client.go
@@ -208,6 +208,9 @@
 	if resp.StatusCode != http.StatusOK {
 		return unknown("runner answered with status %d", resp.StatusCode)
 	}
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return unknown("answer states no length, so that a cut one could not be told from a whole one")
+	}
 	if resp.ContentLength > int64(c.opts.MaxBody) {
 		return unknown("answer of %d bytes exceeds the limit of %d", resp.ContentLength, c.opts.MaxBody)
 	}
