--- /dev/null
+++ b/internal/scheduler/claim.go
@@ -0,0 +1,172 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"chestnutmux.example/chestnutmux/internal/allocator"
+	"chestnutmux.example/chestnutmux/pkg/model"
+)
+
+// grace is the time after a checkpoint deadline until a preempt decision is repeated.
+const grace = time.Second
+
+// tryGuaranteed gives a job cells of its workspace. It starts at once when
+// they are free, else it holds them while lent gangs are preempted.
+func (s *Scheduler) tryGuaranteed(j *job) bool {
+	if !j.entitled || !s.ready(j) {
+		return false
+	}
+	k := cellKey{j.spec.Workspace, j.spec.Shape}
+	if s.pass.noCell[k] {
+		return false
+	}
+	var own []*gang
+	if lack := j.spec.Shape.Total() - s.quotaLeft(j.spec.Workspace); lack > 0 {
+		var ok bool
+		if own, ok = s.ownLent(j, lack); !ok {
+			j.wait = WaitQuota
+			return false
+		}
+	}
+	g := s.newGang(j)
+	victims, ok := s.alloc.PlaceGuaranteed(&g.Gang, s.pass.now)
+	if !ok {
+		s.pass.noCell[k] = true
+		return false
+	}
+	s.admitGang(j, g)
+	for _, v := range victims {
+		s.preempt(s.gangs[v.ID], j)
+	}
+	for _, v := range own {
+		if !v.Doomed {
+			v.Doomed = true
+			s.preempt(v, j)
+		}
+	}
+	if s.startable(g) {
+		s.start(g)
+		return true
+	}
+	s.reclaims++
+	s.claims = append(s.claims, g)
+	return true
+}
+
+// ownLent chooses less urgent lent gangs of the job's workspace whose end
+// frees enough of its quota, those that started last first.
+func (s *Scheduler) ownLent(j *job, lack model.Accelerators) ([]*gang, bool) {
+	if s.set.Workspaces[j.spec.Workspace].Quota < s.elsewhere[j.spec.Workspace]+j.spec.Shape.Total() {
+		return nil, false
+	}
+	var lent []*gang
+	for _, g := range s.gangs {
+		if g.Workspace != j.spec.Workspace || g.Guaranteed || g.Shape.Accelerators <= 0 {
+			continue
+		}
+		if g.Doomed {
+			lack -= g.Shape.Total()
+		} else if g.level > j.level {
+			lent = append(lent, g)
+		}
+	}
+	slices.SortFunc(lent, func(a, b *gang) int {
+		return cmp.Or(b.StartedAt.Compare(a.StartedAt), cmp.Compare(a.ID, b.ID))
+	})
+	for i, g := range lent {
+		if lack <= 0 {
+			return lent[:i], true
+		}
+		lack -= g.Shape.Total()
+	}
+	return lent, lack <= 0
+}
+
+func (s *Scheduler) startable(g *gang) bool {
+	return s.alloc.Fits(&g.Gang) && s.quotaLeft(g.Workspace) >= 0
+}
+
+func (s *Scheduler) preempt(v *gang, j *job) {
+	v.deadline = s.pass.now.Add(s.opts.CheckpointBound)
+	v.forJob = j.spec.ID
+	s.doomed = append(s.doomed, v)
+	s.out = append(s.out, Preempt{Gang: v.ID, For: v.forJob, Deadline: v.deadline})
+	s.wakeAt(v.deadline.Add(grace))
+}
+
+// advanceClaims starts the jobs whose room has been left, and gives up claims
+// that preemption cannot fulfil any more, such as on a worker that failed.
+func (s *Scheduler) advanceClaims(now time.Time) {
+	for _, g := range slices.Clone(s.claims) {
+		switch {
+		case !s.alloc.Usable(&g.Gang) || !g.Guaranteed || s.alloc.Stuck(&g.Gang) || s.quotaLeft(g.Workspace) < 0 && !s.leaving(g.Workspace):
+			s.releaseClaim(g, now)
+		case s.startable(g):
+			s.claims = slices.DeleteFunc(s.claims, func(x *gang) bool { return x == g })
+			g.ExpectedEnd = now.Add(s.typical(&g.job.spec))
+			s.start(g)
+		}
+	}
+}
+
+// leaving reports whether a gang of the workspace is being preempted.
+func (s *Scheduler) leaving(w model.WorkspaceID) bool {
+	return slices.ContainsFunc(s.doomed, func(g *gang) bool { return g.Workspace == w })
+}
+
+func (s *Scheduler) releaseClaim(g *gang, now time.Time) {
+	j := g.job
+	s.drop(g, now)
+	s.again(j, time.Time{})
+}
+
+func (s *Scheduler) releaseClaims() {
+	for _, g := range slices.Clone(s.claims) {
+		s.releaseClaim(g, s.pass.now)
+	}
+}
+
+// repeatPreempts decides again on gangs that were not reported as gone in time.
+func (s *Scheduler) repeatPreempts(now time.Time) {
+	for _, g := range s.doomed {
+		if !now.Before(g.deadline.Add(grace)) {
+			g.deadline = now.Add(s.opts.CheckpointBound)
+			s.out = append(s.out, Preempt{Gang: g.ID, For: g.forJob, Deadline: g.deadline})
+		}
+		s.wakeAt(g.deadline.Add(grace))
+	}
+}
+
+// promoteAdopted makes adopted gangs guaranteed where they run. Those on
+// workers that are not known yet are tried again.
+func (s *Scheduler) promoteAdopted() {
+	s.promote = slices.DeleteFunc(s.promote, func(g *gang) bool {
+		return s.alloc.Promote(&g.Gang) || g.Doomed || !s.alloc.Entitled(g.Workspace, &g.Shape) || s.alloc.Usable(&g.Gang)
+	})
+}
+
+// stopOrphans preempts adopted gangs whose job has another attempt.
+func (s *Scheduler) stopOrphans(now time.Time) {
+	for _, g := range s.orphans {
+		g.Doomed, g.deadline, g.forJob = true, now, g.Job
+		s.doomed = append(s.doomed, g)
+		s.out = append(s.out, Preempt{Gang: g.ID, For: g.Job, Deadline: now})
+		s.wakeAt(now.Add(grace))
+	}
+	s.orphans = s.orphans[:0]
+}
+
+// openTrials lets quarantined workers whose probation begins get one task.
+func (s *Scheduler) openTrials(now time.Time) {
+	s.trials = s.faults.Due(s.trials[:0], now)
+	for _, w := range s.trials {
+		if s.alloc.Health(w) == allocator.Quarantined {
+			s.alloc.SetHealth(w, allocator.Probation)
+		}
+	}
+	if t := s.faults.NextTrial(now); !t.IsZero() {
+		s.wakeAt(t)
+	}
+}
--- /dev/null
+++ b/internal/scheduler/scheduler.go
@@ -0,0 +1,230 @@
+package scheduler
+
+import (
+	"maps"
+	"reflect"
+	"time"
+
+	"chestnutmux.example/chestnutmux/internal/allocator"
+	"chestnutmux.example/chestnutmux/internal/detector"
+	"chestnutmux.example/chestnutmux/internal/estimator"
+	"chestnutmux.example/chestnutmux/pkg/model"
+)
+
+// Options are the settings of a Scheduler; zero fields get the defaults.
+type Options struct {
+	Policy          allocator.Policy // default Gradient
+	CheckpointBound time.Duration    // time that a preempted gang has for its checkpoint, default 1 s
+	AgingAfter      time.Duration    // age from which the oldest waiting job comes first, default 30 min
+	Baseline        bool             // first-come-first-served and first-fit, without guarantees, preemption and backfill
+}
+
+// The defaults of Options.
+const (
+	DefaultCheckpointBound = time.Second
+	DefaultAgingAfter      = 30 * time.Minute
+)
+
+// Scheduler plans one failure domain; create it with New or NewBaseline.
+type Scheduler struct {
+	opts     Options
+	alloc    *allocator.State
+	runs     estimator.Estimator
+	faults   detector.Detector
+	set      *model.Set
+	domain   model.DomainID
+	declared model.FailureDomain
+	own      map[model.GuaranteeID]model.Guarantee
+
+	jobs      map[model.JobID]*job
+	gangs     map[model.GangID]*gang
+	claims    []*gang // hold room that lent gangs still have to leave, in order of decision
+	doomed    []*gang
+	promote   []*gang // adopted, to be made guaranteed where they run
+	orphans   []*gang // adopted beside another attempt of the same job
+	trials    []model.HostID
+	elsewhere map[model.WorkspaceID]model.Accelerators
+	used      map[model.WorkspaceID]model.Accelerators
+
+	workspaces   map[model.WorkspaceID]*account
+	callers      map[callerKey]*account
+	classWaiting map[classKey]int
+	mix          map[model.Shape]int
+	waiting      int
+
+	bands [levels]map[model.WorkspaceID]*band
+	order [levels][]*band
+	heap  []*band
+
+	holdBefore model.Offset
+	dirty      bool
+	recheck    bool // look for jobs that can no longer run
+	mixChanged bool
+	wake       time.Time
+	pending    []Decision // found between passes
+	out        []Decision
+	pass       passState
+	preempted  int64
+	reclaims   int64
+}
+
+// New returns a planner with the full policy.
+func New(o Options) *Scheduler {
+	if o.Policy == "" {
+		o.Policy = allocator.Gradient
+	}
+	if o.CheckpointBound <= 0 {
+		o.CheckpointBound = DefaultCheckpointBound
+	}
+	if o.AgingAfter <= 0 {
+		o.AgingAfter = DefaultAgingAfter
+	}
+	s := &Scheduler{
+		opts:         o,
+		alloc:        allocator.New(o.Policy),
+		jobs:         map[model.JobID]*job{},
+		gangs:        map[model.GangID]*gang{},
+		used:         map[model.WorkspaceID]model.Accelerators{},
+		workspaces:   map[model.WorkspaceID]*account{},
+		callers:      map[callerKey]*account{},
+		classWaiting: map[classKey]int{},
+		mix:          map[model.Shape]int{},
+	}
+	for lv := range s.bands {
+		s.bands[lv] = map[model.WorkspaceID]*band{}
+	}
+	return s
+}
+
+// NewBaseline returns the policy that others are measured against.
+func NewBaseline() *Scheduler {
+	return New(Options{Policy: allocator.FirstFit, Baseline: true})
+}
+
+var _ Planner = (*Scheduler)(nil)
+
+// SetConfig puts a configuration in force; set is kept and must not be changed afterwards.
+func (s *Scheduler) SetConfig(set *model.Set, domain model.DomainID) {
+	s.set, s.domain = set, domain
+	own := map[model.GuaranteeID]model.Guarantee{}
+	for id, g := range set.Guarantees {
+		if g.FailureDomain == domain && !s.opts.Baseline {
+			own[id] = g
+		}
+	}
+	declared := set.FailureDomains[domain]
+	if s.own == nil || !maps.Equal(own, s.own) || !reflect.DeepEqual(declared, s.declared) {
+		s.releaseClaims()
+		s.alloc.SetCells(declared, own)
+		s.own, s.declared = own, declared
+	}
+	for id, a := range s.workspaces {
+		a.weight = float64(set.Workspaces[id].Weight)
+	}
+	for _, j := range s.jobs {
+		s.classify(j)
+	}
+	s.dirty, s.recheck = true, true
+}
+
+// classify sets what the configuration says about a job.
+func (s *Scheduler) classify(j *job) {
+	if s.set == nil {
+		return
+	}
+	lv := levelOf(s.set.Classes[j.spec.Class].Urgency)
+	if j.queued && lv != j.level {
+		s.dequeue(j)
+		j.level = lv
+		s.enqueue(j)
+	}
+	j.level = lv
+	j.entitled = s.alloc.Entitled(j.spec.Workspace, &j.spec.Shape)
+}
+
+// SetUsedElsewhere tells the accelerators that workspaces use in other failure domains, for quotas.
+func (s *Scheduler) SetUsedElsewhere(used map[model.WorkspaceID]model.Accelerators) {
+	if !maps.Equal(used, s.elsewhere) {
+		s.elsewhere = maps.Clone(used)
+		s.dirty = true
+	}
+}
+
+// UpsertWorker adds a worker or changes its capacity, position or health.
+func (s *Scheduler) UpsertWorker(w allocator.Worker, _ time.Time) {
+	if w.Health == "" {
+		w.Health = allocator.Usable
+	}
+	if w.Health == allocator.Usable && s.faults.Quarantined(w.ID) {
+		w.Health = s.alloc.Health(w.ID)
+		if w.Health != allocator.Probation {
+			w.Health = allocator.Quarantined
+		}
+	}
+	if s.alloc.Upsert(w) {
+		s.dirty = true
+	}
+}
+
+// RemoveWorker takes a worker out of planning; its gangs stay until they are reported as ended.
+func (s *Scheduler) RemoveWorker(id model.HostID, _ time.Time) {
+	s.alloc.Remove(id)
+	s.dirty = true
+}
+
+// HoldBefore keeps jobs with a lower offset from starting until it is called with 0.
+func (s *Scheduler) HoldBefore(offset model.Offset) {
+	s.holdBefore = offset
+	s.dirty = true
+}
+
+func (s *Scheduler) workspace(id model.WorkspaceID) *account {
+	a := s.workspaces[id]
+	if a == nil {
+		a = &account{}
+		if s.set != nil {
+			a.weight = float64(s.set.Workspaces[id].Weight)
+		}
+		s.workspaces[id] = a
+	}
+	return a
+}
+
+func (s *Scheduler) caller(w model.WorkspaceID, c model.CallerID) *account {
+	k := callerKey{w, c}
+	a := s.callers[k]
+	if a == nil {
+		a = &account{}
+		s.callers[k] = a
+	}
+	return a
+}
+
+// Stats returns the figures of the domain at this moment.
+func (s *Scheduler) Stats(time.Time) Stats {
+	s.setMix()
+	total, free := s.alloc.Totals()
+	return Stats{
+		Waiting:       s.waiting,
+		RunningGangs:  len(s.gangs) - len(s.claims),
+		Accelerators:  total,
+		Free:          free,
+		Fragmentation: s.alloc.Fragmentation(),
+		Preempted:     s.preempted,
+		Reclaims:      s.reclaims,
+		Quarantined:   s.alloc.Count(allocator.Quarantined) + s.alloc.Count(allocator.Probation),
+	}
+}
+
+func (s *Scheduler) setMix() {
+	if !s.mixChanged {
+		return
+	}
+	s.mixChanged = false
+	ds := s.pass.demand[:0]
+	for sh, n := range s.mix {
+		ds = append(ds, allocator.Demand{Shape: sh, Jobs: n})
+	}
+	s.pass.demand = ds
+	s.alloc.SetMix(ds)
+}
