Test the fakes and fix two faults that the tests found

Repeated runs showed that a server closed right after its start could leave its listener open for a moment, since http.Server did not know the listener yet, and that the relay counted bytes after the receiver could see them.

--- a/internal/fake/relay/relay.go
+++ b/internal/fake/relay/relay.go
@@ -180,10 +180,10 @@
 			if !r.gate(done) {
 				return
 			}
+			r.forwarded.Add(int64(n)) // before the receiver can see the data
 			if _, err := dst.Write(buf[:n]); err != nil {
 				return
 			}
-			r.forwarded.Add(int64(n))
 		}
 		if err != nil {
 			return
--- /dev/null
+++ b/internal/fake/relay/relay_test.go
@@ -0,0 +1,106 @@
+package relay
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chestnutmux.example/chestnutmux/internal/fake/fault"
+)
+
+// echo returns the address of a server that sends back what it receives.
+func echo(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(c, c); c.Close() }()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func dial(t *testing.T, addr string) net.Conn {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+// exchange sends a byte and reports whether it comes back.
+func exchange(c net.Conn) bool {
+	if _, err := c.Write([]byte("x")); err != nil {
+		return false
+	}
+	_, err := io.ReadFull(c, make([]byte, 1))
+	return err == nil
+}
+
+// Guards against a cut that leaves connections open or lets new ones through, and against one that stays.
+func TestCutAndHeal(t *testing.T) {
+	is := is.New(t)
+	addr := echo(t)
+	r, err := Start("127.0.0.1:0", func() string { return addr })
+	is.NoErr(err)
+	defer r.Close()
+	c := dial(t, r.Addr())
+	is.True(exchange(c))
+	r.Set(fault.Faults{Down: true})
+	_, err = c.Read(make([]byte, 1))
+	is.True(err != nil) // the open connection is closed
+	is.True(!exchange(dial(t, r.Addr())))
+	r.Set(fault.Faults{SlowMS: 1})
+	is.True(exchange(dial(t, r.Addr())))
+	is.Equal(r.RelayStats()["connections"], int64(3))
+}
+
+// Guards against a silent cut that loses data or lets it through.
+func TestFrozenHoldsData(t *testing.T) {
+	is := is.New(t)
+	addr := echo(t)
+	r, err := Start("127.0.0.1:0", func() string { return addr })
+	is.NoErr(err)
+	defer r.Close()
+	c := dial(t, r.Addr())
+	is.True(exchange(c))
+	before := r.RelayStats()["bytes-forwarded"]
+	r.Set(fault.Faults{Frozen: true})
+	_, err = c.Write([]byte("x"))
+	is.NoErr(err)
+	is.NoErr(c.SetReadDeadline(time.Now().Add(20 * time.Millisecond)))
+	_, err = c.Read(make([]byte, 1))
+	is.True(err != nil)
+	is.Equal(r.RelayStats()["bytes-forwarded"], before)
+	is.NoErr(c.SetReadDeadline(time.Time{}))
+	r.Set(fault.Faults{})
+	_, err = io.ReadFull(c, make([]byte, 1))
+	is.NoErr(err)
+}
+
+// Guards against an address that changes when the relay restarts.
+func TestRestartKeepsTheAddress(t *testing.T) {
+	is := is.New(t)
+	addr := echo(t)
+	r, err := Start("127.0.0.1:0", func() string { return addr })
+	is.NoErr(err)
+	c, old := dial(t, r.Addr()), r.Addr()
+	is.True(exchange(c))
+	is.NoErr(r.Restart())
+	is.Equal(r.Addr(), old)
+	is.True(!exchange(c))
+	is.True(exchange(dial(t, old)))
+	is.NoErr(r.Close())
+	is.NoErr(r.Close())
+}
--- a/internal/fake/server/server.go
+++ b/internal/fake/server/server.go
@@ -19,6 +19,7 @@
 	mu   sync.Mutex
 	addr string
 	srv  *http.Server // nil while closed
+	ln   net.Listener
 }
 
 // Start listens on addr, whose port may be 0, and serves the handler.
@@ -63,6 +64,10 @@
 	}
 	err := s.srv.Close()
 	s.srv = nil
+	// The server knows its listener only once its goroutine runs, so that Close may have missed it.
+	if lnErr := s.ln.Close(); !errors.Is(lnErr, net.ErrClosed) {
+		err = errors.CombineErrors(err, lnErr)
+	}
 	return errors.Wrap(err, "server: close")
 }
 
@@ -71,7 +76,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "server: listen on %s", s.addr)
 	}
-	s.addr = ln.Addr().String()
+	s.addr, s.ln = ln.Addr().String(), ln
 	s.srv = &http.Server{Handler: s.handler, ReadHeaderTimeout: headerTimeout}
 	go func(srv *http.Server) { _ = srv.Serve(ln) }(s.srv)
 	return nil
