--- a/internal/router/runner.go
+++ b/internal/router/runner.go
@@ -73,8 +73,8 @@
 	switch {
 	case r.leaving || r.gone || now.Before(r.retryAt):
 		return 0
-	case r.failures > 0 && r.inFlight > 0:
-		return 0 // a failing runner gets one trial at a time
+	case r.failures > 0:
+		return max(min(r.share, 1)-r.inFlight, 0) // a failing runner gets one trial at a time
 	}
 	return max(r.share-r.inFlight, 0)
 }
