--- a/internal/reserver/driver.go
+++ b/internal/reserver/driver.go
@@ -29,7 +29,7 @@
 // NewDriver returns a driver that owns the reserver from now on.
 func NewDriver(r *Reserver, s Sender) *Driver {
 	d := &Driver{r: r, sender: s, events: make(chan Event, 64), reports: make(chan []Report)}
-	st := r.Status(time.Now())
+	st := r.Status()
 	d.status.Store(&st)
 	return d
 }
@@ -78,23 +78,21 @@
 		}
 		now := time.Now()
 		d.r.Handle(now, ev)
-		sends, reports := d.r.Drain(now)
+		sends, reports := d.r.Drain()
 		pending = append(pending, reports...)
-		st := d.r.Status(now)
+		st := d.r.Status()
 		d.status.Store(&st)
 		for _, s := range sends {
 			wg.Go(func() { d.send(ctx, s, slots, replies) })
 		}
-		timer.Reset(max(time.Millisecond, time.Until(d.r.Next(now))))
+		timer.Reset(max(time.Millisecond, time.Until(d.r.Next())))
 	}
 }
 
 // send sends one batch and posts what became of it.
 func (d *Driver) send(ctx context.Context, s Send, slots chan struct{}, replies chan<- Event) {
-	ctx, cancel := context.WithCancel(ctx)
+	sctx, cancel := context.WithDeadline(ctx, s.Deadline)
 	defer cancel()
-	sctx, scancel := context.WithDeadline(ctx, s.Deadline)
-	defer scancel()
 	var ev Event
 	select {
 	case slots <- struct{}{}:
