--- a/internal/appender/appender_test.go
+++ b/internal/appender/appender_test.go
@@ -201,6 +201,42 @@
 	})
 }
 
+// Readers drop a repeated id unread, so that a repeat with other content would lose entries; once no append may have
+// taken effect, the entries of callers who left must go.
+func TestRepeatKeepsContent(t *testing.T) {
+	for _, lost := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			log := &stubLog{script: []reaction{{Delay: time.Second, Keep: lost}, {Keep: true, Answer: true}}}
+			if !lost {
+				log.script[0] = reaction{Delay: time.Second, Answer: true} // refused
+			}
+			a := New(Config{Log: log})
+			short, cancel := context.WithTimeout(t.Context(), time.Second/2)
+			defer cancel()
+			go a.Append(short, json.RawMessage(`1`))
+			synctest.Wait()
+			var wg sync.WaitGroup
+			wg.Go(func() {
+				r, err := a.Append(t.Context(), json.RawMessage(`2`))
+				is.NoErr(err)
+				is.True(lost == (r.Index == 1))
+			})
+			synctest.Wait()
+			ctx, stop := context.WithCancel(t.Context())
+			go a.Run(ctx)
+			wg.Wait()
+			seen, err := log.entries()
+			is.NoErr(err)
+			is.True(lost == (seen[1] == 1) && seen[2] == 1)
+			stop()
+			<-a.stopped
+			_, err = a.Append(t.Context(), json.RawMessage(`3`)) // nobody would answer
+			is.Equal(kind(err), model.KindDraining)
+		})
+	}
+}
+
 // A queue without bound would exhaust the memory of the host during a log outage.
 func TestFullQueueRefuses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -231,8 +231,9 @@
 	}
 }
 
-// The appender decides which entries share a record; that must not change a decision.
-func TestBatchesDoNotMatter(t *testing.T) {
+// The appender decides which entries share a record, and repeats records whose answer was lost; neither must change a
+// decision.
+func TestBatchesAndRepeatsDoNotMatter(t *testing.T) {
 	for name, s := range map[string]subject{"config": configs, "jobs": jobs, "claims": claims} {
 		t.Run(name, func(t *testing.T) {
 			rapid.Check(t, func(t *rapid.T) {
@@ -242,8 +243,16 @@
 				}
 				one, many := s.create(), s.create()
 				one.Apply(logclient.Record{ID: "all", AtMS: epoch.UnixMilli(), Data: encode(entries)})
-				for i, e := range entries {
-					many.Apply(logclient.Record{Offset: model.Offset(i), ID: fmt.Sprint(i), AtMS: epoch.UnixMilli(), Data: encode([]any{e})})
+				offset := model.Offset(0)
+				apply := func(i int) {
+					many.Apply(logclient.Record{Offset: offset, ID: fmt.Sprint(i), AtMS: epoch.UnixMilli(), Data: encode([]any{entries[i]})})
+					offset++
+				}
+				for i := range entries {
+					apply(i)
+					if rapid.Bool().Draw(t, "repeat") {
+						apply(rapid.IntRange(0, i).Draw(t, "repeated"))
+					}
 				}
 				if a, b := string(encode(s.essence(one))), string(encode(s.essence(many))); a != b {
 					t.Fatalf("in one record: %s\none by one: %s", a, b)
