--- a/internal/allocator/bind.go
+++ b/internal/allocator/bind.go
@@ -119,6 +119,11 @@
 // those the guard allows, then to the smallest block. When failures leave no
 // allowed block it takes the smallest one.
 func (s *State) bindBest(c int32, a model.Accelerators, g *Gang, now time.Time) bool {
+	return s.bindIn(c, a, g, now, false)
+}
+
+// bindIn does the work of bindBest; again is set after smaller cells were displaced.
+func (s *State) bindIn(c int32, a model.Accelerators, g *Gang, now time.Time, again bool) bool {
 	size := s.cells[c].size
 	gd := s.guard(size)
 	type choice struct {
@@ -176,7 +181,7 @@
 		}
 	}
 	if best.n == 0 {
-		return false
+		return !again && s.displace(size) && s.bindIn(c, a, g, now, true)
 	}
 	s.bind(c, best.rack, best.start, best.n)
 	return true
--- a/internal/allocator/reclaim.go
+++ b/internal/allocator/reclaim.go
@@ -30,6 +30,7 @@
 type workerCost struct {
 	worker int32
 	cost   float64
+	room   model.Accelerators // left in the cell on this worker
 }
 
 // entitled returns the accelerators of a cell that a member takes up,
@@ -183,14 +184,19 @@
 		if i < 0 || !s.workers[i].usable() {
 			continue
 		}
-		if c >= 0 && s.cells[c].perWorker()-s.cells[c].used[p-start] < a {
-			continue
+		var room model.Accelerators
+		if c >= 0 {
+			if room = s.cells[c].perWorker() - s.cells[c].used[p-start]; room < a {
+				continue
+			}
 		}
 		if v, ok := s.victims(i, need(&g.Shape), now, false); ok {
-			costs = append(costs, workerCost{i, v})
+			costs = append(costs, workerCost{i, v, room})
 		}
 	}
-	slices.SortStableFunc(costs, func(x, y workerCost) int { return cmp.Compare(x.cost, y.cost) })
+	slices.SortStableFunc(costs, func(x, y workerCost) int {
+		return cmp.Or(cmp.Compare(x.cost, y.cost), cmp.Compare(x.room, y.room))
+	})
 	s.scratch.costs = costs
 	sum := 0.0
 	for _, w := range costs[:min(len(costs), g.Shape.Workers)] {
--- a/internal/allocator/worker.go
+++ b/internal/allocator/worker.go
@@ -90,6 +90,7 @@
 	policy  Policy
 	workers []worker
 	byID    map[model.HostID]int32
+	unused  []int32 // entries of workers that were forgotten
 	racks   []rack
 	rackBy  map[model.RackID]int32
 	cells   []cell
@@ -142,20 +143,43 @@
 }
 
 func (s *State) placeholder(id model.HostID) int32 {
+	if n := len(s.unused); n > 0 {
+		i := s.unused[n-1]
+		s.unused = s.unused[:n-1]
+		s.workers[i] = worker{id: id, rack: -1, health: Gone}
+		s.byID[id] = i
+		return i
+	}
 	i := int32(len(s.workers))
 	s.workers = append(s.workers, worker{id: id, rack: -1, health: Gone})
 	s.byID[id] = i
 	return i
 }
 
-// Remove marks a worker as gone and frees its position; gangs on it stay charged until freed.
+// Remove marks a worker as gone; gangs on it stay charged until freed. It
+// keeps its position, in case the host list was wrong, until another worker needs it.
 func (s *State) Remove(id model.HostID) {
 	i, ok := s.byID[id]
 	if !ok {
 		return
 	}
-	s.turn(&s.workers[i], Gone)
-	s.vacate(i)
+	s.SetHealth(id, Gone)
+	s.retire(i)
+}
+
+// retire forgets a worker without a position or gangs, so that replaced
+// workers do not add up.
+func (s *State) retire(i int32) {
+	w := &s.workers[i]
+	if w.rack < 0 && w.health == Gone && len(w.gangs) == 0 && s.byID[w.id] == i {
+		delete(s.byID, w.id)
+		s.unused = append(s.unused, i)
+	}
+}
+
+// replaceable reports whether a position is empty or belongs to a worker that is gone.
+func (s *State) replaceable(i int32) bool {
+	return i < 0 || s.workers[i].health == Gone && len(s.workers[i].gangs) == 0
 }
 
 // turn changes the health of a worker.
@@ -193,12 +217,20 @@
 		s.rackBy[id] = r
 	}
 	rk := &s.racks[r]
-	if index < 0 || index < len(rk.slots) && rk.slots[index] >= 0 {
+	if index < 0 || index < len(rk.slots) && !s.replaceable(rk.slots[index]) {
 		index = slices.Index(rk.slots, -1)
+		if index < 0 {
+			index = slices.IndexFunc(rk.slots, s.replaceable)
+		}
 		if index < 0 {
 			index = len(rk.slots)
 		}
 	}
+	if index < len(rk.slots) && rk.slots[index] >= 0 {
+		old := rk.slots[index]
+		s.vacate(old)
+		s.retire(old)
+	}
 	for len(rk.slots) <= index {
 		rk.slots = append(rk.slots, -1)
 	}
@@ -270,6 +302,7 @@
 			w.gangs = w.gangs[:last]
 		}
 		s.summarize(w.rack)
+		s.retire(i)
 	}
 	g.workers = g.workers[:0]
 }
--- a/internal/scheduler/claim.go
+++ b/internal/scheduler/claim.go
@@ -32,6 +32,9 @@
 	}
 	g := s.newGang(j)
 	victims, ok := s.alloc.PlaceGuaranteed(&g.Gang, s.pass.now)
+	if !ok {
+		victims, ok = s.placeOverOwn(g)
+	}
 	if !ok {
 		s.pass.noCell[k] = true
 		return false
@@ -55,6 +58,29 @@
 	return true
 }
 
+// placeOverOwn takes cells from less urgent gangs of the same workspace, which
+// run on as lent work where they are not in the way.
+func (s *Scheduler) placeOverOwn(g *gang) (victims []*allocator.Gang, ok bool) {
+	if g.level == levels-1 {
+		return nil, false
+	}
+	var demoted []*allocator.Gang
+	for _, h := range s.alloc.Holders(g.Workspace) {
+		if x := s.gangs[h.ID]; x.level <= g.level || x.state == claimed {
+			continue
+		}
+		s.alloc.Demote(h)
+		demoted = append(demoted, h)
+		if victims, ok = s.alloc.PlaceGuaranteed(&g.Gang, s.pass.now); ok {
+			return victims, true
+		}
+	}
+	for _, h := range demoted {
+		s.alloc.Promote(h)
+	}
+	return nil, false
+}
+
 // ownLent chooses less urgent lent gangs of the job's workspace whose end
 // frees enough of its quota, those that started last first.
 func (s *Scheduler) ownLent(j *job, lack model.Accelerators) ([]*gang, bool) {
@@ -88,7 +114,18 @@
 	return s.alloc.Fits(&g.Gang) && s.quotaLeft(g.Workspace) >= 0
 }
 
+// preempt decides to stop a lent gang; a start of the same pass is taken back instead.
 func (s *Scheduler) preempt(v *gang, j *job) {
+	if v.state == starting && v.decided == s.pass.number {
+		s.out = slices.DeleteFunc(s.out, func(d Decision) bool {
+			x, ok := d.(Start)
+			return ok && x.Gang == v.ID
+		})
+		s.endTrial(v)
+		s.releaseClaim(v, s.pass.now)
+		s.pass.undone = true
+		return
+	}
 	v.deadline = s.pass.now.Add(s.opts.CheckpointBound)
 	v.forJob = j.spec.ID
 	s.doomed = append(s.doomed, v)
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -37,6 +37,8 @@
 	held     int
 	holder   model.JobID
 	rank     int
+	number   uint64 // of the pass
+	undone   bool   // a start was taken back, so that its job was not looked at again
 	stop     bool
 	pinned   []model.HostID // reservation of the aged job, kept between passes
 	pinnedBy model.JobID
@@ -56,6 +58,8 @@
 	if p.failed == nil {
 		p.failed, p.noCell, p.frozen = map[model.Shape]time.Duration{}, map[cellKey]bool{}, map[model.WorkspaceID]bool{}
 	}
+	p.number++
+	p.undone = false
 	clear(p.failed)
 	clear(p.noCell)
 	clear(p.frozen)
@@ -83,7 +87,7 @@
 		s.wakeAt(now.Add(review))
 	}
 	s.prune(now)
-	s.dirty = false
+	s.dirty = p.undone
 	return s.out
 }
 
@@ -289,6 +293,7 @@
 
 func (s *Scheduler) start(g *gang) {
 	g.state = starting
+	g.decided = s.pass.number
 	g.StartedAt = s.pass.now
 	s.out = append(s.out, Start{
 		Job: g.Job, Attempt: g.attempt, Gang: g.ID,
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -40,6 +40,7 @@
 	forJob   model.JobID // reclaims the room of a doomed gang
 	deadline time.Time   // of the checkpoint of a doomed gang
 	trial    bool        // runs on a worker in probation
+	decided  uint64      // pass that decided the start
 }
 
 // Submit adds an accepted job that has no outcome yet; a known job is left as it is.
@@ -58,7 +59,7 @@
 	j.known = true
 	j.spec, j.accepted, j.offset = m.Spec, m.AcceptedAt, m.Offset
 	j.attempt = max(j.attempt, m.Attempt)
-	s.classify(j)
+	s.classify(j, true)
 	if g := j.gang; g != nil {
 		g.class, g.level = j.spec.Class, j.level
 		if g.caller == nil {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -113,7 +113,8 @@
 		}
 	}
 	declared := set.FailureDomains[domain]
-	if s.own == nil || !maps.Equal(own, s.own) || !reflect.DeepEqual(declared, s.declared) {
+	changed := s.own == nil || !maps.Equal(own, s.own) || !reflect.DeepEqual(declared, s.declared)
+	if changed {
 		s.releaseClaims()
 		s.alloc.SetCells(declared, own)
 		s.own, s.declared = own, declared
@@ -122,13 +123,13 @@
 		a.weight = float64(set.Workspaces[id].Weight)
 	}
 	for _, j := range s.jobs {
-		s.classify(j)
+		s.classify(j, changed)
 	}
 	s.dirty, s.recheck = true, true
 }
 
-// classify sets what the configuration says about a job.
-func (s *Scheduler) classify(j *job) {
+// classify sets what the configuration says about a job; cells is set when its guarantee may have changed.
+func (s *Scheduler) classify(j *job, cells bool) {
 	if s.set == nil {
 		return
 	}
@@ -139,7 +140,12 @@
 		s.enqueue(j)
 	}
 	j.level = lv
-	j.entitled = s.alloc.Entitled(j.spec.Workspace, &j.spec.Shape)
+	if g := j.gang; g != nil {
+		g.level = lv
+	}
+	if cells {
+		j.entitled = s.alloc.Entitled(j.spec.Workspace, &j.spec.Shape)
+	}
 }
 
 // SetUsedElsewhere tells the accelerators that workspaces use in other failure domains, for quotas.
