Bound the precedence of urgency by the workspace's share

Urgency alone would let a flood of urgent requests of one workspace leave the others only the reserved 15%, against the flood target of the design. A workspace beyond its weighted share is now passed over while another one waits.

--- a/internal/queuer/level.go
+++ b/internal/queuer/level.go
@@ -57,25 +57,42 @@
 func (f *flow[T]) before(o *flow[T]) bool { return f.n > o.n }
 func (f *flow[T]) setIndex(i int)         { f.index = i }
 
-// nextLevel returns the level to serve: the most urgent one that waits, or a lower one that is owed an item.
-func (q *Queue[T]) nextLevel() *level[T] {
-	var top, owed *level[T]
+// nextTenant returns the workspace and level to serve: the most urgent level that waits, or a lower one that
+// is owed an item. Workspaces beyond their share are passed over as long as another one waits.
+func (q *Queue[T]) nextTenant() *tenant[T] {
+	var within, all [levelCount]*tenant[T]
+	found := false
 	for i := range q.levels {
 		l := &q.levels[i]
-		switch {
-		case l.n == 0:
+		if l.n == 0 {
 			l.credit = 0
+			continue
+		}
+		all[i] = l.ring.head.value
+		for p := l.ring.head; p != nil && within[i] == nil; p = p.next {
+			if !q.shares.over(p.value.id) {
+				within[i], found = p.value, true
+			}
+		}
+	}
+	if !found {
+		within = all
+	}
+	var top, owed *tenant[T]
+	for i, t := range within {
+		switch {
+		case t == nil:
 		case top == nil:
-			top = l
+			top = t
 		default:
-			l.credit += reserved[i]
-			if owed == nil && l.credit >= 100 {
-				owed = l
+			t.level.credit += reserved[i]
+			if owed == nil && t.level.credit >= 100 {
+				owed = t
 			}
 		}
 	}
 	if owed != nil {
-		owed.credit -= 100
+		owed.level.credit -= 100
 		return owed
 	}
 	return top
@@ -104,18 +121,17 @@
 	l.flows.fix(f.index)
 }
 
-// next returns the item to serve: the head workspace's as long as it has deficit left, and its head
-// caller's oldest. A workspace spends its weight before the next one is served; a caller, one item.
-func (l *level[T]) next(weights map[model.WorkspaceID]int) *Entry[T] {
-	t := l.ring.head.value
+// next returns the oldest item of the caller whose turn it is. A workspace spends its weight before the
+// next one of the level is served; a caller, one item.
+func (t *tenant[T]) next(weight float64) *Entry[T] {
 	if t.deficit <= 0 {
-		t.deficit = max(weights[t.id], 1)
+		t.deficit = int(weight)
 	}
 	f := t.ring.head.value
 	e := f.items.head.value
 	t.ring.moveToBack(&f.place)
 	if t.deficit--; t.deficit == 0 {
-		l.ring.moveToBack(&t.place)
+		t.level.ring.moveToBack(&t.place)
 	}
 	return e
 }
--- a/internal/queuer/queue.go
+++ b/internal/queuer/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"time"
 
 	"chestnutmux.example/chestnutmux/pkg/model"
@@ -63,7 +64,7 @@
 // Queue is a bounded fair queue of items.
 type Queue[T any] struct {
 	limits     Limits
-	weights    map[model.WorkspaceID]int
+	shares     shares
 	levels     [levelCount]level[T]
 	workspaces map[model.WorkspaceID]int
 	classes    map[classKey]int
@@ -85,7 +86,7 @@
 	orDefault(&limits.Caller, DefaultLimits.Caller)
 	q := &Queue[T]{
 		limits:     limits,
-		weights:    map[model.WorkspaceID]int{},
+		shares:     shares{served: map[model.WorkspaceID]float64{}},
 		workspaces: map[model.WorkspaceID]int{},
 		classes:    map[classKey]int{},
 		callers:    map[callerKey]int{},
@@ -101,9 +102,10 @@
 
 // SetWeights replaces the weights of workspaces; a missing or non-positive weight means 1.
 func (q *Queue[T]) SetWeights(weights map[model.WorkspaceID]int) {
-	q.weights = make(map[model.WorkspaceID]int, len(weights))
-	for ws, w := range weights {
-		q.weights[ws] = w
+	q.shares.weights = maps.Clone(weights)
+	q.shares.total = 0
+	for ws := range q.workspaces {
+		q.shares.total += q.shares.weight(ws)
 	}
 }
 
@@ -153,11 +155,12 @@
 
 // Pop removes and returns the next item; expired ones must have been removed by Expired.
 func (q *Queue[T]) Pop() (*Entry[T], bool) {
-	l := q.nextLevel()
-	if l == nil {
+	t := q.nextTenant()
+	if t == nil {
 		return nil, false
 	}
-	e := l.next(q.weights)
+	e := t.next(q.shares.weight(t.id))
+	q.shares.serve(t.id)
 	q.Remove(e)
 	return e, true
 }
@@ -195,7 +198,14 @@
 
 func (q *Queue[T]) count(key Key, d int) {
 	q.n += d
+	before := q.workspaces[key.Workspace]
 	addTo(q.workspaces, key.Workspace, d)
+	switch {
+	case before == 0:
+		q.shares.join(key.Workspace)
+	case before+d == 0:
+		q.shares.leave(key.Workspace)
+	}
 	addTo(q.classes, classKey{key.Workspace, key.Class}, d)
 	addTo(q.callers, callerKey{key.Workspace, key.Caller}, d)
 }
--- a/internal/queuer/queue_test.go
+++ b/internal/queuer/queue_test.go
@@ -27,7 +27,7 @@
 // anyone but the heaviest caller, and late items that are served.
 func TestQueueAgainstModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		limits := Limits{Total: 12, Workspace: 8, Class: 6, Caller: 4}
+		limits := Limits{Total: 6, Workspace: 5, Class: 4, Caller: 3}
 		q := New[int](limits)
 		now := epoch
 		var waiting []*Entry[int] // in order of arrival
@@ -50,42 +50,48 @@
 		}
 		next := 0
 		urgencies := []model.Urgency{model.UrgencyUrgent, model.UrgencyStandard, model.UrgencyBatch}
-		t.Repeat(map[string]func(*rapid.T){
-			"push": func(t *rapid.T) {
-				u := rapid.IntRange(0, 2).Draw(t, "urgency")
-				k := Key{
-					Workspace: model.WorkspaceID(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "workspace")),
-					Caller:    model.CallerID(rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "caller")),
-					Class:     model.ClassID(fmt.Sprint(u)), Urgency: urgencies[u],
-				}
-				next++
-				full := len(waiting) == limits.Total
-				e, displaced, err := q.Push(next, k, now.Add(time.Duration(rapid.IntRange(1, 50).Draw(t, "ttl"))))
-				mine := count(func(o Key) bool { return o.Workspace == k.Workspace && o.Caller == k.Caller })
-				over := mine >= limits.Caller ||
-					count(func(o Key) bool { return o.Workspace == k.Workspace && o.Class == k.Class }) >= limits.Class ||
-					count(func(o Key) bool { return o.Workspace == k.Workspace }) >= limits.Workspace
-				if (over || full && displaced == nil) != (err != nil) || (over || !full) && displaced != nil {
-					t.Fatalf("over %v full %v displaced %v err %v", over, full, displaced, err)
-				}
-				if displaced != nil {
-					v := displaced.Key
-					weight := func(k Key) int { return count(func(o Key) bool { return o == k }) }
-					for _, o := range waiting {
-						if levelOf(o.Key.Urgency) > levelOf(v.Urgency) || o.Key.Urgency == v.Urgency && weight(o.Key) > weight(v) {
-							t.Fatalf("displaced %v although %v is less urgent or heavier", v, o.Key)
-						}
-						if o.Key == v && o.Item > displaced.Item {
-							t.Fatalf("displaced item %d, older than %d", displaced.Item, o.Item)
-						}
+		push := func(t *rapid.T) {
+			u := rapid.IntRange(0, 2).Draw(t, "urgency")
+			k := Key{
+				Workspace: model.WorkspaceID(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "workspace")),
+				Caller:    model.CallerID(rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "caller")),
+				Class:     model.ClassID(fmt.Sprint(u)), Urgency: urgencies[u],
+			}
+			next++
+			full := len(waiting) == limits.Total
+			e, displaced, err := q.Push(next, k, now.Add(time.Duration(rapid.IntRange(1, 50).Draw(t, "ttl"))))
+			mine := count(func(o Key) bool { return o.Workspace == k.Workspace && o.Caller == k.Caller })
+			over := mine >= limits.Caller ||
+				count(func(o Key) bool { return o.Workspace == k.Workspace && o.Class == k.Class }) >= limits.Class ||
+				count(func(o Key) bool { return o.Workspace == k.Workspace }) >= limits.Workspace
+			if (over || full && displaced == nil) != (err != nil) || (over || !full) && displaced != nil {
+				t.Fatalf("over %v full %v displaced %v err %v", over, full, displaced, err)
+			}
+			if displaced != nil {
+				v := displaced.Key
+				weight := func(k Key) int { return count(func(o Key) bool { return o == k }) }
+				for _, o := range waiting {
+					if levelOf(o.Key.Urgency) > levelOf(v.Urgency) || o.Key.Urgency == v.Urgency && weight(o.Key) > weight(v) {
+						t.Fatalf("displaced %v although %v is less urgent or heavier", v, o.Key)
 					}
-					if mine >= weight(v) || levelOf(v.Urgency) < levelOf(k.Urgency) {
-						t.Fatalf("arrival of %v with %d items displaced %v with %d", k, mine, v, weight(v))
+					if o.Key == v && o.Item > displaced.Item {
+						t.Fatalf("displaced item %d, older than %d", displaced.Item, o.Item)
 					}
-					drop(displaced)
 				}
-				if e != nil {
-					waiting = append(waiting, e)
+				if mine >= weight(v) || levelOf(v.Urgency) < levelOf(k.Urgency) {
+					t.Fatalf("arrival of %v with %d items displaced %v with %d", k, mine, v, weight(v))
+				}
+				drop(displaced)
+			}
+			if e != nil {
+				waiting = append(waiting, e)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"push": func(t *rapid.T) { push(t) },
+			"burst": func(t *rapid.T) { // reaches the bounds often
+				for range 4 {
+					push(t)
 				}
 			},
 			"pop": func(t *rapid.T) {
@@ -185,3 +191,29 @@
 	is.Equal(got[large], 20)
 	is.Equal(got[other], 20)
 }
+
+// Guards against a flood of one workspace that takes from another one which stays within its share, whether the flood
+// is the most or the least urgent, and against a share that is kept from the flood while nobody else needs it.
+func TestFloodOfOneWorkspace(t *testing.T) {
+	for _, tt := range []struct{ flood, other model.Urgency }{
+		{model.UrgencyUrgent, model.UrgencyBatch},
+		{model.UrgencyUrgent, model.UrgencyStandard},
+		{model.UrgencyBatch, model.UrgencyUrgent},
+	} {
+		is := is.New(t)
+		q := New[int](Limits{Total: 5000, Workspace: 4000, Class: 4000, Caller: 4000})
+		flood, other := Key{Workspace: "flood", Urgency: tt.flood}, Key{Workspace: "other", Urgency: tt.other}
+		fill(q, 2000, flood)
+		got := map[Key]int{}
+		for i := range 1000 {
+			if i%5 < 2 { // 40% of the capacity, of a share of 50%
+				fill(q, 1, other)
+			}
+			for k, n := range served(q, 1) {
+				got[k] += n
+			}
+		}
+		is.True(got[other] >= 400-2*shareBurst) // the burst at the start, and as many that still wait
+		is.Equal(got[flood], 1000-got[other])
+	}
+}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -162,7 +162,8 @@
 		expired := do("late", ctx, true)
 		is.Equal(outcome(<-expired), model.OutcomeNotRun)
 		giveUp()
-		<-a.ctx.Done() // it is idempotent, so its slot is freed
+		<-a.ctx.Done()
+		is.Equal(a.ctx.Err(), context.Canceled) // it is idempotent, so its slot is freed before the deadline
 		a.answer <- a.ctx.Err()
 		is.Equal(outcome(<-queued), model.OutcomeUnknown)
 		is.NoErr(<-drained)
