Use other domains' runners only where they have free slots

The slots of a runner are divided among the hosts of its own domain, so hosts of other domains would overfill it. They now use what the last answer showed to be free, less one slot. A refusal backs off for at most 1 s, the link budget is per failure domain, and a zero seed means a random one, because the daemons would otherwise choose in step.

--- a/internal/router/api.go
+++ b/internal/router/api.go
@@ -60,11 +60,12 @@
 	Domain model.DomainID
 	Region model.RegionID
 	Limits queuer.Limits // of each service's queue
-	// LinkBytesPerSecond is what all entry hosts together may send over the link between regions.
+	// LinkBytesPerSecond is what the entry hosts of this failure domain together may send and receive over the
+	// link between regions.
 	LinkBytesPerSecond model.Bytes
 	Dial               DialFunc
 	Hooks              Hooks
-	Seed               uint64
+	Seed               uint64 // of the random choices, 0 means a random one
 }
 
 // Load is a snapshot of the router for heartbeats and status.
--- a/internal/router/outcome.go
+++ b/internal/router/outcome.go
@@ -116,7 +116,7 @@
 	case c.canceled || t.stopping:
 	case expired && !c.service.overdue(c.req.Class, took):
 	default:
-		r.failed(failure.Status, f.started, now, t.rng)
+		r.failed(failure.Status, failure.NotRun && failure.BytesSent, f.started, now, t.rng)
 	}
 	if !failure.NotRun {
 		c.mayRun = true
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -11,8 +11,9 @@
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
-// DefaultLinkBytesPerSecond is half of the 30 Mbit/s between regions; the log and the peers need the rest.
-const DefaultLinkBytesPerSecond model.Bytes = 30_000_000 / 8 / 2
+// DefaultLinkBytesPerSecond is a quarter of the 30 Mbit/s between regions. Three failure domains then leave a
+// quarter to the log and the peers, even if all bytes go in the same direction.
+const DefaultLinkBytesPerSecond model.Bytes = 30_000_000 / 8 / 4
 
 // message is handled by the router's task.
 type message func(t *task, now time.Time)
@@ -32,6 +33,9 @@
 	if o.Dial == nil {
 		o.Dial = func(_ hostclient.Host, ro runnerclient.Options) Sender { return runnerclient.New(ro) }
 	}
+	if o.Seed == 0 {
+		o.Seed = rand.Uint64() // hosts with the same seed would choose the same runners and back off in step
+	}
 	return &Router{opts: o, inbox: make(chan message), stopped: make(chan struct{})}
 }
 
@@ -131,7 +135,7 @@
 	r.post(func(t *task, now time.Time) { t.setRunners(hosts, now) })
 }
 
-// SetShare sets this host's rank among the entry hosts that use the runners; requests are refused before the first call.
+// SetShare sets this host's rank among the entry hosts of its failure domain; requests are refused before the first call.
 func (r *Router) SetShare(rank, hosts int) {
 	r.post(func(t *task, now time.Time) { t.setShare(rank, hosts, now) })
 }
--- a/internal/router/runner.go
+++ b/internal/router/runner.go
@@ -26,6 +26,8 @@
 	backoffBase = 100 * time.Millisecond
 	// backoffMax bounds how long a recovered runner stays unused.
 	backoffMax = 30 * time.Second
+	// refusalMax bounds the back-off after refusals: a full runner has free slots again within about a request.
+	refusalMax = time.Second
 	// slownessWeight is the weight of the newest latency, so that about ten answers decide.
 	slownessWeight = 0.2
 	// slownessHalfLife lets a runner that was slow be tried again once it has got few requests for a while.
@@ -41,6 +43,7 @@
 	tier      tier
 	slots     int // of the runner
 	share     int // slots of this host
+	spare     int // requests of this host that the runner had room for at the last answer
 	inFlight  int
 	othersUse int // slots that other hosts used at the last answer
 	leaving   bool
@@ -75,6 +78,10 @@
 		return 0
 	case r.failures > 0:
 		return max(min(r.share, 1)-r.inFlight, 0) // a failing runner gets one trial at a time
+	case r.tier != tierDomain:
+		// The slots are divided among the hosts of the runner's own domain, so others only use what they saw to be
+		// spare, and one request to find out.
+		return max(min(r.share, max(r.spare, 1))-r.inFlight, 0)
 	}
 	return max(r.share-r.inFlight, 0)
 }
@@ -99,6 +106,7 @@
 	if st.FreeSlots >= 0 {
 		// inFlight no longer counts the answered request, and neither does the runner.
 		r.othersUse = max(r.slots-st.FreeSlots-r.inFlight, 0)
+		r.spare = r.inFlight + st.FreeSlots - 1 // one slot stays free for the hosts of the runner's domain
 	}
 }
 
@@ -110,13 +118,17 @@
 }
 
 // failed backs off; failures of attempts that were already in progress at the latest one count once.
-func (r *runner) failed(st runnerclient.Status, started, now time.Time, rng *rand.Rand) {
+func (r *runner) failed(st runnerclient.Status, refused bool, started, now time.Time, rng *rand.Rand) {
 	r.note(st)
 	if r.failures > 0 && started.Before(r.failedAt) {
 		return
 	}
 	r.failures++
-	d := min(backoffBase<<min(r.failures-1, 10), backoffMax)
+	limit := backoffMax
+	if refused {
+		limit = refusalMax
+	}
+	d := min(backoffBase<<min(r.failures-1, 10), limit)
 	// Jitter keeps the entry hosts from sending their trials at the same time.
 	r.failedAt, r.retryAt = now, now.Add(d/2+time.Duration(rng.Int64N(int64(d/2)+1)))
 }
