Tell callers that a refused claim spends the request id

A request that won its claim and was then refused by the router or a runner kept the remedy "retry later", but repeats of its id get the same refusal from the cache. The remedy now asks for a new request id.

--- a/internal/claimer/claimer_test.go
+++ b/internal/claimer/claimer_test.go
@@ -299,6 +299,22 @@
 	is.Equal(h.c.store.bytes, model.Bytes(0))
 }
 
+// Guards against a caller that is told to retry with an id whose repeats can only get the same refusal.
+func TestRefusedByRunnerSpendsID(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2)
+	req := Request{ID: newID(epoch, 1)}
+	first := w.hosts["h0"].c.Do(context.Background(), req, func(context.Context) Result {
+		return Result{Error: notRun(model.KindOverloaded, "full", "retry later")}
+	})
+	is.Equal(first.Error.Remedy, spentRemedy)
+	req.Repeat = true
+	for _, h := range w.hosts {
+		h.applied = 1
+		is.Equal(call(h.c, context.Background(), req, "x").Error, first.Error) // certain for repeats, too
+	}
+}
+
 // Guards against a host that speaks for the claim of its earlier process: it refused a repeat during an outage, but
 // the request ran before the restart.
 func TestRefusalIsNoAnswerForEarlierProcess(t *testing.T) {
--- a/internal/claimer/run.go
+++ b/internal/claimer/run.go
@@ -81,9 +81,11 @@
 // one would only queue up.
 const retryAfterMS model.Millis = 1000
 
+const spentRemedy = "retry with a new request id; this one can't be used again"
+
 // spent refuses a request whose claim may be in the log. The claim is never used, so not-run is certain.
 func spent(kind model.ErrorKind, message string) Decision {
-	d := refuse(kind, message, "retry with a new request id; this one can't be used again")
+	d := refuse(kind, message, spentRemedy)
 	d.Spent = true
 	return d
 }
@@ -158,6 +160,12 @@
 	case VerdictWon:
 		res = run(context.WithoutCancel(ctx))
 		res.Digest = req.Digest
+		if e := res.Error; e != nil && e.Outcome == model.OutcomeNotRun {
+			// Other hosts may already have passed this result on, so a repeat must not run the request.
+			spentErr := *e
+			spentErr.Remedy = spentRemedy
+			res.Error = &spentErr
+		}
 	case VerdictLost:
 		keep = false
 		res = c.ask(ctx, d.Host, req)
