--- a/cmd/chestnutmux/main.go
+++ b/cmd/chestnutmux/main.go
@@ -1,3 +1,11 @@
 package main
 
-func main() {}
+import (
+	"os"
+
+	"chestnutmux.example/chestnutmux/internal/cli"
+)
+
+func main() {
+	os.Exit(cli.Run(os.Args[1:]))
+}
--- /dev/null
+++ b/internal/cli/doc.go
@@ -0,0 +1,2 @@
+// Package cli holds the commands of the chestnutmux binary.
+package cli
--- /dev/null
+++ b/internal/cli/serve.go
@@ -0,0 +1,34 @@
+package cli
+
+import (
+	"os"
+
+	"github.com/hashicorp/go-hclog"
+
+	"chestnutmux.example/chestnutmux/internal/daemon"
+	"chestnutmux.example/chestnutmux/internal/settings"
+)
+
+type serveCommand struct {
+	Settings string `help:"Settings file, JSON with comments." required:"" type:"path"`
+}
+
+// Help shows examples.
+func (serveCommand) Help() string {
+	return "chestnutmux serve --settings entry.hujson"
+}
+
+// Run serves until SIGTERM, then shuts down gracefully.
+func (c *serveCommand) Run(e *env) error {
+	s, err := settings.Load(c.Settings)
+	if err != nil {
+		return usageError{err}
+	}
+	logger := hclog.New(&hclog.LoggerOptions{
+		Name:       "chestnutmux",
+		Level:      hclog.LevelFromString(s.LogLevel),
+		Output:     os.Stderr,
+		JSONFormat: true,
+	}).With("host", string(s.HostID))
+	return daemon.Run(e.ctx, s, logger)
+}
--- /dev/null
+++ b/internal/fake/demo/doc.go
@@ -0,0 +1,2 @@
+// Package demo runs the scenario of the demo against a deployment of separate processes.
+package demo
--- /dev/null
+++ b/internal/fake/launcher/cluster.go
@@ -0,0 +1,306 @@
+package launcher
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"chestnutmux.example/chestnutmux/internal/fake/fault"
+	"chestnutmux.example/chestnutmux/internal/fake/platform"
+	"chestnutmux.example/chestnutmux/internal/fake/runner"
+	"chestnutmux.example/chestnutmux/internal/fake/worker"
+	"chestnutmux.example/chestnutmux/internal/settings"
+	"chestnutmux.example/chestnutmux/pkg/client"
+	"chestnutmux.example/chestnutmux/pkg/model"
+)
+
+// stopBound is how long a process may take to stop.
+const stopBound = 40 * time.Second
+
+// Options describe the processes to start.
+type Options struct {
+	// Bin is the directory of the built programs.
+	Bin string
+	// Deploy is the directory with the files fakes.hujson and entry.hujson.
+	Deploy string
+	// Dir is an existing directory for settings and logs of the processes.
+	Dir string
+	// Hosts is the number of entry hosts in each failure domain.
+	Hosts map[model.DomainID]int
+	// Relays puts a relay between all entry hosts, so that they can be cut off from each other.
+	Relays bool
+	// Tune changes the settings of each entry host before it starts; it may be nil.
+	Tune func(*settings.Settings)
+	// TuneFakes changes the deployment of the fakes; it may be nil.
+	TuneFakes func(*platform.Deployment)
+}
+
+// Host is one entry host as a process.
+type Host struct {
+	Settings settings.Settings
+	path     string
+	process  *process
+}
+
+// URL returns the base URL of the host.
+func (h *Host) URL() string { return "http://" + h.Settings.Listen }
+
+// Cluster is a running deployment.
+type Cluster struct {
+	Hosts []*Host
+	Ready platform.Ready
+
+	opts  Options
+	fakes *process
+}
+
+// Start starts the fakes and all entry hosts; the caller stops the cluster.
+func Start(o Options) (*Cluster, error) {
+	c := &Cluster{opts: o}
+	if err := c.start(); err != nil {
+		return nil, errors.CombineErrors(err, c.Stop())
+	}
+	return c, nil
+}
+
+func (c *Cluster) start() error {
+	d, err := platform.Load(filepath.Join(c.opts.Deploy, "fakes.hujson"))
+	if err != nil {
+		return err
+	}
+	base, err := settings.Load(filepath.Join(c.opts.Deploy, "entry.hujson"))
+	if err != nil {
+		return err
+	}
+	if err := c.plan(&d, base); err != nil {
+		return err
+	}
+	if err := c.startFakes(d); err != nil {
+		return err
+	}
+	for _, h := range c.Hosts {
+		h.Settings.LogURL, h.Settings.HostListURL = c.Ready.Log, c.Ready.Hosts
+		if err := c.StartHost(h); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// plan chooses addresses for the entry hosts and lists them in the deployment.
+func (c *Cluster) plan(d *platform.Deployment, base settings.Settings) error {
+	for _, dom := range d.Domains {
+		for i := range c.opts.Hosts[dom.ID] {
+			s := base
+			s.HostID = model.HostID(fmt.Sprintf("%s-e%d", dom.ID, i+1))
+			s.FailureDomain, s.Region = dom.ID, dom.Region
+			if err := setAddresses(&s); err != nil {
+				return err
+			}
+			if c.opts.Tune != nil {
+				c.opts.Tune(&s)
+			}
+			c.Hosts = append(c.Hosts, &Host{Settings: s})
+			d.EntryHosts = append(d.EntryHosts, platform.EntryHost{
+				ID: s.HostID, Addr: s.Listen, PeerAddr: s.PeerListen, Domain: s.FailureDomain,
+			})
+		}
+	}
+	if c.opts.Relays {
+		d.Relays = "127.0.0.1"
+	}
+	if c.opts.TuneFakes != nil {
+		c.opts.TuneFakes(d)
+	}
+	return nil
+}
+
+func setAddresses(s *settings.Settings) error {
+	var err error
+	if s.Listen, err = freeAddress(); err != nil {
+		return err
+	}
+	s.PeerListen, err = freeAddress()
+	return err
+}
+
+// freeAddress finds a free port; another process could take it before it is used, which then fails loudly.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "launcher: no free port")
+	}
+	return l.Addr().String(), l.Close()
+}
+
+func (c *Cluster) startFakes(d platform.Deployment) error {
+	path := filepath.Join(c.opts.Dir, "fakes.json")
+	if err := writeJSON(path, d); err != nil {
+		return err
+	}
+	p, line, err := startProcess(filepath.Join(c.opts.Dir, "fakes.log"), true, filepath.Join(c.opts.Bin, "chestnutmux-fakes"), path)
+	if err != nil {
+		return err
+	}
+	c.fakes = p
+	return errors.Wrap(json.Unmarshal([]byte(line), &c.Ready), "launcher: ready line of the fakes")
+}
+
+func writeJSON(path string, v any) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return errors.Wrap(err, "launcher")
+	}
+	return errors.Wrap(os.WriteFile(path, data, 0o600), "launcher")
+}
+
+// StartHost starts an entry host that is not running.
+func (c *Cluster) StartHost(h *Host) error {
+	h.path = filepath.Join(c.opts.Dir, string(h.Settings.HostID)+".json")
+	if err := writeJSON(h.path, h.Settings); err != nil {
+		return err
+	}
+	log := filepath.Join(c.opts.Dir, string(h.Settings.HostID)+".log")
+	p, _, err := startProcess(log, false, filepath.Join(c.opts.Bin, "chestnutmux"), "serve", "--settings", h.path)
+	h.process = p
+	return err
+}
+
+// Host returns the entry host with the id, or nil.
+func (c *Cluster) Host(id model.HostID) *Host {
+	for _, h := range c.Hosts {
+		if h.Settings.HostID == id {
+			return h
+		}
+	}
+	return nil
+}
+
+// Client returns a client of an entry host.
+func (c *Cluster) Client(h *Host, token string) *client.Client {
+	return &client.Client{Base: h.URL(), Token: token}
+}
+
+// Kill ends an entry host without warning.
+func (c *Cluster) Kill(h *Host) error {
+	if err := h.process.signal(syscall.SIGKILL); err != nil {
+		return err
+	}
+	<-h.process.done
+	return nil
+}
+
+// Pause stops an entry host's process until Resume.
+func (c *Cluster) Pause(h *Host) error { return h.process.signal(syscall.SIGSTOP) }
+
+// Resume lets a paused process go on.
+func (c *Cluster) Resume(h *Host) error { return h.process.signal(syscall.SIGCONT) }
+
+// Terminate asks an entry host to shut down gracefully and waits for its end.
+func (c *Cluster) Terminate(h *Host) error {
+	if err := h.process.signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	return h.process.wait(stopBound)
+}
+
+// Stop ends all processes of the cluster, and only those.
+func (c *Cluster) Stop() error {
+	var err error
+	for _, h := range c.Hosts {
+		if h.process == nil {
+			continue
+		}
+		_ = h.process.signal(syscall.SIGKILL)
+		<-h.process.done
+	}
+	if c.fakes != nil {
+		_ = c.fakes.signal(syscall.SIGTERM)
+		err = errors.CombineErrors(err, c.fakes.wait(stopBound))
+	}
+	return err
+}
+
+// Fault sets the faults of a fake by name; the zero value clears them.
+func (c *Cluster) Fault(name string, f fault.Faults) error {
+	return c.admin(http.MethodPost, "/admin/fakes/"+name+"/faults", f, nil)
+}
+
+// KillFake ends a fake, such as the machine of a worker.
+func (c *Cluster) KillFake(name string) error {
+	return c.admin(http.MethodDelete, "/admin/fakes/"+name, nil, nil)
+}
+
+// RestartFake restarts a fake with nothing kept.
+func (c *Cluster) RestartFake(name string) error {
+	return c.admin(http.MethodPost, "/admin/fakes/"+name+"/restart", nil, nil)
+}
+
+// SetHostState changes the state of a listed host.
+func (c *Cluster) SetHostState(id model.HostID, state string) error {
+	return c.admin(http.MethodPut, "/admin/hosts/"+string(id), map[string]string{"state": state}, nil)
+}
+
+// Unlist removes a host from the host list.
+func (c *Cluster) Unlist(id model.HostID) error {
+	return c.admin(http.MethodDelete, "/admin/hosts/"+string(id), nil, nil)
+}
+
+// Partition cuts the connections between two sets of entry hosts.
+func (c *Cluster) Partition(a, b []model.HostID, silent bool) error {
+	return c.admin(http.MethodPost, "/admin/partition", map[string]any{"a": a, "b": b, "silent": silent}, nil)
+}
+
+// Heal ends all partitions between entry hosts.
+func (c *Cluster) Heal() error { return c.admin(http.MethodDelete, "/admin/partition", nil, nil) }
+
+// Ledger returns what the workers have counted.
+func (c *Cluster) Ledger() (worker.Report, error) {
+	var r worker.Report
+	return r, c.admin(http.MethodGet, "/admin/ledger", nil, &r)
+}
+
+// Runs returns how often the runners ran each request.
+func (c *Cluster) Runs() (runner.Runs, error) {
+	var r runner.Runs
+	return r, c.admin(http.MethodGet, "/admin/runs", nil, &r)
+}
+
+func (c *Cluster) admin(method, path string, in, out any) error {
+	data, err := json.Marshal(in)
+	if err != nil {
+		return errors.Wrap(err, "launcher")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), stopBound)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, method, c.Ready.Admin+path, bytes.NewReader(data))
+	if err != nil {
+		return errors.Wrap(err, "launcher")
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return errors.Wrap(err, "launcher")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return errors.Wrap(err, "launcher")
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return errors.Newf("launcher: %s %s: %s: %s", method, path, resp.Status, body)
+	}
+	if out == nil {
+		return nil
+	}
+	return errors.Wrap(json.Unmarshal(body, out), "launcher")
+}
--- a/internal/peerclient/wire.go
+++ b/internal/peerclient/wire.go
@@ -47,6 +47,8 @@
 // AnswerResult holds the answer to a request; Outcome is unknown when the peer has none.
 type AnswerResult struct {
 	Outcome     model.Outcome `json:"outcome"`
+	Digest      string        `json:"digest,omitempty"` // of the request that was run
+	Runner      model.HostID  `json:"runner,omitempty"`
 	ContentType string        `json:"content-type,omitempty"`
 	Body        []byte        `json:"body,omitempty"`
 	Error       *model.Error  `json:"error,omitempty"`
--- /dev/null
+++ b/internal/poster/doc.go
@@ -0,0 +1,2 @@
+// Package poster passes messages between tasks without blocking the sender.
+package poster
--- a/internal/server/caller.go
+++ b/internal/server/caller.go
@@ -141,6 +141,22 @@
 	}
 }
 
+// flagOf reads a header that is true or false; absent means false.
+func flagOf(r *http.Request, name string) (bool, error) {
+	text := r.Header.Get(name)
+	if text == "" {
+		return false, nil
+	}
+	set, err := strconv.ParseBool(text)
+	if err != nil {
+		return false, &model.Error{
+			Outcome: model.OutcomeNotRun, Kind: model.KindInvalid,
+			Message: "the header " + name + " is neither true nor false", Remedy: "correct the header",
+		}
+	}
+	return set, nil
+}
+
 func requestOf(r *http.Request, id Identity) (Request, error) {
 	req := Request{Workspace: id.Workspace, Caller: id.Caller}
 	req.Service = model.ServiceID(r.PathValue("service"))
@@ -152,15 +168,12 @@
 			Remedy: "send a UUIDv7 in the header Request-Id, the same one in each repeat",
 		}
 	}
-	if text := r.Header.Get(client.HeaderIdempotent); text != "" {
-		idempotent, err := strconv.ParseBool(text)
-		if err != nil {
-			return req, &model.Error{
-				Outcome: model.OutcomeNotRun, Kind: model.KindInvalid,
-				Message: "the header Idempotent is neither true nor false", Remedy: "correct the header",
-			}
-		}
-		req.Idempotent = idempotent
+	var err error
+	if req.Idempotent, err = flagOf(r, client.HeaderIdempotent); err != nil {
+		return req, err
+	}
+	if req.Repeat, err = flagOf(r, client.HeaderRepeat); err != nil {
+		return req, err
 	}
 	wait := defaultDeadline
 	if text := r.Header.Get(client.HeaderDeadline); text != "" {
--- a/pkg/client/caller.go
+++ b/pkg/client/caller.go
@@ -51,6 +51,7 @@
 	RequestID  model.RequestID // UUIDv7 when not idempotent
 	Class      model.ClassID   // empty means the service's first class
 	Idempotent bool
+	Repeat     bool // an earlier call with the same id may have been sent
 	Deadline   time.Time
 	Body       []byte
 }
@@ -66,6 +67,9 @@
 	header := http.Header{}
 	header.Set(HeaderRequestID, string(call.RequestID))
 	header.Set(HeaderIdempotent, strconv.FormatBool(call.Idempotent))
+	if call.Repeat {
+		header.Set(HeaderRepeat, "true")
+	}
 	if call.Class != "" {
 		header.Set(HeaderClass, string(call.Class))
 	}
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -16,6 +16,7 @@
 	HeaderRequestID  = "Request-Id"
 	HeaderDeadline   = "Deadline-Ms" // remaining milliseconds
 	HeaderIdempotent = "Idempotent"  // true or false; absent means false
+	HeaderRepeat     = "Repeat"      // true when an earlier call with the same id may have been sent
 	HeaderClass      = "Class"
 	HeaderOutcome    = "Outcome"
 	HeaderRunner     = "Runner"
