--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -54,18 +54,19 @@
 }
 
 type commands struct {
-	Serve   serveCommand   `cmd:"" help:"Run an entry host."`
-	Check   checkCommand   `cmd:"" help:"Check a configuration or settings file."`
-	Publish publishCommand `cmd:"" help:"Publish a configuration file."`
-	Diff    diffCommand    `cmd:"" help:"Show what a publish of the file would change."`
-	Submit  submitCommand  `cmd:"" help:"Submit a job."`
-	Cancel  cancelCommand  `cmd:"" help:"Cancel jobs."`
-	Call    callCommand    `cmd:"" help:"Send a service request and print the answer."`
-	Status  statusCommand  `cmd:"" help:"Show an entry host, or the jobs of a workspace."`
-	Explain explainCommand `cmd:"" help:"Tell why a job waits and what would let it start."`
-	Drain   drainCommand   `cmd:"" help:"Shut an entry host down gracefully."`
-	Bench   benchCommand   `cmd:"" help:"Measure the scheduling policy against baselines on a virtual clock."`
-	Version versionCommand `cmd:"" help:"Print the version."`
+	Serve    serveCommand    `cmd:"" help:"Run an entry host."`
+	Check    checkCommand    `cmd:"" help:"Check a configuration or settings file."`
+	Publish  publishCommand  `cmd:"" help:"Publish a configuration file."`
+	Diff     diffCommand     `cmd:"" help:"Show what a publish of the file would change."`
+	Submit   submitCommand   `cmd:"" help:"Submit a job."`
+	Cancel   cancelCommand   `cmd:"" help:"Cancel jobs."`
+	Call     callCommand     `cmd:"" help:"Send a service request and print the answer."`
+	Status   statusCommand   `cmd:"" help:"Show an entry host, or the jobs of a workspace."`
+	Explain  explainCommand  `cmd:"" help:"Tell why a job waits and what would let it start."`
+	LogLevel logLevelCommand `cmd:"" help:"Change the log level of an entry host until it restarts."`
+	Drain    drainCommand    `cmd:"" help:"Shut an entry host down gracefully."`
+	Bench    benchCommand    `cmd:"" help:"Measure the scheduling policy against baselines on a virtual clock."`
+	Version  versionCommand  `cmd:"" help:"Print the version."`
 }
 
 // exit carries the code of kong's own exits (help, usage) through a panic-free path.
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -103,6 +103,16 @@
 	return c.client().Drain(e.ctx)
 }
 
+type logLevelCommand struct {
+	remote
+	Level string `arg:"" enum:"trace,debug,info,warn,error" help:"trace, debug, info, warn or error."`
+}
+
+// Run changes the log level of the entry host.
+func (c *logLevelCommand) Run(e *env) error {
+	return c.client().SetLogLevel(e.ctx, c.Level)
+}
+
 // version is set by the linker at release.
 var version = "0.1.0-dev"
 
--- a/internal/server/operator.go
+++ b/internal/server/operator.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 
+	"github.com/hashicorp/go-hclog"
+
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
@@ -38,6 +40,29 @@
 	writeJSON(w, http.StatusOK, status)
 }
 
+// LogLevel is the body of a change of the log level.
+type LogLevel struct {
+	Level string `json:"level"` // trace, debug, info, warn or error
+}
+
+func (s *Server) logLevel(w http.ResponseWriter, r *http.Request, id Identity) {
+	var body LogLevel
+	if !readJSON(w, r, &body) {
+		return
+	}
+	level := hclog.LevelFromString(body.Level)
+	if level == hclog.NoLevel {
+		writeError(w, &model.Error{
+			Outcome: model.OutcomeNotRun, Kind: model.KindInvalid,
+			Message: "the log level is unknown", Remedy: "use trace, debug, info, warn or error",
+		})
+		return
+	}
+	s.Logger.Warn("log level changed", "level", body.Level, "operator", string(id.Operator))
+	s.Logger.SetLevel(level)
+	writeJSON(w, http.StatusOK, body)
+}
+
 func (s *Server) drain(w http.ResponseWriter, r *http.Request, id Identity) {
 	s.Logger.Info("drain requested", "operator", string(id.Operator), "remote", r.RemoteAddr)
 	s.Backend.Drain()
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -53,6 +53,7 @@
 	mux.HandleFunc("GET /v1/config", s.operator(s.config))
 	mux.HandleFunc("POST /v1/config", s.operator(s.publish))
 	mux.HandleFunc("GET /v1/status", s.operator(s.status))
+	mux.HandleFunc("PUT /v1/log-level", s.operator(s.logLevel))
 	mux.HandleFunc("POST /v1/drain", s.operator(s.drain))
 	return mux
 }
--- a/pkg/client/operator.go
+++ b/pkg/client/operator.go
@@ -28,6 +28,11 @@
 	return s, err
 }
 
+// SetLogLevel changes the log level of the entry host until it restarts.
+func (c *Client) SetLogLevel(ctx context.Context, level string) error {
+	return c.do(ctx, http.MethodPut, "/v1/log-level", map[string]string{"level": level}, nil)
+}
+
 // Drain makes the entry host shut down gracefully.
 func (c *Client) Drain(ctx context.Context) error {
 	return c.do(ctx, http.MethodPost, "/v1/drain", nil, nil)
