--- a/internal/reserver/reserver_test.go
+++ b/internal/reserver/reserver_test.go
@@ -50,10 +50,16 @@
 		worker := func(t *rapid.T) *simWorker {
 			return s.workers[rapid.IntRange(0, len(s.workers)-1).Draw(t, "worker")]
 		}
-		run := func(t *rapid.T) { s.run(time.Duration(rapid.IntRange(10, 8000).Draw(t, "ms")) * time.Millisecond) }
+		run := func(t *rapid.T) {
+			s.run(time.Duration(rapid.SampledFrom([]int{20, 300, 2000, 6000, 25_000}).Draw(t, "ms")) * time.Millisecond)
+		}
 		t.Repeat(map[string]func(*rapid.T){
-			"run": run, "run-more": run,
-			"submit": func(t *rapid.T) { s.submit(rapid.IntRange(1, len(s.workers)).Draw(t, "size")) },
+			"run": run, "run-2": run, "run-3": run, "run-4": run,
+			"submit": func(t *rapid.T) {
+				for range 3 {
+					s.submit(rapid.IntRange(1, len(s.workers)).Draw(t, "size"))
+				}
+			},
 			"network": func(t *rapid.T) {
 				s.loss, s.dup = rapid.IntRange(0, 40).Draw(t, "loss"), rapid.IntRange(0, 40).Draw(t, "dup")
 			},
@@ -64,7 +70,7 @@
 			"restart":    func(t *rapid.T) { s.restart(planner(t)) },
 			"fail-tasks": func(t *rapid.T) { w := worker(t); w.fails = !w.fails },
 			"pause": func(t *rapid.T) {
-				d := time.Duration(rapid.IntRange(100, 40_000).Draw(t, "ms")) * time.Millisecond
+				d := time.Duration(rapid.SampledFrom([]int{300, 3000, 9000, 30_000}).Draw(t, "ms")) * time.Millisecond
 				planner(t).paused = s.now.Add(d)
 				s.slack += d
 			},
@@ -139,11 +145,11 @@
 		for i := range 12 {
 			s.submit(1 + i%6)
 		}
-		for range 60 {
+		for i := 0; i < 60 && (s.open() > 0 || i < 5); i++ {
 			s.run(time.Minute)
 		}
-		is.Equal(s.faults, nil)
-		is.Equal(s.open(), 0)                // jobs finish in spite of the race
-		is.True(s.counts["RoleChanged"] > 4) // the planners did race
+		is.Equal(len(s.faults), 0)
+		is.Equal(s.open(), 0)                 // jobs finish in spite of the race
+		is.True(s.counts["RoleChanged"] > 10) // the planners did race
 	}
 }
