--- a/internal/reserver/gang.go
+++ b/internal/reserver/gang.go
@@ -240,6 +240,10 @@
 	if m.detached || !g.phase.runs() {
 		return
 	}
+	if c == CauseStopped && g.phase == phaseCheckpointing {
+		r.stopAll(g, OutcomePreempted) // the worker applied the bound by itself
+		return
+	}
 	r.report(MemberFailed{Gang: g.id, Job: g.job, Task: m.task, Worker: m.w.host.ID, Cause: c, Error: m.err})
 	outcome := OutcomeLost
 	switch {
