--- a/internal/allocator/bind.go
+++ b/internal/allocator/bind.go
@@ -1,7 +1,9 @@
 package allocator
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"chestnutmux.example/chestnutmux/pkg/model"
@@ -40,8 +42,8 @@
 	}
 }
 
-// blocks counts the blocks that no cell is bound to.
-func (s *State) blocks() (h histogram) {
+// countBlocks counts the blocks that no cell is bound to.
+func (s *State) countBlocks() (h histogram) {
 	for r := range s.racks {
 		slots := s.racks[r].slots
 		for p := 0; p < len(slots); {
@@ -63,16 +65,6 @@
 	return h
 }
 
-// demand counts the unbound cells.
-func (s *State) demand() (h histogram) {
-	for c := range s.cells {
-		if s.cells[c].n == 0 {
-			h[log2(s.cells[c].size)]++
-		}
-	}
-	return h
-}
-
 // split returns the size of the block that a cell of size c on worker i would
 // be carved from, 0 when it does not fit; c is at most the worker's accelerators.
 func (s *State) split(i int32, c model.Accelerators) model.Accelerators {
@@ -87,104 +79,143 @@
 	return f & -f
 }
 
-// guard tells for each block size whether carving a cell there leaves room for
+// guard tells whether carving a cell of a size out of a block leaves room for
 // all cells that are not bound. While that holds before every binding, every
 // unbound cell can always be bound.
 type guard struct {
-	blocks, demand histogram
-	size           model.Accelerators
-	known          [64]int8
+	size  model.Accelerators
+	known [64]int8 // by the logarithm of the block size
 }
 
-func (s *State) guard(size model.Accelerators) guard {
-	g := guard{blocks: s.blocks(), demand: s.demand(), size: size}
-	g.demand[log2(size)]--
-	return g
-}
-
-func (g *guard) allows(from model.Accelerators) bool {
+func (s *State) allows(g *guard, from model.Accelerators) bool {
 	k := log2(from)
 	if g.known[k] == 0 {
-		h := g.blocks
-		h.carve(from, g.size)
+		if !s.blocksKnown {
+			s.blocks, s.blocksKnown = s.countBlocks(), true
+		}
+		blocks, wanted := s.blocks, s.wanted
+		blocks.carve(from, g.size)
+		wanted[log2(g.size)]--
 		g.known[k] = -1
-		if h.packs(&g.demand) {
+		if blocks.packs(&wanted) {
 			g.known[k] = 1
 		}
 	}
 	return g.known[k] > 0
 }
 
-// bindBest binds a cell to the block that costs the least preempted work among
-// those the guard allows, then to the smallest block. When failures leave no
-// allowed block it takes the smallest one.
-func (s *State) bindBest(c int32, a model.Accelerators, g *Gang, now time.Time) bool {
-	return s.bindIn(c, a, g, now, false)
+// choice is a block that a cell may be bound to.
+type choice struct {
+	rack, start, n int32
+	from           model.Accelerators // size of the block it is carved from
+	cost           float64
 }
 
-// bindIn does the work of bindBest; again is set after smaller cells were displaced.
-func (s *State) bindIn(c int32, a model.Accelerators, g *Gang, now time.Time, again bool) bool {
-	size := s.cells[c].size
-	gd := s.guard(size)
-	type choice struct {
-		rack, start, n int32
-		allowed        bool
-		cost           float64
-		from           model.Accelerators
+// shortlist is how many of the blocks with the least estimated cost are priced exactly.
+const shortlist = 8
+
+// bindBest binds cells of one size and returns how many. Each goes to the block
+// that costs the least preempted work among those the guard allows, then to the
+// smallest. When failures leave no allowed block it takes the smallest one, and
+// at last displaces smaller cells.
+func (s *State) bindBest(cells []int32, a model.Accelerators, g *Gang, now time.Time) int {
+	if len(cells) == 0 {
+		return 0
 	}
-	best := choice{n: 0, cost: math.Inf(1)}
-	consider := func(rack, start, n int32, from model.Accelerators) {
-		x := choice{rack: rack, start: start, n: n, from: from, allowed: gd.allows(from)}
-		if best.allowed && !x.allowed {
-			return
-		}
-		if best.n > 0 && best.allowed && best.cost == 0 && best.from <= from {
-			return
-		}
-		members := 0
-		x.cost, members = s.cost(-1, rack, start, n, a, g, now)
-		if members < min(g.Shape.Workers, int(n)) {
-			return
-		}
-		switch {
-		case best.n == 0, x.allowed && !best.allowed:
-			best = x
-		case x.allowed && (x.cost < best.cost || x.cost == best.cost && x.from < best.from):
-			best = x
-		case !x.allowed && (x.from < best.from || x.from == best.from && x.cost < best.cost):
-			best = x
+	size := s.cells[cells[0]].size
+	s.choices(size, a, g, now)
+	bound := 0
+	for bound < len(cells) {
+		gd := guard{size: size}
+		x, ok := s.choose(&gd, len(cells) == 1, a, g, now)
+		if !ok {
+			if !s.displace(size) {
+				break
+			}
+			s.choices(size, a, g, now)
+			gd = guard{size: size}
+			if x, ok = s.choose(&gd, true, a, g, now); !ok {
+				break
+			}
 		}
+		s.bind(cells[bound], x.rack, x.start, x.n, x.from)
+		bound++
 	}
+	return bound
+}
+
+// choices lists the blocks for a cell of a size, cheapest first.
+func (s *State) choices(size, a model.Accelerators, g *Gang, now time.Time) {
+	l := s.scratch.choices[:0]
 	for r := range s.racks {
 		slots := s.racks[r].slots
-		for p := int32(0); int(p) < len(slots); {
+		for p := 0; p < len(slots); p++ {
 			i := slots[p]
-			if i < 0 || s.workers[i].cap.acc <= 0 {
-				p++
+			if i < 0 || !s.workers[i].usable() || s.workers[i].cap.acc <= 0 {
 				continue
 			}
-			acc := s.workers[i].cap.acc
-			if size <= acc {
-				if from := s.split(i, size); from > 0 {
-					consider(int32(r), p, 1, from)
-				}
-				p++
+			x := choice{rack: int32(r), start: int32(p), n: int32(max(1, size/s.workers[i].cap.acc))}
+			if x.from = s.room(&x, size); x.from == 0 {
 				continue
 			}
-			n := int32(size / acc)
-			if p%n == 0 && size%acc == 0 && s.unbound(int32(r), p, n) {
-				consider(int32(r), p, n, acc*model.Accelerators(s.enclosing(int32(r), p, n)))
-				p += n
-				continue
+			members := 0
+			if x.cost, members = s.cost(-1, x.rack, x.start, x.n, a, g, now); members >= min(g.Shape.Workers, int(x.n)) {
+				l = append(l, x)
 			}
-			p++
+			p += int(x.n) - 1
 		}
 	}
-	if best.n == 0 {
-		return !again && s.displace(size) && s.bindIn(c, a, g, now, true)
+	slices.SortStableFunc(l, func(x, y choice) int { return cmp.Or(cmp.Compare(x.cost, y.cost), cmp.Compare(x.from, y.from)) })
+	s.scratch.choices = l
+}
+
+// room returns the size of the block that a cell would be carved from, 0 when it does not fit.
+func (s *State) room(x *choice, size model.Accelerators) model.Accelerators {
+	i := s.racks[x.rack].slots[x.start]
+	acc := s.workers[i].cap.acc
+	switch {
+	case size <= acc:
+		return s.split(i, size)
+	case size%acc == 0 && x.start%x.n == 0 && s.unbound(x.rack, x.start, x.n):
+		return acc * model.Accelerators(s.enclosing(x.rack, x.start, x.n))
 	}
-	s.bind(c, best.rack, best.start, best.n)
-	return true
+	return 0
+}
+
+// choose takes the best of the choices that still has room.
+func (s *State) choose(gd *guard, exact bool, a model.Accelerators, g *Gang, now time.Time) (choice, bool) {
+	best, spare, seen := -1, -1, 0
+	low := math.Inf(1)
+	l := s.scratch.choices
+	for k := range l {
+		x := &l[k]
+		if x.from = s.room(x, gd.size); x.from == 0 {
+			continue
+		}
+		if !s.allows(gd, x.from) {
+			if spare < 0 || x.from < l[spare].from {
+				spare = k
+			}
+			continue
+		}
+		cost := x.cost
+		if exact && cost > 0 {
+			cost = s.exact(x, a, g, now)
+		}
+		if best < 0 || cost < low || cost == low && x.from < l[best].from {
+			best, low = k, cost
+		}
+		if seen++; seen == shortlist || !exact || cost == 0 && x.from == gd.size {
+			break
+		}
+	}
+	if best < 0 {
+		best = spare
+	}
+	if best < 0 {
+		return choice{}, false
+	}
+	return l[best], true
 }
 
 // Promote makes a charged lent gang guaranteed where it runs, when cells of
@@ -217,6 +248,7 @@
 	}
 	s.scratch.seats = seats
 	g.Guaranteed = true
+	s.touch(g)
 	return true
 }
 
@@ -239,7 +271,7 @@
 	if !w.usable() || w.cap.acc <= 0 {
 		return -1
 	}
-	best := int32(-1)
+	best, bestFrom := int32(-1), model.Accelerators(0)
 	for _, c := range s.cellsOf[g.Workspace] {
 		x := &s.cells[c]
 		if x.n > 0 || best >= 0 && x.size == s.cells[best].size || s.capacity(x.size, a, g.Shape.Workers) == 0 {
@@ -253,18 +285,17 @@
 		case x.size%w.cap.acc == 0 && s.unbound(w.rack, start, n):
 			from = w.cap.acc * model.Accelerators(s.enclosing(w.rack, start, n))
 		}
-		gd := s.guard(x.size)
-		if from == 0 || !gd.allows(from) {
+		if from == 0 || !s.allows(&guard{size: x.size}, from) {
 			continue
 		}
-		best = c
+		best, bestFrom = c, from
 		if s.capacity(x.size, a, g.Shape.Workers) >= g.Shape.Workers {
 			break
 		}
 	}
 	if best >= 0 {
 		start, n := around(w, s.cells[best].size)
-		s.bind(best, w.rack, start, n)
+		s.bind(best, w.rack, start, n, bestFrom)
 	}
 	return best
 }
--- a/internal/allocator/cell.go
+++ b/internal/allocator/cell.go
@@ -116,7 +116,7 @@
 	for c := range s.cells {
 		held = append(held, s.dissolve(int32(c))...)
 	}
-	s.cells = s.cells[:0]
+	s.cells, s.wanted = s.cells[:0], histogram{}
 	s.share, s.maxAcc = share{}, 0
 	for _, r := range d.Racks {
 		if r.Workers <= 0 || r.Accelerators <= 0 {
@@ -137,6 +137,7 @@
 		}
 		for range g.Count {
 			s.cells = append(s.cells, cell{workspace: g.Workspace, size: g.Cell})
+			s.wanted[log2(g.Cell)]++
 		}
 	}
 	s.indexCells()
@@ -157,9 +158,13 @@
 	}
 }
 
-// bind gives a cell the block of n workers from start on.
-func (s *State) bind(c, rack, start, n int32) {
+// bind gives a cell the block of n workers from start on, carved from a block of size from.
+func (s *State) bind(c, rack, start, n int32, from model.Accelerators) {
 	x := &s.cells[c]
+	s.wanted[log2(x.size)]--
+	if s.blocksKnown {
+		s.blocks.carve(from, x.size)
+	}
 	x.rack, x.start, x.n = rack, start, n
 	x.used = append(x.used[:0], make([]model.Accelerators, n)...)
 	for _, i := range s.racks[rack].slots[start : start+n] {
@@ -173,6 +178,8 @@
 		s.workers[i].bound -= x.perWorker()
 	}
 	x.n, x.members = 0, 0
+	s.wanted[log2(x.size)]++
+	s.blocksKnown = false
 }
 
 // dissolve unbinds a cell; the gangs in it become lent and are returned.
@@ -220,4 +227,18 @@
 	}
 	g.cells = g.cells[:0]
 	g.Guaranteed = false
+	s.touch(g)
+}
+
+// touch has the loads of a gang's workers computed again.
+func (s *State) touch(g *Gang) {
+	for _, i := range g.workers {
+		s.workers[i].load.known = false
+	}
+}
+
+// Doom marks a gang as being preempted, or takes the mark back.
+func (s *State) Doom(g *Gang, doomed bool) {
+	g.Doomed = doomed
+	s.touch(g)
 }
--- a/internal/allocator/reclaim.go
+++ b/internal/allocator/reclaim.go
@@ -25,6 +25,8 @@
 	victims []*Gang
 	windows []window
 	list    []int32
+	cells   []int32
+	choices []choice
 }
 
 type workerCost struct {
@@ -95,7 +97,7 @@
 	g.Guaranteed = true
 	s.Charge(g)
 	for _, v := range s.scratch.victims {
-		v.Doomed = true
+		s.Doom(v, true)
 	}
 	return s.scratch.victims, true
 }
@@ -121,7 +123,7 @@
 				continue
 			}
 			last = x.size
-			if s.bindBest(c, a, g, now) {
+			if s.bindBest([]int32{c}, a, g, now) == 1 {
 				best = c
 				break
 			}
@@ -145,12 +147,17 @@
 			k -= s.take(c, a, k, g, now)
 		}
 	}
-	for i := len(cs) - 1; i >= 0 && k > 0; i-- {
-		c := cs[i]
-		if s.cells[c].n > 0 || s.capacity(s.cells[c].size, a, g.Shape.Workers) == 0 {
-			continue
+	for i := len(cs) - 1; i >= 0 && k > 0; {
+		size := s.cells[cs[i]].size
+		per := s.capacity(size, a, g.Shape.Workers)
+		batch := s.scratch.cells[:0]
+		for ; i >= 0 && s.cells[cs[i]].size == size; i-- {
+			if per > 0 && s.cells[cs[i]].n == 0 && len(batch)*per < k {
+				batch = append(batch, cs[i])
+			}
 		}
-		if s.bindBest(c, a, g, now) {
+		s.scratch.cells = batch
+		for _, c := range batch[:s.bindBest(batch, a, g, now)] {
 			opened = append(opened, c)
 			k -= s.take(c, a, k, g, now)
 		}
@@ -174,11 +181,64 @@
 	return k
 }
 
-// cost prices the cheapest workers of a block for the members of a gang, and
+// estimate prices the room for a member on a worker as a part of all its lent
+// work, which takes no look at single gangs; false when there is no such room.
+func (s *State) estimate(i int32, n resources, now time.Time) (float64, bool) {
+	w := &s.workers[i]
+	if w.free.fits(n) {
+		return 0, true
+	}
+	l := &w.load
+	if !l.known {
+		*l = load{known: true}
+		for _, g := range w.gangs {
+			switch {
+			case g.Doomed:
+				l.doomed.add(need(&g.Shape))
+			case !g.Guaranteed:
+				l.lent.add(need(&g.Shape))
+				r := float64(g.Shape.Total() + 1)
+				l.rate += r
+				l.base += r * (float64(g.StartedAt.UnixMilli())/1000 - restart)
+			}
+		}
+	}
+	free := w.free
+	free.add(l.doomed)
+	if free.fits(n) {
+		return 0, true
+	}
+	part := 0.0
+	for _, d := range [...][3]float64{
+		{float64(n.acc), float64(free.acc), float64(l.lent.acc)},
+		{float64(n.cores), float64(free.cores), float64(l.lent.cores)},
+		{float64(n.mem), float64(free.mem), float64(l.lent.mem)},
+	} {
+		if lack := d[0] - d[1]; lack > d[2] {
+			return 0, false
+		} else if lack > 0 {
+			part = max(part, lack/d[2])
+		}
+	}
+	return part * (l.rate*float64(now.UnixMilli())/1000 - l.base), true
+}
+
+// exact prices a block like cost, by the gangs that would be preempted; each counts once.
+func (s *State) exact(x *choice, a model.Accelerators, g *Gang, now time.Time) float64 {
+	_, n := s.cost(-1, x.rack, x.start, x.n, a, g, now)
+	s.epoch++
+	sum := 0.0
+	for _, w := range s.scratch.costs[:min(n, g.Shape.Workers)] {
+		c, _ := s.victims(w.worker, need(&g.Shape), now, false)
+		sum += c
+	}
+	return sum
+}
+
+// cost estimates the price of the cheapest workers of a block for the members of a gang, and
 // returns how many workers can hold one; c is the bound cell or negative.
 func (s *State) cost(c, rack, start, n int32, a model.Accelerators, g *Gang, now time.Time) (float64, int) {
 	costs := s.scratch.costs[:0]
-	s.epoch++
 	for p := start; p < start+n; p++ {
 		i := s.racks[rack].slots[p]
 		if i < 0 || !s.workers[i].usable() {
@@ -190,7 +250,7 @@
 				continue
 			}
 		}
-		if v, ok := s.victims(i, need(&g.Shape), now, false); ok {
+		if v, ok := s.estimate(i, need(&g.Shape), now); ok {
 			costs = append(costs, workerCost{i, v, room})
 		}
 	}
@@ -246,9 +306,11 @@
 	return total, true
 }
 
+// restart is the time to start a preempted gang again, in seconds. It keeps
+// gangs that just started from being free of charge.
+const restart = 10
+
 // lost is the work that preempting a gang puts at risk, in accelerator-seconds.
-// The constant keeps gangs that just started from being free of charge.
 func lost(g *Gang, now time.Time) float64 {
-	const restart = 10 // seconds to start again
 	return float64(g.Shape.Total()+1) * (restart + max(0, now.Sub(g.StartedAt).Seconds()))
 }
--- a/internal/allocator/worker.go
+++ b/internal/allocator/worker.go
@@ -74,6 +74,17 @@
 	bound  model.Accelerators // held by bound cells
 	hold   int64              // start of a reservation in Unix nanoseconds, 0 means none
 	gangs  []*Gang
+	load   load
+}
+
+// load sums up the gangs of a worker that can or will leave; it is computed when needed.
+type load struct {
+	known  bool
+	lent   resources // of lent gangs that stay so far
+	doomed resources // of gangs that are being preempted
+	// The work lost by preempting all of lent at a time t, in
+	// accelerator-seconds, is rate*t - base with t in Unix seconds.
+	rate, base float64
 }
 
 func (w *worker) usable() bool { return w.health == Usable && w.rack >= 0 }
@@ -103,7 +114,11 @@
 	avoid   []model.HostID
 
 	probation int // workers in probation
-	scratch   scratch
+
+	blocksKnown bool
+	blocks      histogram // without bound cells, while blocksKnown
+	wanted      histogram // cells that are not bound
+	scratch     scratch
 }
 
 // New returns an empty state that scores placements by the given policy.
@@ -132,6 +147,7 @@
 	x.free.add(c)
 	x.free.sub(x.cap)
 	x.cap = c
+	s.blocksKnown = false
 	if x.rack >= 0 && (s.racks[x.rack].id != w.Rack || w.Index >= 0 && int(x.pos) != w.Index) {
 		s.vacate(i)
 	}
@@ -191,6 +207,7 @@
 		s.probation++
 	}
 	w.health = h
+	s.blocksKnown = false
 }
 
 // SetHealth changes the health of a known worker.
@@ -235,6 +252,7 @@
 		rk.slots = append(rk.slots, -1)
 	}
 	rk.slots[index] = i
+	s.blocksKnown = false
 	s.workers[i].rack, s.workers[i].pos = r, int32(index)
 }
 
@@ -251,6 +269,7 @@
 	}
 	r := w.rack
 	s.racks[r].slots[w.pos] = -1
+	s.blocksKnown = false
 	w.rack = -1
 	s.summarize(r)
 }
@@ -284,6 +303,7 @@
 		w := &s.workers[i]
 		w.free.sub(n)
 		w.gangs = append(w.gangs, g)
+		w.load.known = false
 		s.summarize(w.rack)
 	}
 }
@@ -295,6 +315,7 @@
 	for _, i := range g.workers {
 		w := &s.workers[i]
 		w.free.add(n)
+		w.load.known = false
 		if k := slices.Index(w.gangs, g); k >= 0 {
 			last := len(w.gangs) - 1
 			w.gangs[k] = w.gangs[last]
--- a/internal/scheduler/claim.go
+++ b/internal/scheduler/claim.go
@@ -15,7 +15,7 @@
 // tryGuaranteed gives a job cells of its workspace. It starts at once when
 // they are free, else it holds them while lent gangs are preempted.
 func (s *Scheduler) tryGuaranteed(j *job) bool {
-	if !j.entitled || !s.ready(j) {
+	if !j.entitled || !s.ready(j, true) {
 		return false
 	}
 	k := cellKey{j.spec.Workspace, j.spec.Shape}
@@ -25,17 +25,25 @@
 	var own []*gang
 	if lack := j.spec.Shape.Total() - s.quotaLeft(j.spec.Workspace); lack > 0 {
 		var ok bool
-		if own, ok = s.ownLent(j, lack); !ok {
+		if own, ok = s.ownVictims(j, lack); !ok {
+			s.pass.noCell[k] = true
 			j.wait = WaitQuota
 			return false
 		}
 	}
+	held := s.doom(own)
 	g := s.newGang(j)
 	victims, ok := s.alloc.PlaceGuaranteed(&g.Gang, s.pass.now)
 	if !ok {
 		victims, ok = s.placeOverOwn(g)
 	}
 	if !ok {
+		for _, v := range own {
+			s.alloc.Doom(&v.Gang, false)
+		}
+		for _, v := range held {
+			s.alloc.Promote(v)
+		}
 		s.pass.noCell[k] = true
 		return false
 	}
@@ -44,10 +52,7 @@
 		s.preempt(s.gangs[v.ID], j)
 	}
 	for _, v := range own {
-		if !v.Doomed {
-			v.Doomed = true
-			s.preempt(v, j)
-		}
+		s.preempt(v, j)
 	}
 	if s.startable(g) {
 		s.start(g)
@@ -58,6 +63,19 @@
 	return true
 }
 
+// doom marks gangs as leaving, so that a placement prefers their room, and
+// returns those that were guaranteed.
+func (s *Scheduler) doom(gs []*gang) (held []*allocator.Gang) {
+	for _, v := range gs {
+		if v.Guaranteed {
+			s.alloc.Demote(&v.Gang)
+			held = append(held, &v.Gang)
+		}
+		s.alloc.Doom(&v.Gang, true)
+	}
+	return held
+}
+
 // placeOverOwn takes cells from less urgent gangs of the same workspace, which
 // run on as lent work where they are not in the way.
 func (s *Scheduler) placeOverOwn(g *gang) (victims []*allocator.Gang, ok bool) {
@@ -66,7 +84,7 @@
 	}
 	var demoted []*allocator.Gang
 	for _, h := range s.alloc.Holders(g.Workspace) {
-		if x := s.gangs[h.ID]; x.level <= g.level || x.state == claimed {
+		if x := s.gangs[h.ID]; x.level <= g.level {
 			continue
 		}
 		s.alloc.Demote(h)
@@ -81,42 +99,48 @@
 	return nil, false
 }
 
-// ownLent chooses less urgent lent gangs of the job's workspace whose end
-// frees enough of its quota, those that started last first.
-func (s *Scheduler) ownLent(j *job, lack model.Accelerators) ([]*gang, bool) {
+// ownVictims chooses less urgent gangs of the job's workspace whose end frees
+// enough of its quota: lent ones first, then those that started last.
+func (s *Scheduler) ownVictims(j *job, lack model.Accelerators) ([]*gang, bool) {
 	if s.set.Workspaces[j.spec.Workspace].Quota < s.elsewhere[j.spec.Workspace]+j.spec.Shape.Total() {
 		return nil, false
 	}
-	var lent []*gang
+	var own []*gang
 	for _, g := range s.gangs {
-		if g.Workspace != j.spec.Workspace || g.Guaranteed || g.Shape.Accelerators <= 0 {
+		if g.Workspace != j.spec.Workspace || g.Shape.Accelerators <= 0 {
 			continue
 		}
 		if g.Doomed {
 			lack -= g.Shape.Total()
 		} else if g.level > j.level {
-			lent = append(lent, g)
+			own = append(own, g)
 		}
 	}
-	slices.SortFunc(lent, func(a, b *gang) int {
+	slices.SortFunc(own, func(a, b *gang) int {
+		if a.Guaranteed != b.Guaranteed {
+			if b.Guaranteed {
+				return -1
+			}
+			return 1
+		}
 		return cmp.Or(b.StartedAt.Compare(a.StartedAt), cmp.Compare(a.ID, b.ID))
 	})
-	for i, g := range lent {
+	for i, g := range own {
 		if lack <= 0 {
-			return lent[:i], true
+			return own[:i], true
 		}
 		lack -= g.Shape.Total()
 	}
-	return lent, lack <= 0
+	return own, lack <= 0
 }
 
 func (s *Scheduler) startable(g *gang) bool {
 	return s.alloc.Fits(&g.Gang) && s.quotaLeft(g.Workspace) >= 0
 }
 
-// preempt decides to stop a lent gang; a start of the same pass is taken back instead.
+// preempt decides to stop a lent gang; a claim or a start of the same pass is taken back instead.
 func (s *Scheduler) preempt(v *gang, j *job) {
-	if v.state == starting && v.decided == s.pass.number {
+	if v.state == claimed || v.state == starting && v.decided == s.pass.number {
 		s.out = slices.DeleteFunc(s.out, func(d Decision) bool {
 			x, ok := d.(Start)
 			return ok && x.Gang == v.ID
@@ -187,7 +211,8 @@
 // stopOrphans preempts adopted gangs whose job has another attempt.
 func (s *Scheduler) stopOrphans(now time.Time) {
 	for _, g := range s.orphans {
-		g.Doomed, g.deadline, g.forJob = true, now, g.Job
+		s.alloc.Doom(&g.Gang, true)
+		g.deadline, g.forJob = now, g.Job
 		s.doomed = append(s.doomed, g)
 		s.out = append(s.out, Preempt{Gang: g.ID, For: g.Job, Deadline: now})
 		s.wakeAt(now.Add(grace))
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -115,8 +115,9 @@
 	}
 }
 
-// ready reports whether a job may be considered at all.
-func (s *Scheduler) ready(j *job) bool {
+// ready reports whether a job may be considered at all. An old job that waits
+// for its workspace's quota stops later ones, except more urgent work within the guarantee.
+func (s *Scheduler) ready(j *job, guaranteed bool) bool {
 	now := s.pass.now
 	switch {
 	case j.offset < s.holdBefore:
@@ -124,7 +125,7 @@
 	case j.notBefore.After(now):
 		j.wait = WaitBackoff
 		s.wakeAt(j.notBefore)
-	case s.pass.frozen[j.spec.Workspace] && j != s.pass.aged:
+	case s.pass.frozen[j.spec.Workspace] && j != s.pass.aged && (!guaranteed || j.level >= s.pass.aged.level):
 		j.wait = WaitQuota
 	default:
 		return true
@@ -137,7 +138,7 @@
 }
 
 func (s *Scheduler) tryBaseline(j *job) bool {
-	if !s.ready(j) {
+	if !s.ready(j, false) {
 		return false
 	}
 	sh := &j.spec.Shape
@@ -163,7 +164,7 @@
 func (s *Scheduler) tryLent(j *job) bool {
 	j.ahead = s.pass.rank
 	s.pass.rank++
-	if !s.ready(j) {
+	if !s.ready(j, false) {
 		return false
 	}
 	sh := &j.spec.Shape
