Bound repeats in time and close gaps that trial mutations showed

Readers now remember ids for 10 minutes of log time, and an appender repeats such a record for at most 5.

--- a/internal/appender/appender_test.go
+++ b/internal/appender/appender_test.go
@@ -57,9 +57,9 @@
 	}
 	switch {
 	case !re.Answer:
-		return 0, unavailable(model.OutcomeUnknown, "no answer")
+		return 0, &model.Error{Outcome: model.OutcomeUnknown, Kind: model.KindLogUnavailable}
 	case !re.Keep:
-		return 0, unavailable(model.OutcomeNotRun, "refused")
+		return 0, &model.Error{Outcome: model.OutcomeNotRun, Kind: model.KindLogUnavailable}
 	}
 	return offset, nil
 }
@@ -237,6 +237,43 @@
 	}
 }
 
+// Readers forget record ids after a while; a repeat after that would take effect twice.
+func TestRepeatEndsBeforeReadersForget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := &stubLog{script: make([]reaction, 1000)} // no answers
+		a := New(Config{Log: log})
+		ctx, stop := context.WithCancel(t.Context())
+		go a.Run(ctx)
+		_, err := a.Append(t.Context(), json.RawMessage(`1`))
+		is.Equal(outcome(err), model.OutcomeUnknown)
+		is.True(log.starts[len(log.starts)-1].Sub(log.starts[0]) <= maxRepeat)
+		stop()
+		<-a.stopped
+	})
+}
+
+// While the log refuses, callers must hear that their entry was not run, so that they may go elsewhere.
+func TestRefusedIsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := &stubLog{}
+		for range 100 {
+			log.script = append(log.script, reaction{Answer: true})
+		}
+		a := New(Config{Log: log})
+		ctx, stop := context.WithCancel(t.Context())
+		go a.Run(ctx)
+		short, cancel := context.WithTimeout(t.Context(), 10*time.Second+time.Millisecond)
+		defer cancel()
+		_, err := a.Append(short, json.RawMessage(`1`))
+		is.True(outcome(err) == model.OutcomeNotRun && kind(err) == model.KindLogUnavailable)
+		is.True(len(log.starts) > 3)
+		stop()
+		<-a.stopped
+	})
+}
+
 // A queue without bound would exhaust the memory of the host during a log outage.
 func TestFullQueueRefuses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/appender/batch.go
+++ b/internal/appender/batch.go
@@ -56,17 +56,25 @@
 
 func (w *waiter) finish(r Result, err error) { w.done <- answer{r, err} }
 
+// maxRepeat bounds how long a record is repeated that may be in the log already. Readers drop a repeated id for twice
+// as long (reducer.IDWindow); a later repeat would count as a new record.
+const maxRepeat = 5 * time.Minute
+
 // batch is the content of one record.
 type batch struct {
 	id      string
 	waiters []*waiter
 	data    json.RawMessage
-	unknown bool // an append without an answer may have taken effect
+	unknown bool      // an append without an answer may have taken effect
+	since   time.Time // start of the first append that may have taken effect
 }
 
 // encode prepares the record from the callers that still wait; it reports false when none does.
 func (b *batch) encode() bool {
 	if b.unknown {
+		if time.Since(b.since) > maxRepeat {
+			return false
+		}
 		// The record may be in the log: the same id must keep the same content.
 		for _, w := range b.waiters {
 			if w.ctx.Err() == nil {
@@ -97,7 +105,7 @@
 	}
 }
 
-// commit appends the batch, repeating it until it is confirmed or no caller waits any longer.
+// commit appends the batch, repeating it until it is confirmed, no caller waits any longer, or maxRepeat has passed.
 func (a *Appender) commit(ctx context.Context, b *batch) {
 	backoff := interval
 	for b.encode() {
@@ -109,8 +117,8 @@
 			b.finish(offset, nil)
 			return
 		}
-		if !logclient.NotRun(err) {
-			b.unknown = true
+		if !b.unknown && !logclient.NotRun(err) {
+			b.unknown, b.since = true, a.last
 		}
 		var e *model.Error
 		if !b.unknown {
--- a/internal/reducer/config.go
+++ b/internal/reducer/config.go
@@ -9,8 +9,8 @@
 	"chestnutmux.example/chestnutmux/pkg/validator"
 )
 
-// maxVerdicts bounds the verdicts kept: at the design size of 12,000 changes a day they reach back about two hours.
-const maxVerdicts = 1024
+// maxVerdicts bounds the verdicts kept: at the design size of 12,000 changes a day they reach back half an hour.
+const maxVerdicts = 256
 
 // VerdictState says what became of a publish.
 type VerdictState string
@@ -59,7 +59,7 @@
 // Set returns the configuration in force; the caller must not change it.
 func (c *Config) Set() model.Set { return c.set }
 
-// Verdict returns the verdict on the publish with this id, if it is among the latest 1024.
+// Verdict returns the verdict on the publish with this id, if it is among the latest 256.
 func (c *Config) Verdict(id string) (Verdict, bool) {
 	v, ok := c.verdicts[id]
 	return v, ok
--- a/internal/reducer/jobs.go
+++ b/internal/reducer/jobs.go
@@ -96,7 +96,7 @@
 		}
 	}
 	slices.SortFunc(live, func(a, b Job) int {
-		return cmp.Or(cmp.Compare(a.Offset, b.Offset), cmp.Compare(a.Index, b.Index))
+		return cmp.Or(cmp.Compare(a.Offset, b.Offset), cmp.Compare(a.Index, b.Index), cmp.Compare(a.Spec.ID, b.Spec.ID))
 	})
 	return live
 }
--- a/internal/reducer/tail.go
+++ b/internal/reducer/tail.go
@@ -7,17 +7,17 @@
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
-// idWindow is how many offsets back a repeated record id is recognized. At the worst rate of 108 appends a second
-// on a stream (27 hosts, 4 each) it covers 150 s, longer than an appender repeats a record for any caller.
-const idWindow = 16384
+// IDWindow is how long a repeated record id is recognized, by the log's clock. It is twice as long as an appender
+// repeats a record whose first append may have taken effect.
+const IDWindow = 10 * time.Minute
 
 // maxHeld bounds the records held while the state is incomplete: two snapshot periods of 10,000 records.
 const maxHeld = 20000
 
-// seenID is a record id with the offset of the first record that carried it.
+// seenID is a record id with the log's time of the first record that carried it.
 type seenID struct {
-	Offset model.Offset `json:"offset"`
-	ID     string       `json:"id"`
+	ID   string `json:"id"`
+	AtMS int64  `json:"at-ms"`
 }
 
 // Position is the part of a snapshot that says which records it covers.
@@ -94,7 +94,7 @@
 	t.pos.NowMS = max(t.pos.NowMS, rec.AtMS) // the log's clock may step back
 	t.pos.Records++
 	drop := 0
-	for drop < len(t.pos.Seen) && t.pos.Seen[drop].Offset <= rec.Offset-idWindow {
+	for drop < len(t.pos.Seen) && t.pos.Seen[drop].AtMS < t.pos.NowMS-IDWindow.Milliseconds() {
 		delete(t.ids, t.pos.Seen[drop].ID)
 		drop++
 	}
@@ -106,7 +106,7 @@
 		t.ids = map[string]bool{}
 	}
 	t.ids[rec.ID] = true
-	t.pos.Seen = append(t.pos.Seen, seenID{rec.Offset, rec.ID})
+	t.pos.Seen = append(t.pos.Seen, seenID{rec.ID, t.pos.NowMS})
 	return true
 }
 
--- a/pkg/validator/validator_test.go
+++ b/pkg/validator/validator_test.go
@@ -75,10 +75,16 @@
 }
 
 // fits searches all placements of cells in free aligned blocks, both given by size.
-func fits(free, cells []int) bool {
+func fits(free, cells []int, known map[string]bool) (ok bool) {
 	if len(cells) == 0 {
 		return true
 	}
+	slices.Sort(free)
+	key := fmt.Sprint(free, len(cells))
+	if ok, found := known[key]; found {
+		return ok
+	}
+	defer func() { known[key] = ok }()
 	for i, f := range free {
 		if f < cells[0] || slices.Contains(free[:i], f) {
 			continue
@@ -87,7 +93,7 @@
 		for ; f > cells[0]; f /= 2 {
 			rest = append(rest, f/2)
 		}
-		if fits(rest, cells[1:]) {
+		if fits(rest, cells[1:], known) {
 			return true
 		}
 	}
@@ -101,13 +107,13 @@
 		d := model.FailureDomain{Racks: map[model.RackID]model.Rack{}}
 		for i := range rapid.IntRange(1, 2).Draw(t, "racks") {
 			d.Racks[model.RackID(fmt.Sprint(i))] = model.Rack{
-				Workers:      rapid.IntRange(0, 3).Draw(t, "workers"),
+				Workers:      rapid.IntRange(0, 5).Draw(t, "workers"),
 				Accelerators: model.Accelerators(rapid.IntRange(0, 4).Draw(t, "accelerators")),
 			}
 		}
 		want := demand{}
 		var cells, free []int
-		for _, c := range rapid.SliceOfN(rapid.SampledFrom([]int{1, 2, 4, 8}), 0, 6).Draw(t, "cells") {
+		for _, c := range rapid.SliceOfN(rapid.SampledFrom([]int{1, 1, 1, 2, 2, 4, 8}), 0, 16).Draw(t, "cells") {
 			want[model.Accelerators(c)]++
 			cells = append(cells, c)
 		}
@@ -115,7 +121,7 @@
 		for _, size := range slices.Sorted(maps.Keys(b)) {
 			free = append(free, slices.Repeat([]int{int(size)}, b[size])...)
 		}
-		if got := len(pack(d, want)) == 0; got != fits(free, cells) {
+		if got := len(pack(d, want)) == 0; got != fits(free, cells, map[string]bool{}) {
 			t.Fatalf("pack says %v for cells %v in blocks %v", got, cells, free)
 		}
 	})
