--- a/internal/reducer/config_test.go
+++ b/internal/reducer/config_test.go
@@ -108,3 +108,21 @@
 	is.True(c.Complete() && c.Unsupported() == 0 && c.Version() == 7)
 	is.True(!c.Restore(ConfigSnapshot{Position: Position{Next: 5}, Version: 6})) // never back
 }
+
+// Deleted names must not pile up, and forgetting them must not hide a change from a publish with an old base.
+func TestForgottenDeletionsConflict(t *testing.T) {
+	is := is.New(t)
+	var h history
+	for i := range model.Version(2 * maxDeletions) {
+		h.note(LastChange{Kind: model.KindClass, Name: fmt.Sprint(i), Version: i + 1, Deleted: true})
+	}
+	is.True(len(h.last) <= maxDeletions && h.deletions == len(h.last))
+	for _, h := range []history{h, newHistory(h.floor, h.list())} {
+		_, changed := h.at(h.floor-1).Changed(model.KindClass, "0")
+		is.True(changed)
+		_, changed = h.at(h.floor).Changed(model.KindClass, "0")
+		is.True(!changed)
+		_, changed = h.at(h.floor).Changed(model.KindClass, fmt.Sprint(2*maxDeletions-1))
+		is.True(changed)
+	}
+}
--- a/pkg/validator/validator_test.go
+++ b/pkg/validator/validator_test.go
@@ -111,18 +111,48 @@
 				Accelerators: model.Accelerators(rapid.IntRange(0, 4).Draw(t, "accelerators")),
 			}
 		}
-		want := demand{}
-		var cells, free []int
-		for _, c := range rapid.SliceOfN(rapid.SampledFrom([]int{1, 1, 1, 2, 2, 4, 8}), 0, 16).Draw(t, "cells") {
-			want[model.Accelerators(c)]++
-			cells = append(cells, c)
+		// The cells are pieces of the blocks and a few others, so that many draws fill the blocks to the last piece.
+		cells := rapid.SliceOfN(rapid.SampledFrom([]int{1, 2, 4, 8}), 0, 2).Draw(t, "others")
+		var free []int
+		var split func(size int)
+		split = func(size int) {
+			switch rapid.IntRange(0, 5).Draw(t, "piece") {
+			case 0: // left free
+			case 1, 2:
+				cells = append(cells, size)
+			default:
+				if size == 1 {
+					cells = append(cells, size)
+					return
+				}
+				split(size / 2)
+				split(size / 2)
+			}
 		}
 		b := blocks(d)
 		for _, size := range slices.Sorted(maps.Keys(b)) {
-			free = append(free, slices.Repeat([]int{int(size)}, b[size])...)
+			for range b[size] {
+				free = append(free, int(size))
+				split(int(size))
+			}
+		}
+		want := demand{}
+		for _, c := range cells {
+			want[model.Accelerators(c)]++
 		}
 		if got := len(pack(d, want)) == 0; got != fits(free, cells, map[string]bool{}) {
 			t.Fatalf("pack says %v for cells %v in blocks %v", got, cells, free)
 		}
 	})
 }
+
+// The rest of an opened block must stay whole: a worker of 8 takes a cell of 2 and six of 1, and no seventh.
+func TestPackFillsBlocks(t *testing.T) {
+	is := is.New(t)
+	d := model.FailureDomain{Racks: map[model.RackID]model.Rack{"r": {Workers: 1, Accelerators: 8}}}
+	is.Equal(pack(d, demand{2: 1, 1: 6}), nil)
+	is.Equal(pack(d, demand{2: 1, 1: 7}), []shortage{{cell: 1, wanted: 7, missing: 1}})
+	d.Racks["r"] = model.Rack{Workers: 2, Accelerators: 6} // 4 + 2 a worker; cells of 8 would need a whole power of two
+	is.Equal(pack(d, demand{4: 2, 2: 2}), nil)
+	is.Equal(pack(d, demand{8: 1}), []shortage{{cell: 8, wanted: 1, missing: 1}})
+}
