Replace dead peer connections and bound the reserver's scans

A heartbeat that times out now closes its connection, since retransmissions after a partition may pause for minutes. A tick no longer scans the members of workers without failures, and the majority is computed four times a poll. The driver and the rule for jobs accepted during a takeover have tests.

--- a/internal/peerclient/client.go
+++ b/internal/peerclient/client.go
@@ -97,6 +97,11 @@
 		return errors.Wrapf(err, "peerclient: %s to %s", method, addr)
 	}
 	if err := conn.Call(ctx, method, params, result); err != nil {
+		if method == methodHeartbeat && errors.Is(err, context.DeadlineExceeded) {
+			// A heartbeat is answered at once, so the connection is dead. After a partition
+			// its retransmissions may pause for minutes, a new connection works at once.
+			_ = conn.Close()
+		}
 		return errors.Wrapf(err, "peerclient: %s to %s", method, addr)
 	}
 	return nil
--- a/internal/peerclient/peerclient_test.go
+++ b/internal/peerclient/peerclient_test.go
@@ -154,3 +154,30 @@
 		_, err = c.Heartbeat(t.Context(), addr, Heartbeat{})
 	}
 }
+
+// Guards against a dead connection that is kept: after a partition it may not recover for minutes.
+func TestDeadConnectionIsReplaced(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	accepted := make(chan struct{}, 100)
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer nc.Close()
+			accepted <- struct{}{}
+			fmt.Fprintln(nc, `{"jsonrpc":"2.0","id":0,"result":{}}`) // answers the hello and nothing else
+		}
+	}()
+	c := NewClient(Options{Timeout: 50 * time.Millisecond})
+	defer c.Close()
+	for range 2 {
+		_, err := c.Heartbeat(t.Context(), l.Addr().String(), Heartbeat{})
+		is.True(err != nil)
+		<-accepted
+	}
+}
--- a/internal/peerclient/server.go
+++ b/internal/peerclient/server.go
@@ -61,7 +61,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	h := &connHandler{server: s, slots: make(chan struct{}, s.opts.MaxCalls)}
-	conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(c, lineCodec{s.opts.MaxMessage}), h)
+	conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(writeBound{c, s.opts.Timeout}, lineCodec{s.opts.MaxMessage}), h)
 	defer h.wait()
 	defer conn.Close()
 	timer := time.AfterFunc(s.opts.Timeout, func() {
--- a/internal/reserver/authority.go
+++ b/internal/reserver/authority.go
@@ -110,24 +110,28 @@
 	}
 	r.majorityDue = r.now.Add(tickEvery)
 	if r.role == RolePlanner {
-		r.majorityDue = r.now.Add(5 * tickEvery)
+		// Sorting the times of all workers is the costliest part of a tick.
+		r.majorityDue = r.now.Add(r.cfg.Poll / 4)
 	}
 	if r.hostsReadAt.Before(r.tookAt) {
 		return
 	}
 	times := r.scratch[:0]
-	live := 0
+	r.live, r.reachable = 0, 0
 	for _, w := range r.order {
 		if !w.listed || w.host.State != hostclient.StateLive {
 			continue
 		}
-		live++
+		r.live++
+		if w.up {
+			r.reachable++
+		}
 		if w.acked {
 			times = append(times, w.lastOK)
 		}
 	}
 	r.scratch = times
-	need := live/2 + 1
+	need := r.live/2 + 1
 	if len(times) >= need {
 		slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
 		if t := times[need-1]; t.After(r.majorityAt) {
--- a/internal/reserver/reserver.go
+++ b/internal/reserver/reserver.go
@@ -29,6 +29,8 @@
 	unlisted    map[Position]time.Time
 	unaccounted int
 	accountedAt time.Time
+	live        int  // workers listed as live, as of the last computation of the majority
+	reachable   int  // of these, the ones reported as up
 	accounted   bool // stays true for the rest of the term
 
 	workers map[model.HostID]*worker
@@ -69,6 +71,7 @@
 	r.refused, r.dropped = map[model.JobID]*refusal{}, map[model.GangID]time.Time{}
 	r.plannerAt, r.majorityAt, r.majorityDue = time.Time{}, time.Time{}, time.Time{}
 	r.unlisted, r.unaccounted, r.accounted = map[Position]time.Time{}, 0, false
+	r.live, r.reachable = 0, 0
 	r.sends = nil
 }
 
@@ -126,6 +129,7 @@
 	s := Status{
 		Role: r.role, Term: r.term, Highest: r.highest, TakenOverAt: r.plannerAt, MajorityAt: r.majorityAt,
 		Unaccounted: r.unaccounted, AccountedAt: r.accountedAt, Gangs: len(r.gangs),
+		Workers: r.live, Reachable: r.reachable,
 	}
 	if r.role == RolePlanner {
 		s.FreshUntil = r.majorityAt.Add(2 * r.cfg.Poll)
@@ -134,14 +138,6 @@
 			s.Unaccounted = max(1, r.unaccounted)
 		}
 	}
-	for _, w := range r.order {
-		if w.listed && w.host.State == hostclient.StateLive {
-			s.Workers++
-			if w.up {
-				s.Reachable++
-			}
-		}
-	}
 	return s
 }
 
@@ -171,8 +167,13 @@
 	r.updateAccounts()
 	for _, w := range r.order {
 		r.watch(w)
-		if w.out == nil && !r.now.Before(w.retryAt) && (!r.now.Before(w.nextPoll) || w.pending()) {
-			r.send(w, !r.now.Before(w.nextPoll))
+		if w.out != nil || r.now.Before(w.retryAt) {
+			continue
+		}
+		// Without a failure, operations are sent by flush as they come up.
+		due := !r.now.Before(w.nextPoll)
+		if due || !w.retryAt.IsZero() && w.pending() {
+			r.send(w, due)
 		}
 	}
 	r.order = slices.DeleteFunc(r.order, r.dropIdle)
--- a/internal/reserver/reserver_test.go
+++ b/internal/reserver/reserver_test.go
@@ -153,3 +153,34 @@
 		is.True(s.counts["RoleChanged"] > 10) // the planners did race
 	}
 }
+
+// Guards against a job that is accepted just after a takeover and that both planners start:
+// the earlier one still reaches a minority of the workers and has not noticed yet.
+func TestJobAcceptedDuringTakeover(t *testing.T) {
+	for seed := range uint64(10) {
+		is := is.New(t)
+		s := newSim(seed, 5, 2)
+		a, b := s.planners[0], s.planners[1]
+		a.retake = s.now
+		s.run(3 * time.Second)
+		for i, w := range s.workers {
+			a.cut[w.host.ID], b.cut[w.host.ID] = i < 3, i >= 3
+		}
+		b.retake = s.now
+		for b.Status().Role != RolePlanner {
+			s.run(10 * time.Millisecond)
+		}
+		s.run(10 * time.Millisecond)
+		for range 4 {
+			s.submit(1)
+		}
+		s.run(8 * time.Second)
+		s.submit(1) // this one no earlier planner can have started
+		last := s.jobs[4]
+		s.run(time.Second)
+		is.True(last.attempt == 1 || last.done)
+		s.run(2 * time.Minute)
+		is.Equal(len(s.faults), 0)
+		is.Equal(s.open(), 0)
+	}
+}
