Keep planning passes short at the design size

Reservations looked at every gang in random order and every idle rack was scored in full. Tasks are kept in order of their expected end, alike windows count once and the gradient is computed for a short list only.

--- a/internal/allocator/cell.go
+++ b/internal/allocator/cell.go
@@ -190,7 +190,8 @@
 	}
 	var out []*Gang
 	for _, i := range s.racks[x.rack].slots[x.start : x.start+x.n] {
-		for _, g := range s.workers[i].gangs {
+		for _, t := range s.workers[i].tasks {
+			g := t.gang
 			if g.Guaranteed && slices.Contains(g.cells, c) {
 				out = append(out, g)
 			}
--- a/internal/allocator/displace.go
+++ b/internal/allocator/displace.go
@@ -130,7 +130,8 @@
 			continue
 		}
 		for _, i := range s.racks[x.rack].slots[x.start : x.start+x.n] {
-			for _, g := range s.workers[i].gangs {
+			for _, t := range s.workers[i].tasks {
+				g := t.gang
 				if g.Guaranteed && g.Workspace == ws && g.mark != s.epoch {
 					g.mark = s.epoch
 					out = append(out, g)
--- a/internal/allocator/place.go
+++ b/internal/allocator/place.go
@@ -63,7 +63,7 @@
 	}
 	for i := range s.workers {
 		w := &s.workers[i]
-		if w.health == Probation && w.rack >= 0 && len(w.gangs) == 0 && w.free.fits(n) && !slices.Contains(s.avoid, w.id) {
+		if w.health == Probation && w.rack >= 0 && len(w.tasks) == 0 && w.free.fits(n) && !slices.Contains(s.avoid, w.id) {
 			s.scratch.list = append(s.scratch.list, int32(i))
 			return true
 		}
@@ -71,16 +71,71 @@
 	return false
 }
 
+// candidate is a window that holds a shape, scored by best fit.
+type candidate struct {
+	window
+	left model.Accelerators // free in the window
+	rack model.Accelerators // free in the rack
+}
+
+// candidates bounds the windows that the gradient is computed for. Windows that
+// score alike by best fit count once, such as those of idle racks.
+const candidates = 16
+
+// offer keeps a candidate when it is among the best so far.
+func (s *State) offer(c candidate) {
+	l := s.scratch.short
+	if n := len(l); n > 0 && (s.policy != Gradient || n == candidates) && c.left >= l[n-1].left && (c.left > l[n-1].left || c.rack >= l[n-1].rack) {
+		return
+	}
+	k, same := slices.BinarySearchFunc(l, c, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.left, b.left), cmp.Compare(a.rack, b.rack))
+	})
+	most := candidates
+	if s.policy != Gradient || len(s.mix) == 0 {
+		most = 1
+	}
+	if same || k >= most {
+		return
+	}
+	if len(l) == most {
+		l = l[:most-1]
+	}
+	s.scratch.short = slices.Insert(l, k, c)
+}
+
+// pick returns the candidate with the least gradient; best fit decides among equals.
+func (s *State) pick(n resources, k int, end int64) (window, bool) {
+	l := s.scratch.short
+	if len(l) == 0 {
+		return window{}, false
+	}
+	best, low := 0, math.Inf(1)
+	if len(l) > 1 && n.acc > 0 {
+		for i, c := range l {
+			t := s.tightest(c.window, n, k, end)
+			if g := s.gradient(c.window.rack, n, t); g < low {
+				best, low = i, g
+			}
+		}
+	}
+	return l[best].window, true
+}
+
+// alikeIn reports whether one window of a rack stands for all of its size.
+func (s *State) alikeIn(rk *rack) bool {
+	return rk.uniform && !s.held && len(s.avoid) == 0
+}
+
 // placeOne chooses the worker with the least score; among equals the fullest rack.
 func (s *State) placeOne(n resources, end int64) {
-	best, low := int32(-1), [3]float64{math.Inf(1)}
+	s.scratch.short = s.scratch.short[:0]
 	for r := range s.racks {
 		rk := &s.racks[r]
 		if !rk.maxFree.fits(n) {
 			continue
 		}
-		last := resources{acc: -1}
-		for _, i := range rk.slots {
+		for p, i := range rk.slots {
 			if !s.open(i, n, end) {
 				continue
 			}
@@ -88,22 +143,14 @@
 				s.scratch.list = append(s.scratch.list, i)
 				return
 			}
-			f := s.workers[i].free
-			if f == last {
-				continue
-			}
-			last = f
-			score := [3]float64{0, float64(f.acc - n.acc), float64(rk.free)}
-			if s.policy == Gradient && n.acc > 0 {
-				score[0] = s.gradient(int32(r), n, func(k int32) bool { return k == i })
-			}
-			if slices.Compare(score[:], low[:]) < 0 {
-				best, low = i, score
+			s.offer(candidate{window{int32(r), int32(p), 1, 1}, s.workers[i].free.acc, rk.free})
+			if s.alikeIn(rk) {
+				break
 			}
 		}
 	}
-	if best >= 0 {
-		s.scratch.list = append(s.scratch.list, best)
+	if w, ok := s.pick(n, 1, end); ok {
+		s.tightest(w, n, 1, end)
 	}
 }
 
@@ -119,7 +166,7 @@
 		size *= 2
 	}
 	for ; size < 2*widest; size *= 2 {
-		best, low := window{}, [3]float64{math.Inf(1)}
+		s.scratch.short = s.scratch.short[:0]
 		for r := range s.racks {
 			rk := &s.racks[r]
 			if !rk.maxFree.fits(n) || len(rk.slots) < k {
@@ -135,31 +182,26 @@
 						left += s.workers[i].free.acc
 					}
 				}
-				if fits < k {
-					continue
-				}
-				w := window{int32(r), int32(p), int32(q - p), fits}
-				score := [3]float64{0, float64(left), float64(rk.free)}
-				if s.policy == Gradient {
-					l := s.tightest(w, n, k, end)
-					score[0] = s.gradient(int32(r), n, func(i int32) bool { return slices.Contains(l, i) })
-				}
-				if best.n == 0 || slices.Compare(score[:], low[:]) < 0 {
-					best, low = w, score
-				}
-				if s.policy == FirstFit {
-					break
+				if fits >= k {
+					s.offer(candidate{window{int32(r), int32(p), int32(q - p), fits}, left, rk.free})
+					if s.alikeIn(rk) {
+						break
+					}
 				}
 			}
+			if s.policy == FirstFit && len(s.scratch.short) > 0 {
+				break
+			}
 		}
-		if best.n > 0 {
-			s.scratch.list = s.tightest(best, n, k, end)
+		if w, ok := s.pick(n, k, end); ok {
+			s.tightest(w, n, k, end)
 			return
 		}
 	}
 }
 
-// tightest returns the k workers of a window with the least free accelerators, in order of position.
+// tightest returns the k workers of a window with the least free accelerators,
+// in order of position, and leaves them in the scratch list.
 func (s *State) tightest(w window, n resources, k int, end int64) []int32 {
 	l := s.scratch.list[:0]
 	for _, i := range s.racks[w.rack].slots[w.start : w.start+w.n] {
--- a/internal/allocator/reclaim.go
+++ b/internal/allocator/reclaim.go
@@ -24,6 +24,7 @@
 	costs   []workerCost
 	victims []*Gang
 	windows []window
+	short   []candidate
 	list    []int32
 	cells   []int32
 	choices []choice
@@ -188,21 +189,8 @@
 	if w.free.fits(n) {
 		return 0, true
 	}
+	s.weigh(w)
 	l := &w.load
-	if !l.known {
-		*l = load{known: true}
-		for _, g := range w.gangs {
-			switch {
-			case g.Doomed:
-				l.doomed.add(need(&g.Shape))
-			case !g.Guaranteed:
-				l.lent.add(need(&g.Shape))
-				r := float64(g.Shape.Total() + 1)
-				l.rate += r
-				l.base += r * (float64(g.StartedAt.UnixMilli())/1000 - restart)
-			}
-		}
-	}
 	free := w.free
 	free.add(l.doomed)
 	if free.fits(n) {
@@ -223,6 +211,26 @@
 	return part * (l.rate*float64(now.UnixMilli())/1000 - l.base), true
 }
 
+// weigh computes the load of a worker when it is not known.
+func (s *State) weigh(w *worker) {
+	l := &w.load
+	if l.known {
+		return
+	}
+	*l = load{known: true}
+	for _, t := range w.tasks {
+		switch g := t.gang; {
+		case g.Doomed:
+			l.doomed.add(t.need)
+		case !g.Guaranteed:
+			l.lent.add(t.need)
+			r := float64(g.Shape.Total() + 1)
+			l.rate += r
+			l.base += r * (float64(g.StartedAt.UnixMilli())/1000 - restart)
+		}
+	}
+}
+
 // exact prices a block like cost, by the gangs that would be preempted; each counts once.
 func (s *State) exact(x *choice, a model.Accelerators, g *Gang, now time.Time) float64 {
 	_, n := s.cost(-1, x.rack, x.start, x.n, a, g, now)
@@ -274,7 +282,8 @@
 	if free.fits(n) {
 		return 0, true
 	}
-	for _, g := range w.gangs {
+	for _, t := range w.tasks {
+		g := t.gang
 		if g.Doomed || g.mark == s.epoch {
 			free.add(need(&g.Shape))
 		}
@@ -283,7 +292,8 @@
 	for !free.fits(n) {
 		var best *Gang
 		low := math.Inf(1)
-		for _, g := range w.gangs {
+		for _, t := range w.tasks {
+			g := t.gang
 			m := need(&g.Shape)
 			helps := free.acc < n.acc && m.acc > 0 || free.cores < n.cores && m.cores > 0 || free.mem < n.mem && m.mem > 0
 			if g.Guaranteed || g.Doomed || g.mark == s.epoch || !helps {
--- a/internal/allocator/reserve.go
+++ b/internal/allocator/reserve.go
@@ -14,20 +14,9 @@
 	at     int64
 }
 
-// overdue is what a gang that exceeds its expected end is expected to run on, as a part of its excess.
-const overdue = 1.0
-
-// expected returns when a gang ends, in Unix nanoseconds.
-func (g *Gang) expected(now int64) int64 {
-	end := g.ExpectedEnd.UnixNano()
-	if g.Doomed || end >= now {
-		if g.Doomed {
-			return now
-		}
-		return end
-	}
-	return now + int64(time.Second) + int64(overdue*float64(now-end))
-}
+// overdue is how long a gang beyond its expected end is expected to run on. A
+// short time keeps backfill off the workers that a blocked gang waits for.
+const overdue = time.Minute
 
 // opens returns when a worker has room for n, in Unix nanoseconds; false when it never has.
 func (s *State) opens(i int32, n resources, now int64) (int64, bool) {
@@ -35,24 +24,22 @@
 	if !w.cap.fits(n) {
 		return 0, false
 	}
+	s.weigh(w)
 	free, at := w.free, now
-	s.epoch++
-	for !free.fits(n) {
-		var next *Gang
-		var low int64
-		for _, g := range w.gangs {
-			if e := g.expected(now); g.mark != s.epoch && (next == nil || e < low) {
-				next, low = g, e
-			}
+	free.add(w.load.doomed)
+	for k := range w.tasks {
+		if free.fits(n) {
+			break
 		}
-		if next == nil {
-			return 0, false
+		if t := &w.tasks[k]; w.load.doomed == (resources{}) || !t.gang.Doomed {
+			free.add(t.need)
+			if t.end < now {
+				at = max(at, now+int64(overdue))
+			}
+			at = max(at, t.end)
 		}
-		next.mark = s.epoch
-		free.add(need(&next.Shape))
-		at = max(at, low)
 	}
-	return at, true
+	return at, free.fits(n)
 }
 
 // Earliest returns the workers that have room for a shape first, by the
@@ -148,7 +135,7 @@
 func (s *State) Stuck(g *Gang) bool {
 	for _, i := range g.workers {
 		w := &s.workers[i]
-		if w.free.over() && !slices.ContainsFunc(w.gangs, func(x *Gang) bool { return x.Doomed }) {
+		if w.free.over() && !slices.ContainsFunc(w.tasks, func(t task) bool { return t.gang.Doomed }) {
 			return true
 		}
 	}
--- a/internal/allocator/score.go
+++ b/internal/allocator/score.go
@@ -70,15 +70,15 @@
 }
 
 // usable returns the free accelerators of a rack that a shape of the mix can
-// use, when n is first taken from the workers for which taken reports true.
-func (s *State) usable(r int32, m *weighted, n resources, taken func(i int32) bool) model.Accelerators {
+// use, when n is first taken from the given workers.
+func (s *State) usable(r int32, m *weighted, n resources, taken []int32) model.Accelerators {
 	slots, workers := 0, 0
 	for _, i := range s.racks[r].slots {
 		if i < 0 || !s.workers[i].usable() {
 			continue
 		}
 		f := s.workers[i].free
-		if taken != nil && taken(i) {
+		if slices.Contains(taken, i) {
 			f.sub(n)
 		}
 		if k := f.slots(m.need); k > 0 {
@@ -96,8 +96,8 @@
 }
 
 // gradient returns how many more accelerators of a rack the mix cannot use
-// after n is taken from the workers for which taken reports true.
-func (s *State) gradient(r int32, n resources, taken func(i int32) bool) float64 {
+// after n is taken from the given workers.
+func (s *State) gradient(r int32, n resources, taken []int32) float64 {
 	g := 0.0
 	for k := range s.mix {
 		m := &s.mix[k]
--- a/internal/allocator/worker.go
+++ b/internal/allocator/worker.go
@@ -1,6 +1,7 @@
 package allocator
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -73,10 +74,30 @@
 	free   resources          // negative while a placed gang waits for preempted ones
 	bound  model.Accelerators // held by bound cells
 	hold   int64              // start of a reservation in Unix nanoseconds, 0 means none
-	gangs  []*Gang
+	tasks  []task             // in order of their expected end
 	load   load
 }
 
+// task is the member of a gang on one worker.
+type task struct {
+	end  int64 // expected, in Unix nanoseconds
+	need resources
+	gang *Gang
+}
+
+func (w *worker) insert(t task) {
+	k, _ := slices.BinarySearchFunc(w.tasks, t.end, func(x task, end int64) int { return cmp.Compare(x.end, end) })
+	w.tasks = slices.Insert(w.tasks, k, t)
+	w.load.known = false
+}
+
+func (w *worker) remove(g *Gang) {
+	if k := slices.IndexFunc(w.tasks, func(t task) bool { return t.gang == g }); k >= 0 {
+		w.tasks = slices.Delete(w.tasks, k, k+1)
+	}
+	w.load.known = false
+}
+
 // load sums up the gangs of a worker that can or will leave; it is computed when needed.
 type load struct {
 	known  bool
@@ -94,6 +115,7 @@
 	slots   []int32 // worker by position, -1 means none
 	maxFree resources
 	free    model.Accelerators
+	uniform bool // all workers are usable and have the same room
 }
 
 // State holds the workers, gangs and cells of one failure domain; create it with New.
@@ -187,7 +209,7 @@
 // workers do not add up.
 func (s *State) retire(i int32) {
 	w := &s.workers[i]
-	if w.rack < 0 && w.health == Gone && len(w.gangs) == 0 && s.byID[w.id] == i {
+	if w.rack < 0 && w.health == Gone && len(w.tasks) == 0 && s.byID[w.id] == i {
 		delete(s.byID, w.id)
 		s.unused = append(s.unused, i)
 	}
@@ -195,7 +217,7 @@
 
 // replaceable reports whether a position is empty or belongs to a worker that is gone.
 func (s *State) replaceable(i int32) bool {
-	return i < 0 || s.workers[i].health == Gone && len(s.workers[i].gangs) == 0
+	return i < 0 || s.workers[i].health == Gone && len(s.workers[i].tasks) == 0
 }
 
 // turn changes the health of a worker.
@@ -279,12 +301,14 @@
 		return
 	}
 	rk := &s.racks[r]
-	rk.maxFree, rk.free = resources{}, 0
+	rk.maxFree, rk.free, rk.uniform = resources{}, 0, true
 	for _, i := range rk.slots {
 		if i < 0 || !s.workers[i].usable() {
+			rk.uniform = false
 			continue
 		}
 		f := s.workers[i].free
+		rk.uniform = rk.uniform && f == s.workers[rk.slots[0]].free
 		rk.maxFree = resources{max(rk.maxFree.acc, f.acc), max(rk.maxFree.cores, f.cores), max(rk.maxFree.mem, f.mem)}
 		rk.free += max(0, f.acc)
 	}
@@ -302,8 +326,7 @@
 		g.workers = append(g.workers, i)
 		w := &s.workers[i]
 		w.free.sub(n)
-		w.gangs = append(w.gangs, g)
-		w.load.known = false
+		w.insert(task{g.ExpectedEnd.UnixNano(), n, g})
 		s.summarize(w.rack)
 	}
 }
@@ -315,19 +338,22 @@
 	for _, i := range g.workers {
 		w := &s.workers[i]
 		w.free.add(n)
-		w.load.known = false
-		if k := slices.Index(w.gangs, g); k >= 0 {
-			last := len(w.gangs) - 1
-			w.gangs[k] = w.gangs[last]
-			w.gangs[last] = nil
-			w.gangs = w.gangs[:last]
-		}
+		w.remove(g)
 		s.summarize(w.rack)
 		s.retire(i)
 	}
 	g.workers = g.workers[:0]
 }
 
+// Expect changes the expected end of a gang.
+func (s *State) Expect(g *Gang, end time.Time) {
+	g.ExpectedEnd = end
+	for _, i := range g.workers {
+		s.workers[i].remove(g)
+		s.workers[i].insert(task{end.UnixNano(), need(&g.Shape), g})
+	}
+}
+
 // Fits reports whether no worker of a charged gang is over-committed or unusable.
 func (s *State) Fits(g *Gang) bool {
 	for _, i := range g.workers {
@@ -358,11 +384,3 @@
 	}
 	return total, free
 }
-
-// GangsOn returns the gangs with a member on the worker.
-func (s *State) GangsOn(id model.HostID) []*Gang {
-	if i, ok := s.byID[id]; ok {
-		return slices.Clone(s.workers[i].gangs)
-	}
-	return nil
-}
--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -99,9 +99,9 @@
 		return fmt.Sprintf("it needs %d accelerators, the quota of workspace %q is %d", t, spec.Workspace, ws.Quota)
 	}
 	fits, widest := 0, 0
-	for _, r := range s.declared.Racks {
+	for r, n := range s.racks {
 		if r.Accelerators >= sh.Accelerators && r.Cores >= sh.Cores && r.MemoryMB >= sh.MemoryMB {
-			fits += r.Workers
+			fits += n * r.Workers
 			widest = max(widest, r.Workers)
 		}
 	}
--- a/internal/scheduler/claim.go
+++ b/internal/scheduler/claim.go
@@ -166,7 +166,7 @@
 			s.releaseClaim(g, now)
 		case s.startable(g):
 			s.claims = slices.DeleteFunc(s.claims, func(x *gang) bool { return x == g })
-			g.ExpectedEnd = now.Add(s.typical(&g.job.spec))
+			s.alloc.Expect(&g.Gang, now.Add(s.typical(&g.job.spec)))
 			s.start(g)
 		}
 	}
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -66,7 +66,7 @@
 			g.caller = s.caller(j.spec.Workspace, j.spec.Caller)
 			g.caller.run(service(&g.Shape), now)
 		}
-		g.ExpectedEnd = g.StartedAt.Add(s.typical(&j.spec))
+		s.alloc.Expect(&g.Gang, g.StartedAt.Add(s.typical(&j.spec)))
 		return
 	}
 	s.enqueue(j)
@@ -176,7 +176,7 @@
 		g.StartedAt = now
 		if g.job != nil {
 			g.job.refusals = 0
-			g.ExpectedEnd = now.Add(s.typical(&g.job.spec))
+			s.alloc.Expect(&g.Gang, now.Add(s.typical(&g.job.spec)))
 		}
 	}
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -34,6 +34,7 @@
 	set      *model.Set
 	domain   model.DomainID
 	declared model.FailureDomain
+	racks    map[model.Rack]int // declared racks by their make
 	own      map[model.GuaranteeID]model.Guarantee
 
 	jobs      map[model.JobID]*job
@@ -118,6 +119,10 @@
 		s.releaseClaims()
 		s.alloc.SetCells(declared, own)
 		s.own, s.declared = own, declared
+		s.racks = map[model.Rack]int{}
+		for _, r := range declared.Racks {
+			s.racks[r]++
+		}
 	}
 	for id, a := range s.workspaces {
 		a.weight = float64(set.Workspaces[id].Weight)
