--- a/internal/appender/appender_test.go
+++ b/internal/appender/appender_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"sync"
 	"testing"
@@ -16,6 +17,12 @@
 	"pgregory.net/rapid"
 )
 
+// The seed of the property tests is fixed, so that a failure repeats; the flags of the test run override it.
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "3000")
+}
+
 // reaction is what the stub log does with one append.
 type reaction struct {
 	Delay  time.Duration
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -55,7 +55,7 @@
 
 // Status describes the progress of a follower.
 type Status struct {
-	Next             model.Offset // first offset not yet applied
+	Next             model.Offset // first offset that the fold has neither applied nor holds until it is complete
 	End              model.Offset // offset that the next append gets, as of the latest read
 	CaughtUp         bool         // the latest read reached the end and the fold is complete
 	NeedsPeer        bool         // a peer must supply the state: no snapshot is left in the stream, or no read succeeded yet
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"sync"
 	"testing"
@@ -15,6 +16,12 @@
 	"pgregory.net/rapid"
 )
 
+// The seed of the property tests is fixed, so that a failure repeats; the flags of the test run override it.
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "100")
+}
+
 // stubLog is a stream with offsets from first to next, both set by the test.
 type stubLog struct {
 	mu          sync.Mutex
--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"flag"
 	"fmt"
 	"slices"
 	"testing"
@@ -12,6 +13,12 @@
 	"pgregory.net/rapid"
 )
 
+// The seed of the property tests is fixed, so that a failure repeats; the flags of the test run override it.
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "100")
+}
+
 // fold is what the properties need of each fold.
 type fold interface {
 	Apply(logclient.Record)
--- a/pkg/validator/validator_test.go
+++ b/pkg/validator/validator_test.go
@@ -1,6 +1,7 @@
 package validator
 
 import (
+	"flag"
 	"fmt"
 	"maps"
 	"slices"
@@ -12,6 +13,12 @@
 	"pgregory.net/rapid"
 )
 
+// The seed of the property tests is fixed, so that a failure repeats; the flags of the test run override it.
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "10000")
+}
+
 func valid() model.Set {
 	return model.Set{
 		FailureDomains: map[model.DomainID]model.FailureDomain{"kartli-a": {
