Weigh the mix of shapes by recent submissions

Waiting jobs alone leave only the shapes that do not fit in the mix of a planner that fills every gap. The mix now holds decayed submissions besides what waits, weighted by jobs; Stats also tells the stranded accelerators.

--- a/internal/allocator/cell_test.go
+++ b/internal/allocator/cell_test.go
@@ -228,7 +228,7 @@
 			is.True(ok)
 			s.Charge(&Gang{ID: model.GangID(fmt.Sprint(i)), Shape: sh, Members: m})
 		}
-		is.Equal(s.Fragmentation(), 0.0) // the second rack is whole
+		is.Equal(s.Stranded(), 0.0) // the second rack is whole
 		_, ok := s.Place(&wide, Limits{End: now})
 		is.True(ok)
 	}
--- a/internal/allocator/score.go
+++ b/internal/allocator/score.go
@@ -20,10 +20,10 @@
 // maxMix bounds the shapes that a placement is scored against; the mix holds those with the most demand.
 const maxMix = 8
 
-// Demand is one shape of the waiting mix and how many jobs wait with it.
+// Demand is one shape of the mix and how many jobs ask for it.
 type Demand struct {
 	Shape model.Shape
-	Jobs  int
+	Jobs  float64
 }
 
 type weighted struct {
@@ -33,10 +33,10 @@
 	weight  float64 // all add up to 1
 }
 
-// SetMix declares the shapes that wait; the mix is weighted by accelerators.
+// SetMix declares the shapes that are asked for; the mix is weighted by jobs. It sorts ds.
 func (s *State) SetMix(ds []Demand) {
 	slices.SortStableFunc(ds, func(a, b Demand) int {
-		return cmp.Compare(b.Jobs*int(b.Shape.Total()), a.Jobs*int(a.Shape.Total()))
+		return cmp.Or(cmp.Compare(b.Jobs, a.Jobs), compareShapes(&a.Shape, &b.Shape))
 	})
 	s.mix = s.mix[:0]
 	total := 0.0
@@ -45,7 +45,7 @@
 		if sh.Accelerators <= 0 || ds[i].Jobs <= 0 || len(s.mix) == maxMix {
 			continue
 		}
-		w := float64(ds[i].Jobs) * float64(sh.Total())
+		w := ds[i].Jobs
 		total += w
 		s.mix = append(s.mix, weighted{need(sh), sh.Workers, sh.Workers > 1 && sh.Span == model.SpanRack, w})
 	}
@@ -54,6 +54,11 @@
 	}
 }
 
+func compareShapes(a, b *model.Shape) int {
+	return cmp.Or(cmp.Compare(a.Workers, b.Workers), cmp.Compare(a.Accelerators, b.Accelerators),
+		cmp.Compare(a.Cores, b.Cores), cmp.Compare(a.MemoryMB, b.MemoryMB), cmp.Compare(a.Span, b.Span))
+}
+
 // slots returns how many members fit into the resources.
 func (r resources) slots(n resources) int {
 	if !r.fits(n) {
@@ -106,14 +111,10 @@
 	return g
 }
 
-// Fragmentation returns the share of the free accelerators that the waiting
-// mix cannot use, weighted over its shapes; it is 0 without free accelerators
-// or waiting shapes.
-func (s *State) Fragmentation() float64 {
+// Stranded returns how many of the free accelerators the mix cannot use,
+// weighted over its shapes; it is 0 without a mix.
+func (s *State) Stranded() float64 {
 	_, free := s.Totals()
-	if free == 0 {
-		return 0
-	}
 	f := 0.0
 	for k := range s.mix {
 		m := &s.mix[k]
@@ -126,7 +127,7 @@
 		if u < m.need.acc*model.Accelerators(m.workers) {
 			u = 0
 		}
-		f += m.weight * float64(free-u) / float64(free)
+		f += m.weight * float64(free-u)
 	}
 	return f
 }
--- a/internal/scheduler/api.go
+++ b/internal/scheduler/api.go
@@ -150,7 +150,8 @@
 	RunningGangs  int
 	Accelerators  model.Accelerators // of usable workers
 	Free          model.Accelerators // among them
-	Fragmentation float64            // share of the free accelerators that the waiting mix cannot use
+	Stranded      float64            // free accelerators that the mix of shapes cannot use
+	Fragmentation float64            // Stranded as a share of Free, 0 when none is free
 	Preempted     int64              // gangs preempted so far
 	Reclaims      int64              // guaranteed starts that needed preemption so far
 	Quarantined   int
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -65,7 +65,7 @@
 	clear(p.frozen)
 
 	s.rejectImpossible()
-	s.setMix()
+	s.setMix(now)
 	s.alloc.ClearHolds()
 	switch {
 	case s.declared.State == model.DomainLost:
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -208,9 +208,7 @@
 	s.workspace(j.spec.Workspace).waiting += n
 	s.caller(j.spec.Workspace, j.spec.Caller).waiting += n
 	s.classWaiting[classKey{j.spec.Workspace, j.spec.Class}] += n
-	if s.mix[j.spec.Shape] += n; s.mix[j.spec.Shape] == 0 {
-		delete(s.mix, j.spec.Shape)
-	}
+	s.asked(j.spec.Shape).waiting += n
 	s.mixChanged = true
 	s.dirty = true
 }
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -70,6 +70,7 @@
 		return
 	}
 	s.enqueue(j)
+	s.asked(j.spec.Shape).submitted++
 	s.recheck = s.recheck || s.set != nil && s.impossible(&j.spec) != ""
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -50,7 +50,7 @@
 	workspaces   map[model.WorkspaceID]*account
 	callers      map[callerKey]*account
 	classWaiting map[classKey]int
-	mix          map[model.Shape]int
+	mix          map[model.Shape]*asked
 	waiting      int
 
 	bands [levels]map[model.WorkspaceID]*band
@@ -61,6 +61,7 @@
 	dirty      bool
 	recheck    bool // look for jobs that can no longer run
 	mixChanged bool
+	mixAt      time.Time
 	wake       time.Time
 	pending    []Decision // found between passes
 	out        []Decision
@@ -89,7 +90,7 @@
 		workspaces:   map[model.WorkspaceID]*account{},
 		callers:      map[callerKey]*account{},
 		classWaiting: map[classKey]int{},
-		mix:          map[model.Shape]int{},
+		mix:          map[model.Shape]*asked{},
 	}
 	for lv := range s.bands {
 		s.bands[lv] = map[model.WorkspaceID]*band{}
@@ -212,30 +213,19 @@
 }
 
 // Stats returns the figures of the domain at this moment.
-func (s *Scheduler) Stats(time.Time) Stats {
-	s.setMix()
+func (s *Scheduler) Stats(now time.Time) Stats {
+	s.setMix(now)
 	total, free := s.alloc.Totals()
+	stranded := s.alloc.Stranded()
 	return Stats{
 		Waiting:       s.waiting,
 		RunningGangs:  len(s.gangs) - len(s.claims),
 		Accelerators:  total,
 		Free:          free,
-		Fragmentation: s.alloc.Fragmentation(),
+		Stranded:      stranded,
+		Fragmentation: stranded / max(1, float64(free)),
 		Preempted:     s.preempted,
 		Reclaims:      s.reclaims,
 		Quarantined:   s.alloc.Count(allocator.Quarantined) + s.alloc.Count(allocator.Probation),
 	}
 }
-
-func (s *Scheduler) setMix() {
-	if !s.mixChanged {
-		return
-	}
-	s.mixChanged = false
-	ds := s.pass.demand[:0]
-	for sh, n := range s.mix {
-		ds = append(ds, allocator.Demand{Shape: sh, Jobs: n})
-	}
-	s.pass.demand = ds
-	s.alloc.SetMix(ds)
-}
