Test separate processes under failures

Cause: no test ran the built programs under failures. Ports of the ephemeral range, freed before use, were taken by listeners of the fakes. The host list client sent no host id, so that the relays between entry hosts were not used. A repeat that found no host, a draining host or a full router was told not-run although an earlier call with its id had run.

--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -129,7 +129,7 @@
 // Call runs a service request.
 func (d *Daemon) Call(ctx context.Context, r server.Request) (client.Answer, error) {
 	if err := d.Ready(); err != nil {
-		return client.Answer{}, err
+		return client.Answer{}, repeated(r, err)
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
@@ -139,7 +139,7 @@
 	}
 	if r.Idempotent {
 		a, err := d.router.Do(ctx, req)
-		return client.Answer{Body: a.Body, Runner: a.Runner}, err
+		return client.Answer{Body: a.Body, Runner: a.Runner}, repeated(r, err)
 	}
 	res := d.claimer.Do(ctx, claimer.Request{
 		Workspace: r.Workspace, ID: r.RequestID, Digest: digest(r), Repeat: r.Repeat,
@@ -152,6 +152,20 @@
 	return client.Answer{Body: res.Body, Runner: res.Runner}, nil
 }
 
+// repeated makes a not-run unknown when an earlier call with the id may have run on another host.
+//
+// The claimer does this for the requests that reach it, since it knows when not-run is certain.
+func repeated(r server.Request, err error) error {
+	if err == nil || !r.Repeat {
+		return err
+	}
+	e := *asError(err)
+	if e.Outcome == model.OutcomeNotRun {
+		e.Outcome = model.OutcomeUnknown
+	}
+	return &e
+}
+
 // send sends a claimed request.
 func (d *Daemon) send(ctx context.Context, req router.Request) claimer.Result {
 	a, err := d.router.Do(ctx, req)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -79,7 +79,7 @@
 		asserter: &asserter.Asserter{Logger: logger},
 	}
 	log := logclient.New(s.LogURL, s.HostID, nil)
-	d.hosts = hostclient.NewClient(strings.TrimPrefix(s.HostListURL, "http://"))
+	d.hosts = hostclient.NewClient(strings.TrimPrefix(s.HostListURL, "http://"), s.HostID)
 	d.workers = workerclient.NewClient(s.HostID)
 	d.peers = peerclient.NewClient(d.peerOptions())
 	d.config = newConfigTask(log, d.newAppender(log, logclient.StreamConfig), d.asserter, logger, d.configChanged)
--- a/internal/fake/launcher/cluster.go
+++ b/internal/fake/launcher/cluster.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -134,13 +135,27 @@
 	return err
 }
 
-// freeAddress finds a free port; another process could take it before it is used, which then fails loudly.
+// Entry hosts listen on ports below the ephemeral range: a port of that range can be taken by any connection or
+// listener of the machine between the choice and the start, also while the host is down between a kill and a restart.
+const (
+	firstPort = 10_000
+	portRange = 20_000
+)
+
+// ports counts the ports tried; the process id spreads the launchers that run at the same time.
+var ports atomic.Uint32
+
+// freeAddress finds a port that no other host of this launcher uses and that is free now.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "launcher: no free port")
+	var l net.Listener
+	err := errors.New("launcher: no free port")
+	for range portRange {
+		n := (uint32(os.Getpid())*97 + ports.Add(1)) % portRange
+		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+n)); err == nil {
+			return l.Addr().String(), l.Close()
+		}
 	}
-	return l.Addr().String(), l.Close()
+	return "", errors.Wrap(err, "launcher: no free port")
 }
 
 func (c *Cluster) startFakes(d platform.Deployment) error {
@@ -164,6 +179,35 @@
 	return errors.Wrap(os.WriteFile(path, data, 0o600), "launcher")
 }
 
+// Add lists and starts a further entry host in the failure domain of another one, with a new id and new addresses.
+func (c *Cluster) Add(id model.HostID, like *Host) (*Host, error) {
+	s := like.Settings
+	s.HostID = id
+	if err := setAddresses(&s); err != nil {
+		return nil, err
+	}
+	entry := map[string]string{"addr": s.Listen, "peer-addr": s.PeerListen, "domain": string(s.FailureDomain)}
+	if err := c.admin(http.MethodPut, "/admin/hosts/"+string(id), entry, nil); err != nil {
+		return nil, err
+	}
+	h := &Host{Settings: s}
+	c.Hosts = append(c.Hosts, h)
+	return h, c.StartHost(h)
+}
+
+// Running reports whether the process of the host has not ended.
+func (h *Host) Running() bool {
+	if h.process == nil {
+		return false
+	}
+	select {
+	case <-h.process.done:
+		return false
+	default:
+		return true
+	}
+}
+
 // StartHost starts an entry host that is not running.
 func (c *Cluster) StartHost(h *Host) error {
 	h.path = filepath.Join(c.opts.Dir, string(h.Settings.HostID)+".json")
@@ -270,6 +314,12 @@
 	return r, c.admin(http.MethodGet, "/admin/ledger", nil, &r)
 }
 
+// Stats returns the counters of a fake by name.
+func (c *Cluster) Stats(name string) (map[string]int64, error) {
+	var s map[string]int64
+	return s, c.admin(http.MethodGet, "/admin/fakes/"+name+"/stats", nil, &s)
+}
+
 // Runs returns how often the runners ran each request.
 func (c *Cluster) Runs() (runner.Runs, error) {
 	var r runner.Runs
--- a/internal/hostclient/client.go
+++ b/internal/hostclient/client.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
 // maxList bounds the host list; the design size has about ten thousand hosts of 200 bytes.
@@ -18,6 +20,7 @@
 // Client reads the host list and keeps the last one.
 type Client struct {
 	url  string
+	host model.HostID
 	http *http.Client
 
 	mu   sync.Mutex
@@ -34,10 +37,10 @@
 // Age returns how old the list is at most.
 func (s Snapshot) Age(now time.Time) time.Duration { return now.Sub(s.ReadAt) }
 
-// NewClient returns a client for the service at the address.
-func NewClient(addr string) *Client {
+// NewClient returns a client of the entry host for the service at the address.
+func NewClient(addr string, host model.HostID) *Client {
 	dialer := &net.Dialer{Timeout: time.Second}
-	return &Client{url: "http://" + addr + "/v1/hosts", http: &http.Client{
+	return &Client{url: "http://" + addr + "/v1/hosts", host: host, http: &http.Client{
 		Timeout: 5 * time.Second,
 		Transport: &http.Transport{
 			DialContext:         dialer.DialContext,
@@ -76,6 +79,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "hostclient: request")
 	}
+	req.Header.Set("Host-Id", string(c.host))
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return nil, errors.Wrap(err, "hostclient: read host list")
--- a/pkg/client/caller.go
+++ b/pkg/client/caller.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
@@ -79,7 +81,7 @@
 	path := "/v1/services/" + url.PathEscape(string(call.Service)) + "/call"
 	resp, data, err := c.send(ctx, http.MethodPost, path, header, bytes.NewReader(call.Body))
 	if err != nil {
-		return Answer{}, err
+		return Answer{}, call.unsent(err)
 	}
 	if resp.StatusCode != http.StatusOK {
 		return Answer{}, decodeError(resp, data)
@@ -93,3 +95,14 @@
 	}
 	return Answer{Body: data, Runner: model.HostID(resp.Header.Get(HeaderRunner))}, nil
 }
+
+// unsent makes a not-run unknown when an earlier call with the id may have been sent: this host only knows of its own.
+func (c Call) unsent(err error) error {
+	var e *model.Error
+	if c.Repeat && errors.As(err, &e) && e.Outcome == model.OutcomeNotRun {
+		u := *e
+		u.Outcome = model.OutcomeUnknown
+		return &u
+	}
+	return err
+}
--- /dev/null
+++ b/test/process/cluster_test.go
@@ -0,0 +1,287 @@
+package process
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"chestnutmux.example/chestnutmux/internal/fake/launcher"
+	"chestnutmux.example/chestnutmux/internal/settings"
+	"chestnutmux.example/chestnutmux/pkg/differ"
+	"chestnutmux.example/chestnutmux/pkg/model"
+	"chestnutmux.example/chestnutmux/pkg/parser"
+	"chestnutmux.example/chestnutmux/pkg/validator"
+)
+
+const (
+	deploy = "../../deploy/kartli"
+
+	operator1 = "demo-operator-1"
+	operator2 = "demo-operator-2"
+
+	// Tokens of one caller in each workspace; bridal and tailoring hold guarantees.
+	bridal     = "demo-atelier"
+	tailoring  = "demo-tailor-1"
+	upholstery = "demo-upholsterer"
+	workshop   = "demo-presses"
+
+	domainA = model.DomainID("kartli-a")
+	domainB = model.DomainID("kartli-b")
+	domainC = model.DomainID("imereti-a")
+
+	service = model.ServiceID("buttons")
+
+	poll  = 200 * time.Millisecond
+	lease = 3 * time.Second
+	// partial is the longest time in which only a part of a gang may run: 2 polls and 1 lease (design 3.2).
+	partial = 2*poll + lease
+	// inForce is how long a publish may take to be in force everywhere (design 1).
+	inForce = 4 * time.Second
+	// patience bounds steps for which the design gives no bound.
+	patience = 30 * time.Second
+)
+
+// cluster is a running deployment with a configuration in force.
+type cluster struct {
+	*launcher.Cluster
+	t   *testing.T
+	is  *is.I
+	dir string
+	set model.Set
+}
+
+// start starts a cluster, publishes the configuration and checks the invariants at the end of the test.
+func start(t *testing.T, o launcher.Options) *cluster {
+	t.Helper()
+	t.Parallel()
+	slots <- struct{}{}
+	t.Cleanup(func() { <-slots })
+	c := &cluster{t: t, is: is.New(t), dir: t.TempDir()}
+	o.Bin, o.Deploy, o.Dir = bin, deploy, c.dir
+	tune := o.Tune
+	o.Tune = func(s *settings.Settings) {
+		s.Poll, s.TaskLease, s.HostListPoll = ms(poll), ms(lease), ms(poll)
+		if tune != nil {
+			tune(s)
+		}
+	}
+	var err error
+	c.Cluster, err = launcher.Start(o)
+	c.is.NoErr(err)
+	t.Cleanup(func() { c.end() })
+	data, err := os.ReadFile(filepath.Join(deploy, "config.hujson"))
+	c.is.NoErr(err)
+	c.set, err = parser.Parse(data)
+	c.is.NoErr(err)
+	c.publishSet()
+	return c
+}
+
+func ms(d time.Duration) model.Millis { return model.Millis(d.Milliseconds()) }
+
+// hosts are two entry hosts in each of the failure domains.
+func hosts(ids ...model.DomainID) map[model.DomainID]int {
+	m := map[model.DomainID]int{}
+	for _, id := range ids {
+		m[id] = 2
+	}
+	return m
+}
+
+func (c *cluster) publishSet() {
+	c.t.Helper()
+	changes, err := differ.Diff(model.Set{}, c.set)
+	c.is.NoErr(err)
+	var v model.Version
+	c.await(patience, func(ctx context.Context) error {
+		v, err = c.Client(c.Hosts[0], operator1).Publish(ctx, model.Publish{Schema: validator.Schema, Changes: changes})
+		return err
+	})
+	c.is.NoErr(c.AwaitVersion(inForce, operator1, v, c.Hosts...))
+}
+
+// publish puts one object on top of the configuration in force and waits until it is in force everywhere.
+func (c *cluster) publish(kind model.Kind, name string, object any) {
+	c.t.Helper()
+	spec, err := json.Marshal(object)
+	c.is.NoErr(err)
+	r, err := c.Client(c.Hosts[0], operator1).Config(short(patience))
+	c.is.NoErr(err)
+	v, err := c.Client(c.Hosts[0], operator1).Publish(short(patience), model.Publish{
+		Base: r.Version, Schema: validator.Schema, Changes: []model.Change{{Kind: kind, Name: name, Spec: spec}},
+	})
+	c.is.NoErr(err)
+	c.is.NoErr(c.AwaitVersion(inForce, operator1, v, c.Hosts...))
+}
+
+// end stops the cluster after the checks that hold for every test.
+func (c *cluster) end() {
+	c.checkLedger()
+	c.checkViolations()
+	if err := c.Stop(); err != nil {
+		c.t.Error(err)
+	}
+	if c.t.Failed() {
+		c.showLogs()
+	}
+}
+
+// checkLedger guards against tasks started twice, overlapping attempts and partial gangs.
+func (c *cluster) checkLedger() {
+	l, err := c.Ledger()
+	if err != nil {
+		c.t.Error(err)
+		return
+	}
+	if len(l.DoubleStarts) > 0 || len(l.Overlaps) > 0 {
+		c.t.Errorf("double starts %v, overlapping attempts %v", l.DoubleStarts, l.Overlaps)
+	}
+	for id, n := range l.PartialMS {
+		if n > ms(partial) {
+			c.t.Errorf("gang %s was partial for %d ms, the bound is %d ms", id, n, ms(partial))
+		}
+	}
+}
+
+// checkViolations guards against invariants that a process found violated itself.
+func (c *cluster) checkViolations() {
+	for _, h := range c.Hosts {
+		data, err := os.ReadFile(c.logPath(h))
+		if err != nil {
+			c.t.Error(err)
+		}
+		for line := range bytes.Lines(data) {
+			if bytes.Contains(line, []byte("invariant violated")) || bytes.Contains(line, []byte("panic:")) {
+				c.t.Errorf("%s: %s", h.Settings.HostID, line)
+			}
+		}
+	}
+}
+
+func (c *cluster) logPath(h *launcher.Host) string {
+	return filepath.Join(c.dir, string(h.Settings.HostID)+".log")
+}
+
+// showLogs prints the ends of the logs of a failed test.
+func (c *cluster) showLogs() {
+	const most = 20000
+	for _, h := range c.Hosts {
+		data, _ := os.ReadFile(c.logPath(h))
+		c.t.Logf("log of %s:\n%s", h.Settings.HostID, data[max(0, len(data)-most):])
+	}
+}
+
+// await waits until f returns nil and fails the test at the bound.
+func (c *cluster) await(bound time.Duration, f func(context.Context) error) {
+	c.t.Helper()
+	if err := launcher.Await(bound, f); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// of returns the entry hosts of a failure domain whose processes run.
+func (c *cluster) of(domain model.DomainID) []*launcher.Host {
+	var out []*launcher.Host
+	for _, h := range c.Hosts {
+		if h.Settings.FailureDomain == domain && h.Running() {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// planner returns the entry host that plans the failure domain.
+func (c *cluster) planner(domain model.DomainID) *launcher.Host {
+	c.t.Helper()
+	h, err := c.AwaitPlanner(patience, operator1, domain)
+	c.is.NoErr(err)
+	return h
+}
+
+// other returns a running entry host of the failure domain that is not h.
+func (c *cluster) other(h *launcher.Host) *launcher.Host {
+	for _, o := range c.of(h.Settings.FailureDomain) {
+		if o != h {
+			return o
+		}
+	}
+	c.t.Fatalf("no entry host besides %s", h.Settings.HostID)
+	return nil
+}
+
+func ids(hosts []*launcher.Host) []model.HostID {
+	var out []model.HostID
+	for _, h := range hosts {
+		out = append(out, h.Settings.HostID)
+	}
+	return out
+}
+
+// gang is a job of n members that use whole workers.
+func gang(id string, n int, run time.Duration) model.JobSpec {
+	return model.JobSpec{
+		ID: model.JobID(id), Class: "overnight", Shape: model.Shape{Workers: n, Accelerators: 8},
+		Payload: fmt.Appendf(nil, `{"run-ms":%d}`, run.Milliseconds()),
+	}
+}
+
+func (c *cluster) submit(h *launcher.Host, token string, spec model.JobSpec) model.Job {
+	c.t.Helper()
+	j, err := c.Client(h, token).Submit(context.Background(), spec)
+	c.is.NoErr(err)
+	return j
+}
+
+// awaitState waits until the job is in one of the states.
+func (c *cluster) awaitState(bound time.Duration, h *launcher.Host, token string, id model.JobID, states ...model.JobState) model.Job {
+	c.t.Helper()
+	var job model.Job
+	c.await(bound, func(ctx context.Context) error {
+		var err error
+		job, err = c.Client(h, token).Job(ctx, id, 0)
+		for _, s := range states {
+			if err == nil && job.State == s {
+				return nil
+			}
+		}
+		if err == nil {
+			err = errors.Newf("job %s is %s (attempt %d, %s)", id, job.State, job.Attempt, job.Error)
+		}
+		return err
+	})
+	return job
+}
+
+// short is a context for a call that must answer within the bound.
+func short(bound time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	time.AfterFunc(bound+time.Second, cancel)
+	return ctx
+}
+
+// outcomeOf returns the outcome that a caller was told.
+func outcomeOf(err error) model.Outcome {
+	if err == nil {
+		return model.OutcomeAnswered
+	}
+	if e := (*model.Error)(nil); errors.As(err, &e) && e.Outcome != "" {
+		return e.Outcome
+	}
+	return model.OutcomeUnknown
+}
+
+// kindOf returns the kind of an error, or nothing.
+func kindOf(err error) model.ErrorKind {
+	if e := (*model.Error)(nil); errors.As(err, &e) {
+		return e.Kind
+	}
+	return ""
+}
