Renew adopted gangs soon after a takeover

The first renewal came one poll after the takeover, and the earlier planner's lease may be a poll old by then, which at the design size leaves little of it.

--- a/internal/reserver/authority.go
+++ b/internal/reserver/authority.go
@@ -140,6 +140,9 @@
 		if r.role == RoleTakingOver {
 			r.role, r.plannerAt = RolePlanner, r.now
 			r.report(RoleChanged{Role: r.role, Term: r.term})
+			for _, w := range r.order {
+				r.renewSoon(w)
+			}
 		}
 	}
 	if r.role == RolePlanner && r.now.Sub(r.majorityAt) >= r.cfg.TaskLease/2 {
--- a/internal/reserver/reply.go
+++ b/internal/reserver/reply.go
@@ -37,8 +37,9 @@
 		w.relist = !full
 	}
 	w.boot, w.version = reply.Boot, reply.Version
-	if full {
+	if full && !w.acked {
 		w.acked = true
+		r.renewSoon(w)
 	}
 	r.applyResults(w, out, reply.Results)
 	r.applyTasks(w, reply.Tasks, full)
--- a/internal/reserver/rules_test.go
+++ b/internal/reserver/rules_test.go
@@ -15,6 +15,7 @@
 func running(t *testing.T, workers, planners int) (*sim, *simPlanner) {
 	t.Helper()
 	s := newSim(3, workers, planners)
+	s.slow = 0 // the rules' bounds are checked to the tick
 	s.planners[0].retake = s.now
 	s.submit(workers)
 	for range 100 {
@@ -187,3 +188,20 @@
 	is.Equal(len(s.workers[0].tasks)+len(s.workers[1].tasks), 0)
 	is.Equal(p.Status().Gangs, 0)
 }
+
+// Guards against adopted tasks whose leases, granted by the earlier planner up to a poll ago,
+// end before this planner's first renewal.
+func TestAdoptedGangIsRenewedSoon(t *testing.T) {
+	is := is.New(t)
+	s, a := running(t, 5, 2)
+	a.retake = time.Time{}
+	s.handle(a, StepDown{"moved"})
+	b := s.planners[1]
+	b.cfg.Poll, b.cfg.TaskLease = 30*time.Second, 90*time.Second // the design size
+	b.retake = s.now
+	s.run(12 * time.Second)
+	is.Equal(s.counts["GangAdopted"], 1)
+	for _, w := range s.workers {
+		is.True(w.tasks[0].lease.Sub(s.now) > 70*time.Second)
+	}
+}
--- a/internal/reserver/worker.go
+++ b/internal/reserver/worker.go
@@ -168,6 +168,15 @@
 	})
 }
 
+// renewSoon brings the first renewal forward, since the leases of adopted tasks were granted
+// by the earlier planner up to a poll ago. It also spreads the polls over the interval.
+func (r *Reserver) renewSoon(w *worker) {
+	at := r.now.Add(r.cfg.Poll/10 + time.Duration(r.cfg.Rand.Int64N(int64(r.cfg.Poll/4)+1)))
+	if r.role == RolePlanner && w.acked && at.Before(w.nextPoll) {
+		w.nextPoll = at
+	}
+}
+
 // op builds the operation that a member needs.
 func (r *Reserver) op(m *member) workerclient.Op {
 	op := workerclient.Op{Kind: m.need, Task: m.task, Gang: m.g.id}
