Let work that is not urgent take free room before it reclaims

Every job within a guarantee preempted lent work on its cells although other workers were free. Standard and batch jobs now start on free room first and are promoted there when their cells can be bound in place; urgent work still goes to its cells.

--- a/internal/allocator/bind.go
+++ b/internal/allocator/bind.go
@@ -165,7 +165,9 @@
 			p += int(x.n) - 1
 		}
 	}
-	slices.SortStableFunc(l, func(x, y choice) int { return cmp.Or(cmp.Compare(x.cost, y.cost), cmp.Compare(x.from, y.from)) })
+	slices.SortStableFunc(l, func(x, y choice) int {
+		return cmp.Or(cmp.Compare(x.cost, y.cost), cmp.Compare(x.from, y.from), cmp.Compare(s.racks[x.rack].free, s.racks[y.rack].free))
+	})
 	s.scratch.choices = l
 }
 
--- a/internal/allocator/reclaim.go
+++ b/internal/allocator/reclaim.go
@@ -33,7 +33,7 @@
 type workerCost struct {
 	worker int32
 	cost   float64
-	room   model.Accelerators // left in the cell on this worker
+	free   model.Accelerators // of the worker
 }
 
 // entitled returns the accelerators of a cell that a member takes up,
@@ -252,18 +252,15 @@
 		if i < 0 || !s.workers[i].usable() {
 			continue
 		}
-		var room model.Accelerators
-		if c >= 0 {
-			if room = s.cells[c].perWorker() - s.cells[c].used[p-start]; room < a {
-				continue
-			}
+		if c >= 0 && s.cells[c].perWorker()-s.cells[c].used[p-start] < a {
+			continue
 		}
 		if v, ok := s.estimate(i, need(&g.Shape), now); ok {
-			costs = append(costs, workerCost{i, v, room})
+			costs = append(costs, workerCost{i, v, s.workers[i].free.acc})
 		}
 	}
 	slices.SortStableFunc(costs, func(x, y workerCost) int {
-		return cmp.Or(cmp.Compare(x.cost, y.cost), cmp.Compare(x.room, y.room))
+		return cmp.Or(cmp.Compare(x.cost, y.cost), cmp.Compare(x.free, y.free))
 	})
 	s.scratch.costs = costs
 	sum := 0.0
--- a/internal/scheduler/claim.go
+++ b/internal/scheduler/claim.go
@@ -23,7 +23,8 @@
 		return false
 	}
 	var own []*gang
-	if lack := j.spec.Shape.Total() - s.quotaLeft(j.spec.Workspace); lack > 0 {
+	lack := j.spec.Shape.Total() - s.quotaLeft(j.spec.Workspace)
+	if lack > 0 {
 		var ok bool
 		if own, ok = s.ownVictims(j, lack); !ok {
 			s.pass.noCell[k] = true
@@ -34,6 +35,18 @@
 	held := s.doom(own)
 	g := s.newGang(j)
 	victims, ok := s.alloc.PlaceGuaranteed(&g.Gang, s.pass.now)
+	if ok && len(victims) > 0 && lack <= 0 && j.level > 0 {
+		// Work that is not urgent takes free room first, and keeps it as
+		// guaranteed where its cells can be bound there.
+		for _, v := range victims {
+			s.alloc.Doom(v, false)
+		}
+		s.alloc.Free(&g.Gang)
+		if s.startLent(j) {
+			return true
+		}
+		victims, ok = s.alloc.PlaceGuaranteed(&g.Gang, s.pass.now)
+	}
 	if !ok {
 		victims, ok = s.placeOverOwn(g)
 	}
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -172,23 +172,36 @@
 		j.wait = WaitQuota
 		return false
 	}
-	run := s.runs.Quantile(j.spec.Workspace, j.spec.Class, backfillQuantile, j.spec.RunMS)
+	run := s.long(j)
 	if f, ok := s.pass.failed[*sh]; ok && run >= f {
 		s.blocked(j)
 		return false
 	}
-	lim := allocator.Limits{End: s.pass.now.Add(run), Trial: j.level > 0}
+	if !s.startLent(j) {
+		s.pass.failed[*sh] = run
+		s.blocked(j)
+		return false
+	}
+	return true
+}
+
+// long returns the run time that a job most likely stays below.
+func (s *Scheduler) long(j *job) time.Duration {
+	return s.runs.Quantile(j.spec.Workspace, j.spec.Class, backfillQuantile, j.spec.RunMS)
+}
+
+// startLent starts a job where there is room.
+func (s *Scheduler) startLent(j *job) bool {
+	lim := allocator.Limits{End: s.pass.now.Add(s.long(j)), Trial: j.level > 0}
 	if j.failures > 0 {
 		lim.Avoid = s.faults.FailedOn(j.spec.ID)
 	}
-	members, ok := s.alloc.Place(sh, lim)
+	members, ok := s.alloc.Place(&j.spec.Shape, lim)
 	if !ok && len(lim.Avoid) > 0 {
 		lim.Avoid = nil
-		members, ok = s.alloc.Place(sh, lim)
+		members, ok = s.alloc.Place(&j.spec.Shape, lim)
 	}
 	if !ok {
-		s.pass.failed[*sh] = run
-		s.blocked(j)
 		return false
 	}
 	g := s.newGang(j)
@@ -199,6 +212,8 @@
 	if g.trial {
 		s.faults.StartTrial(members[0])
 		s.alloc.SetHealth(members[0], allocator.Quarantined)
+	} else if j.entitled {
+		s.alloc.Promote(&g.Gang)
 	}
 	s.start(g)
 	return true
