Release earlier jobs only behind the reports of their gangs

Cause: the planner read the status of the reserver's driver, which can be ahead of its reports. Jobs were planned again while the report of their running or finished gang still waited. Change: the planner sends a start without workers, and releases the jobs when its refusal arrives, which comes behind all earlier reports.

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -62,6 +62,7 @@
 	workers map[model.HostID]hostclient.Host
 	gangs   map[model.GangID]*gang
 	held    bool // jobs accepted before the takeover wait
+	probing bool // the reserver was sent a probe and has not answered
 	dirty   bool // something changed since the last pass
 	passed  time.Time
 }
@@ -129,7 +130,7 @@
 	if p.sched == nil || !p.dirty || now.Sub(p.passed) < p.cfg.Pass {
 		return
 	}
-	p.release(now)
+	p.release(ctx, now)
 	p.pass(ctx, now)
 }
 
@@ -147,15 +148,32 @@
 	p.post(ctx, reserver.TakeOver{})
 }
 
-// release lets the jobs start that an earlier planner might have started, once all workers are accounted for.
-func (p *Planner) release(now time.Time) {
-	if !p.held {
+// probe is a start without workers, which the reserver refuses as invalid when nothing else speaks against a start.
+// It is no gang of a job, since gang ids have a slash.
+const probe model.GangID = "probe"
+
+// release asks whether the jobs that an earlier planner might have started may start now.
+//
+// The driver's status can be ahead of its reports. The refusal of the probe comes behind the reports of all gangs
+// that were found before, so that no job is planned again whose gang runs or has finished.
+func (p *Planner) release(ctx context.Context, now time.Time) {
+	if !p.held || p.probing {
 		return
 	}
 	// A job accepted at the zero time is accounted for only when all workers are.
 	if ok, _ := p.cfg.Driver.Status().Accounted(now, time.Time{}); !ok {
 		return
 	}
+	p.probing = true
+	p.post(ctx, reserver.StartGang{Gang: probe})
+}
+
+// probed lets the jobs of earlier planners start when the reserver has no objection.
+func (p *Planner) probed(r reserver.GangRefused) {
+	p.probing = false
+	if !p.held || r.Kind != model.KindInvalid {
+		return
+	}
 	p.held = false
 	p.sched.HoldBefore(0)
 	p.cfg.Logger.Info("all workers are accounted for; earlier jobs may start", "domain", string(p.cfg.Domain))
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -39,6 +39,10 @@
 	case reserver.GangStarted:
 		p.started(ctx, r)
 	case reserver.GangRefused:
+		if r.Gang == probe {
+			p.probed(r)
+			return
+		}
 		p.cfg.Logger.Debug("gang refused", "gang", string(r.Gang), "worker", string(r.Worker), "kind", string(r.Kind))
 		delete(p.gangs, r.Gang)
 		p.sched.Refused(r.Gang, now)
@@ -75,7 +79,7 @@
 	p.gangs = map[model.GangID]*gang{}
 	p.workers = map[model.HostID]hostclient.Host{}
 	p.sched.SetConfig(p.set, p.cfg.Domain)
-	p.held = true
+	p.held, p.probing = true, false
 	// Jobs from this offset on are accepted after the takeover, so no earlier planner can have started them.
 	hold := p.next
 	if !p.caughtUp {
