Reject no job before the failure domain is declared

A planner that takes over before it has read the configuration would have declared accepted jobs as not run. It now waits, and jobs whose gang is lost are checked against the inventory again.

--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -25,8 +25,8 @@
 
 // Admit returns a *model.Error when the job must be refused, else nil.
 func (s *Scheduler) Admit(spec *model.JobSpec, now time.Time) error {
-	if s.set == nil {
-		return notRun(model.KindNotReady, "no configuration is in force yet", "repeat the request", minRetry)
+	if !s.planned {
+		return notRun(model.KindNotReady, "no configuration with this failure domain is in force yet", "repeat the request", minRetry)
 	}
 	ws, ok := s.set.Workspaces[spec.Workspace]
 	if !ok {
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -50,7 +50,7 @@
 func (s *Scheduler) Pass(now time.Time) []Decision {
 	s.out = append(s.out[:0], s.pending...)
 	s.pending = s.pending[:0]
-	if s.set == nil || !s.dirty && now.Before(s.wake) {
+	if !s.planned || !s.dirty && now.Before(s.wake) {
 		return s.out
 	}
 	s.dirty = false
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -216,6 +216,7 @@
 	}
 	j.notBefore = notBefore
 	s.enqueue(j)
+	s.recheck = s.recheck || s.set != nil && s.impossible(&j.spec) != ""
 }
 
 // Ended reports that a gang holds no worker any more, and why.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -34,6 +34,7 @@
 	set      *model.Set
 	domain   model.DomainID
 	declared model.FailureDomain
+	planned  bool               // the configuration declares the domain
 	racks    map[model.Rack]int // declared racks by their make
 	own      map[model.GuaranteeID]model.Guarantee
 
@@ -107,6 +108,9 @@
 
 // SetConfig puts a configuration in force; set is kept and must not be changed afterwards.
 func (s *Scheduler) SetConfig(set *model.Set, domain model.DomainID) {
+	if set == nil {
+		return
+	}
 	s.set, s.domain = set, domain
 	own := map[model.GuaranteeID]model.Guarantee{}
 	for id, g := range set.Guarantees {
@@ -114,7 +118,8 @@
 			own[id] = g
 		}
 	}
-	declared := set.FailureDomains[domain]
+	declared, planned := set.FailureDomains[domain]
+	s.planned = planned
 	changed := s.own == nil || !maps.Equal(own, s.own) || !reflect.DeepEqual(declared, s.declared)
 	if changed {
 		s.releaseClaims()
