--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
@@ -111,3 +112,29 @@
 		})
 	}
 }
+
+// Guards against jobs that never get an outcome: the fold refuses the late outcome of an earlier attempt, while the
+// planner stops the later attempt for it and starts no other.
+func TestLateOutcomeOfEarlierAttempt(t *testing.T) {
+	for _, recorded := range []bool{false, true} {
+		t.Run(fmt.Sprintf("start-recorded-%t", recorded), func(t *testing.T) {
+			ctx, f := newFixture(t, workerclient.TaskRunning)
+			for f.held {
+				f.read(ctx)
+				f.step(ctx)
+			}
+			if recorded {
+				j := f.jobs["job"]
+				j.Attempt = 2
+				f.handle(ctx, JobChanged{Event: reducer.JobEvent{Kind: reducer.JobStarted, Job: j}})
+			}
+			f.gangs["job/2"] = &gang{job: "job", attempt: 2, startedAt: time.Now()}
+			f.report(ctx, reserver.GangEnded{Gang: "job/1", Job: "job", Outcome: reserver.OutcomeFinished})
+			f.is.Equal(f.decided["job"], false)        // no outcome that the fold would refuse
+			f.is.Equal(f.gangs["job/1"], (*gang)(nil)) // the workers may forget it
+			f.is.Equal(f.gangs["job/2"].ended, false)  // the later attempt goes on
+			f.report(ctx, reserver.GangEnded{Gang: "job/2", Job: "job", Outcome: reserver.OutcomeFinished})
+			f.is.True(f.decided["job"]) // its outcome counts
+		})
+	}
+}
--- a/test/process/jobs_test.go
+++ b/test/process/jobs_test.go
@@ -193,3 +193,24 @@
 	_, err = c.Client(c.Hosts[1], workshop).Job(short(patience), "refused", 0)
 	c.is.Equal(kindOf(err), model.KindNotFound)
 }
+
+// Guards against jobs that are lost when a worker that was out of reach reports, after the next attempt has started,
+// that it finished the first one.
+func TestLateFinish(t *testing.T) {
+	c := start(t, launcher.Options{Hosts: hosts(domainA)})
+	c.alone(domainA)
+	h := c.Hosts[0]
+	c.submit(h, workshop, gang("late", 1, 1200*time.Millisecond))
+	c.awaitState(patience, h, workshop, "late", model.JobRunning)
+	victim := c.busy(domainA)
+	c.is.NoErr(c.Fault(victim, fault.Faults{Frozen: true})) // its task finishes within the lease, unseen
+	c.await(patience, func(context.Context) error {
+		if n := len(c.started("late")); n != 2 {
+			return errors.Newf("%d attempts were started", n)
+		}
+		return nil
+	})
+	c.is.NoErr(c.Fault(victim, fault.Faults{}))
+	j := c.awaitState(patience, h, workshop, "late", model.JobFinished)
+	t.Logf("attempt %d counts, %d attempts were started", j.Attempt, len(c.started("late")))
+}
