Explain a job on any entry host

Cause: only the planner of a job's home could tell why it waits; other hosts answered with the name of a host to ask. Change: the method explain between entry hosts asks the planner of the home. The asking host checks the workspace, and the asked host asks no further one. Result: go test -race ./internal/peerclient passes, with a fuzz target of the line codec.

--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -100,29 +100,25 @@
 		return model.Explanation{}, err
 	}
 	x := model.Explanation{Job: id, State: job.State, Home: job.Home}
-	x.Planner, _ = d.monitor.Planner(job.Home)
-	switch {
-	case job.State.Final():
+	if job.State.Final() {
 		x.Reason = "the job has ended: " + string(job.State)
 		if job.Error != "" {
 			x.Reason += ": " + job.Error
 		}
 		return x, nil
-	case job.Home != d.settings.FailureDomain:
-		x.Reason = "the planner of the home failure domain decides about the job"
-		x.Remedy = "ask entry host " + string(x.Planner)
-		return x, nil
-	}
-	e, ok, err := d.planner.Explain(ctx, id)
-	if err != nil {
-		return x, notReady(err)
 	}
-	if !ok {
-		x.Reason = "this host does not plan the failure domain"
-		x.Remedy = "ask entry host " + string(x.Planner)
-		return x, nil
+	x.Planner, _ = d.monitor.Planner(job.Home)
+	r, err := d.askPlanner(ctx, x.Planner, id)
+	switch {
+	case err != nil:
+		x.Reason = "the planner of the home failure domain gave no answer: " + err.Error()
+		x.Remedy = "ask an entry host of failure domain " + string(job.Home) + ", or again when it is reachable"
+	case !r.Planned:
+		x.Reason = "entry host " + string(x.Planner) + " does not plan the failure domain yet"
+		x.Remedy = "ask again in a few seconds"
+	default:
+		x.Reason, x.Remedy, x.Position = r.Reason, r.Remedy, r.Position
 	}
-	x.Reason, x.Remedy, x.Position = e.Message, e.Remedy, e.Ahead+1
 	return x, nil
 }
 
--- a/internal/daemon/peer.go
+++ b/internal/daemon/peer.go
@@ -79,6 +79,29 @@
 	return out, nil
 }
 
+// ExplainJob answers from this host's own planner; it asks no further host, so that a call takes one hop at most.
+func (d *Daemon) ExplainJob(ctx context.Context, p peerclient.ExplainParams) (peerclient.ExplainResult, error) {
+	e, planned, err := d.planner.Explain(ctx, p.Job)
+	if err != nil || !planned {
+		return peerclient.ExplainResult{}, err
+	}
+	return peerclient.ExplainResult{Planned: true, Position: e.Ahead + 1, Reason: e.Message, Remedy: e.Remedy}, nil
+}
+
+// askPlanner asks this host or a peer; only the planner of the job's home knows why it waits.
+func (d *Daemon) askPlanner(ctx context.Context, host model.HostID, job model.JobID) (peerclient.ExplainResult, error) {
+	p := peerclient.ExplainParams{Job: job}
+	if host == d.settings.HostID {
+		return d.ExplainJob(ctx, p)
+	}
+	for _, m := range d.monitor.View().Members {
+		if m.Host.ID == host {
+			return d.peers.ExplainJob(ctx, m.Host.PeerAddr, p)
+		}
+	}
+	return peerclient.ExplainResult{}, errors.New("no live entry host of it is known")
+}
+
 // catchUp fetches configuration and jobs from peers when the log cannot supply them.
 func (d *Daemon) catchUp(ctx context.Context) {
 	for _, m := range d.monitor.View().Members {
--- a/internal/peerclient/client.go
+++ b/internal/peerclient/client.go
@@ -59,6 +59,11 @@
 	return r, c.call(ctx, addr, methodJobsSince, p, &r)
 }
 
+// ExplainJob asks the peer why a job of its failure domain waits.
+func (c *Client) ExplainJob(ctx context.Context, addr string, p ExplainParams) (r ExplainResult, err error) {
+	return r, c.call(ctx, addr, methodExplain, p, &r)
+}
+
 // Keep closes the connections to all addresses that are not listed.
 func (c *Client) Keep(addrs []string) {
 	keep := make(map[string]bool, len(addrs))
--- a/internal/peerclient/peerclient_test.go
+++ b/internal/peerclient/peerclient_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -12,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
+	"github.com/sourcegraph/jsonrpc2"
 
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
@@ -40,6 +42,10 @@
 	return JobsSinceResult{}, errors.New("no jobs here")
 }
 
+func (echo) ExplainJob(_ context.Context, p ExplainParams) (ExplainResult, error) {
+	return ExplainResult{Planned: true, Position: 2, Reason: "about " + string(p.Job)}, nil
+}
+
 // serve runs a server on the address and returns its address and a function that ends it.
 func serve(t *testing.T, addr string, h Handler, opts Options) (string, func()) {
 	t.Helper()
@@ -80,6 +86,9 @@
 	is.Equal(fmt.Sprintf("%d %s", r.Version, r.Data), `4 {"a":"b\n"}`)
 	_, err = c.JobsSince(t.Context(), addr, JobsSinceParams{})
 	is.True(err != nil && strings.Contains(err.Error(), "no jobs here"))
+	x, err := c.ExplainJob(t.Context(), addr, ExplainParams{Job: "j"})
+	is.NoErr(err)
+	is.Equal(x, ExplainResult{Planned: true, Position: 2, Reason: "about j"})
 }
 
 // Guards against calls from hosts without the shared secret.
@@ -181,3 +190,20 @@
 		<-accepted
 	}
 }
+
+// Guards against a panic or an unbounded buffer on arbitrary messages of a peer.
+func FuzzReadObject(f *testing.F) {
+	f.Add([]byte(`{"jsonrpc":"2.0","id":1,"method":"explain","params":{"job":"j"}}` + "\n"))
+	f.Add([]byte(`{"jsonrpc":"2.0","id":0,"result":{}}` + "\n{"))
+	f.Add([]byte("\n\x00"))
+	f.Add([]byte(strings.Repeat("[", 300)))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		r := bufio.NewReaderSize(bytes.NewReader(data), 16)
+		for range 10 {
+			var req jsonrpc2.Request
+			if (lineCodec{max: 256}).ReadObject(r, &req) != nil {
+				return
+			}
+		}
+	})
+}
--- a/internal/peerclient/server.go
+++ b/internal/peerclient/server.go
@@ -145,6 +145,8 @@
 		return dispatch(ctx, req, h.server.handler.Answer)
 	case methodJobsSince:
 		return dispatch(ctx, req, h.server.handler.JobsSince)
+	case methodExplain:
+		return dispatch(ctx, req, h.server.handler.ExplainJob)
 	}
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + req.Method}
 }
--- a/internal/peerclient/wire.go
+++ b/internal/peerclient/wire.go
@@ -14,6 +14,7 @@
 	methodConfigSince = "config-since"
 	methodAnswer      = "answer"
 	methodJobsSince   = "jobs-since"
+	methodExplain     = "explain"
 )
 
 // Heartbeat is the state of an entry host, as parameters and as the result of a heartbeat.
@@ -65,12 +66,27 @@
 	Data json.RawMessage `json:"data,omitempty"`
 }
 
+// ExplainParams asks the planner of a job's home why the job waits; the asking host has checked the workspace.
+type ExplainParams struct {
+	Job model.JobID `json:"job"`
+}
+
+// ExplainResult holds what the peer knows; Planned is false when the peer does not plan its failure domain.
+type ExplainResult struct {
+	Planned  bool   `json:"planned"`
+	Position int    `json:"position,omitempty"` // in the order of the planner, 1 is next
+	Reason   string `json:"reason,omitempty"`
+	Remedy   string `json:"remedy,omitempty"`
+}
+
 // Handler answers the calls of peers; it is called from several goroutines.
 type Handler interface {
 	Heartbeat(context.Context, Heartbeat) (Heartbeat, error)
 	ConfigSince(context.Context, ConfigSinceParams) (ConfigSinceResult, error)
 	Answer(context.Context, AnswerParams) (AnswerResult, error)
 	JobsSince(context.Context, JobsSinceParams) (JobsSinceResult, error)
+	// ExplainJob answers from this host's own planner and never asks a further host.
+	ExplainJob(context.Context, ExplainParams) (ExplainResult, error)
 }
 
 // hello is the first call on a connection.
