Count the control traffic of an entry host per kind of peer

Cause: the control budget of the design (3% of a core, 64 MB, 13 KB/s) could not be checked, because nothing counted bytes, messages or processor time. Change: package meter wraps the connections to workers, the log and the host list, and those that peers open; /debug/vars shows them as control-bytes and control-messages, and processor time and memory under process. Connections that this host opens to peers are not counted yet; with symmetric heartbeats they carry the same again. Result: go test -race of the five packages passes.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"chestnutmux.example/chestnutmux/internal/claimer"
 	"chestnutmux.example/chestnutmux/internal/hostclient"
 	"chestnutmux.example/chestnutmux/internal/logclient"
+	"chestnutmux.example/chestnutmux/internal/meter"
 	"chestnutmux.example/chestnutmux/internal/monitor"
 	"chestnutmux.example/chestnutmux/internal/peerclient"
 	"chestnutmux.example/chestnutmux/internal/planner"
@@ -37,6 +38,7 @@
 	settings settings.Settings
 	logger   hclog.Logger
 	recorder *recorder.Recorder
+	meter    *meter.Meter
 	asserter *asserter.Asserter
 
 	config  *configTask
@@ -70,7 +72,7 @@
 		_ = httpListener.Close()
 		return errors.Wrap(err, "daemon: cannot listen; check the setting peer-listen")
 	}
-	return d.serve(ctx, httpListener, peerListener)
+	return d.serve(ctx, httpListener, d.meter.Listener(meter.KindPeer, peerListener))
 }
 
 func newDaemon(s settings.Settings, logger hclog.Logger) *Daemon {
@@ -78,9 +80,10 @@
 		settings: s, logger: logger, recorder: recorder.New(), startedAt: time.Now(), stop: make(chan struct{}),
 		asserter: &asserter.Asserter{Logger: logger},
 	}
-	log := logclient.New(s.LogURL, s.HostID, nil)
-	d.hosts = hostclient.NewClient(strings.TrimPrefix(s.HostListURL, "http://"), s.HostID)
-	d.workers = workerclient.NewClient(s.HostID)
+	d.meter = meter.New(d.recorder.Bytes, d.recorder.Messages)
+	log := logclient.New(s.LogURL, s.HostID, logclient.NewHTTP(d.meter.Dialer(meter.KindLog)))
+	d.hosts = hostclient.NewClient(strings.TrimPrefix(s.HostListURL, "http://"), s.HostID, d.meter.Dialer(meter.KindHostList))
+	d.workers = workerclient.NewClient(s.HostID, d.meter.Dialer(meter.KindWorker))
 	d.peers = peerclient.NewClient(d.peerOptions())
 	d.config = newConfigTask(log, d.newAppender(log, logclient.StreamConfig), d.asserter, logger, d.configChanged)
 	d.jobs = newJobsTask(s.HostID, s.FailureDomain, log, d.newAppender(log, logclient.StreamJobs))
--- a/internal/hostclient/client.go
+++ b/internal/hostclient/client.go
@@ -17,6 +17,9 @@
 // maxList bounds the host list; the design size has about ten thousand hosts of 200 bytes.
 const maxList = 16 << 20
 
+// Dial opens a connection; it has the type of http.Transport.DialContext.
+type Dial = func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // Client reads the host list and keeps the last one.
 type Client struct {
 	url  string
@@ -37,13 +40,15 @@
 // Age returns how old the list is at most.
 func (s Snapshot) Age(now time.Time) time.Duration { return now.Sub(s.ReadAt) }
 
-// NewClient returns a client of the entry host for the service at the address.
-func NewClient(addr string, host model.HostID) *Client {
-	dialer := &net.Dialer{Timeout: time.Second}
+// NewClient returns a client of the entry host for the service at the address; a nil dial means plain TCP.
+func NewClient(addr string, host model.HostID, dial Dial) *Client {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: time.Second}).DialContext
+	}
 	return &Client{url: "http://" + addr + "/v1/hosts", host: host, http: &http.Client{
 		Timeout: 5 * time.Second,
 		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext:         dial,
 			MaxIdleConnsPerHost: 1,
 			IdleConnTimeout:     time.Minute,
 		},
--- a/internal/hostclient/client_test.go
+++ b/internal/hostclient/client_test.go
@@ -25,7 +25,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}))
 	defer srv.Close()
-	c := NewClient(strings.TrimPrefix(srv.URL, "http://"), "h1")
+	c := NewClient(strings.TrimPrefix(srv.URL, "http://"), "h1", nil)
 	is.True(c.Last().ReadAt.IsZero())
 	before := time.Now()
 	first := c.Read(t.Context())
--- a/internal/logclient/client.go
+++ b/internal/logclient/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -37,11 +38,18 @@
 // New returns a client for the log service at base ("http://host:port"); a nil hc means a client of its own.
 func New(base string, host model.HostID, hc *http.Client) *Client {
 	if hc == nil {
-		hc = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: 90 * time.Second}}
+		hc = NewHTTP(nil)
 	}
 	return &Client{base: strings.TrimRight(base, "/"), host: host, http: hc}
 }
 
+// NewHTTP returns the HTTP client that New uses, with connections that dial opens; nil means plain TCP.
+func NewHTTP(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dial, MaxIdleConnsPerHost: 8, IdleConnTimeout: 90 * time.Second,
+	}}
+}
+
 // Append appends one record and returns its offset; the error is a *model.Error that says not-run or unknown.
 func (c *Client) Append(ctx context.Context, s Stream, id string, data json.RawMessage) (model.Offset, error) {
 	body, err := json.Marshal(AppendRequest{ID: id, Data: data})
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -4,9 +4,9 @@
 	"encoding/json"
 	"expvar"
 	"net/http"
-	"runtime"
 	"time"
 
+	"chestnutmux.example/chestnutmux/internal/meter"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
@@ -28,7 +28,7 @@
 	Retries  *expvar.Map // retried requests by workspace
 	Appends  *expvar.Map // log appends by stream
 	Bytes    *expvar.Map // control traffic by peer kind and direction
-	Messages *expvar.Map // control messages by peer kind
+	Messages *expvar.Map // control messages by peer kind and direction
 }
 
 // New returns a recorder with all metrics registered.
@@ -84,13 +84,4 @@
 	return json.RawMessage(r.vars.String())
 }
 
-func processVars() any {
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return map[string]any{
-		"goroutines":       runtime.NumGoroutine(),
-		"heap-alloc-bytes": m.HeapAlloc,
-		"sys-bytes":        m.Sys,
-		"gc-count":         m.NumGC,
-	}
-}
+func processVars() any { return meter.ReadProcess() }
--- a/internal/workerclient/client.go
+++ b/internal/workerclient/client.go
@@ -35,18 +35,23 @@
 	return errors.As(err, &e) && e.Outcome == model.OutcomeNotRun
 }
 
+// Dial opens a connection; it has the type of http.Transport.DialContext.
+type Dial = func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // Client sends batches to workers and keeps connections for reuse.
 type Client struct {
 	host model.HostID
 	http *http.Client
 }
 
-// NewClient returns a client that names this host in its requests.
-func NewClient(host model.HostID) *Client {
-	dialer := &net.Dialer{Timeout: time.Second}
+// NewClient returns a client that names this host in its requests; a nil dial means plain TCP.
+func NewClient(host model.HostID, dial Dial) *Client {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: time.Second}).DialContext
+	}
 	return &Client{host: host, http: &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext:         dial,
 			MaxIdleConnsPerHost: 1, // one batch at a time goes to a worker
 			MaxConnsPerHost:     2,
 			IdleConnTimeout:     2 * time.Minute, // longer than two polls at the design size
--- a/internal/workerclient/client_test.go
+++ b/internal/workerclient/client_test.go
@@ -33,7 +33,7 @@
 		_ = json.NewEncoder(w).Encode(Reply{Worker: "w", Term: b.Term, Results: []Result{{Task: b.Ops[0].Task}}})
 	}))
 	defer srv.Close()
-	c := NewClient("h1")
+	c := NewClient("h1", nil)
 	defer c.Close()
 	addr := strings.TrimPrefix(srv.URL, "http://")
 	r, err := c.Send(t.Context(), addr, Batch{Term: model.Term{Number: 4}})
@@ -62,7 +62,7 @@
 			_ = json.NewDecoder(r.Body).Decode(&b) // the server notices a lost client only after the body
 			answers[name](w, r)
 		}))
-		c := NewClient("h1")
+		c := NewClient("h1", nil)
 		_, err := c.Send(ctx, strings.TrimPrefix(srv.URL, "http://"), Batch{})
 		is.True(err != nil && !IsNotRun(err)) // unknown
 		c.Close()
@@ -71,7 +71,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	l.Close()
-	c := NewClient("h1")
+	c := NewClient("h1", nil)
 	short, stop := context.WithTimeout(t.Context(), 5*time.Second)
 	defer stop()
 	_, err = c.Send(short, l.Addr().String(), Batch{})
