Order lent work beyond a workspace's share last

Strict order by urgency lets a flood of urgent work of one workspace hold up the less urgent lent work of all others. Lent work beyond the workspace's share by weight now waits until everybody else's has been looked at.

--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -36,6 +36,8 @@
 	noCell   map[cellKey]bool
 	frozen   map[model.WorkspaceID]bool // an aged job waits for the quota
 	aged     *job
+	share    float64      // accelerators per weight
+	beyond   [levels]bool // some job of the level waits for the others because of its workspace's share
 	held     int
 	holder   model.JobID
 	rank     int
@@ -62,6 +64,7 @@
 	}
 	p.number++
 	p.undone = false
+	p.share, p.beyond = s.fairShare(), [levels]bool{}
 	clear(p.failed)
 	clear(p.noCell)
 	clear(p.frozen)
@@ -81,7 +84,12 @@
 		s.serveAged(now)
 		for lv := range level(levels) {
 			s.each(lv, now, s.tryGuaranteed)
-			s.each(lv, now, s.tryLent)
+			s.each(lv, now, s.tryWithinShare)
+		}
+		for lv := range level(levels) {
+			if p.beyond[lv] {
+				s.each(lv, now, s.tryLent)
+			}
 		}
 		s.repeatPreempts(now)
 	}
@@ -162,6 +170,30 @@
 	return true
 }
 
+// fairShare divides the accelerators by weight among the workspaces that use or want some.
+func (s *Scheduler) fairShare() float64 {
+	total, _ := s.alloc.Totals()
+	sum := 0.0
+	for _, a := range s.workspaces {
+		if a.waiting > 0 || a.rate > 0 {
+			sum += max(a.weight, 1)
+		}
+	}
+	return float64(total) / max(sum, 1)
+}
+
+// tryWithinShare leaves lent work beyond the fair share of its workspace for
+// the end of the pass, so that a flood of urgent work does not keep the less
+// urgent work of other workspaces from running.
+func (s *Scheduler) tryWithinShare(j *job) bool {
+	w := j.spec.Workspace
+	if t := j.spec.Shape.Total(); t > 0 && float64(s.used[w]+t) > s.pass.share*max(s.workspace(w).weight, 1) {
+		s.pass.beyond[j.level] = true
+		return false
+	}
+	return s.tryLent(j)
+}
+
 // tryLent starts a job on any room, or gives it a reservation when it is the first without room.
 func (s *Scheduler) tryLent(j *job) bool {
 	j.ahead = s.pass.rank
--- a/internal/scheduler/policy_test.go
+++ b/internal/scheduler/policy_test.go
@@ -144,6 +144,26 @@
 	is.True(before-2*a.key(late) < 1e-6*before && before-2*a.key(late) > -1e-6*before)
 }
 
+// TestUrgentFlood guards against a flood of urgent work that takes the share of other workspaces.
+func TestUrgentFlood(t *testing.T) {
+	is := is.New(t)
+	s := New(Options{})
+	s.SetConfig(config(1, 8, 0), domain)
+	for i := range 40 {
+		s.Submit(work(fmt.Sprint("flood", i), "a", "urgent", 1, 8), start)
+	}
+	for i := range 3 {
+		s.Submit(work(fmt.Sprint("plan", i), "b", "batch", 1, 8), start)
+	}
+	addWorkers(s, 1)
+	count := map[model.WorkspaceID]int{}
+	for _, d := range starts(s.Pass(start)) {
+		count[s.jobs[d.Job].spec.Workspace]++
+	}
+	is.Equal(count["b"], 3) // within its half
+	is.Equal(count["a"], 5) // its half, and what b leaves
+}
+
 // TestFaults guards against a worker that fails every task taking jobs down, and against endless retries of a faulty job.
 func TestFaults(t *testing.T) {
 	is := is.New(t)
