Test a takeover with a worker out of reach

Cause: no test showed that the next planner waits for the lease of a task on a worker that it cannot reach; the jobs of another test could end unobserved. Change: the test, and jobs that are submitted at once and watched together.

--- a/test/process/planner_test.go
+++ b/test/process/planner_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"chestnutmux.example/chestnutmux/internal/fake/fault"
 	"chestnutmux.example/chestnutmux/internal/fake/launcher"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
@@ -15,15 +18,27 @@
 // takeover bounds the time until work is planned again after the planner was killed (design 7).
 const takeover = 2500 * time.Millisecond
 
-// load submits a running gang and n queued jobs that follow it.
+// load submits n gangs of three at once, more than fit, and waits until one of them runs.
 func (c *cluster) load(h *launcher.Host, n int, run time.Duration) []model.JobID {
 	c.t.Helper()
-	jobs := []model.JobID{}
+	jobs, errs := make([]model.JobID, n), make([]error, n)
+	var wg sync.WaitGroup
 	for i := range n {
-		j := c.submit(h, workshop, gang(fmt.Sprintf("job-%d", i), 3, run))
-		jobs = append(jobs, j.Spec.ID)
+		wg.Go(func() {
+			spec := gang(fmt.Sprintf("job-%d", i), 3, run)
+			jobs[i] = spec.ID
+			_, errs[i] = c.Client(h, workshop).Submit(short(patience), spec)
+		})
 	}
-	c.awaitState(patience, h, workshop, jobs[0], model.JobRunning)
+	wg.Wait()
+	c.is.NoErr(errors.Join(errs...))
+	c.await(patience, func(ctx context.Context) error {
+		list, err := c.Client(h, workshop).Jobs(ctx)
+		if err == nil && !slices.ContainsFunc(list, func(j model.Job) bool { return j.State == model.JobRunning }) {
+			err = errors.New("no job runs")
+		}
+		return err
+	})
 	return jobs
 }
 
@@ -86,6 +101,30 @@
 	t.Logf("%d members started again", again)
 }
 
+// Guards against a next planner that starts a job again while its earlier attempt still runs on a worker that the
+// planner cannot reach.
+func TestTakeoverWithWorkerOutOfReach(t *testing.T) {
+	c := start(t, launcher.Options{Hosts: hosts(domainA)})
+	c.alone(domainA)
+	first := c.planner(domainA)
+	second := c.other(first)
+	c.submit(second, workshop, gang("apart", 1, 5*time.Second))
+	c.awaitState(patience, second, workshop, "apart", model.JobRunning)
+	victim := c.busy(domainA)
+	c.is.NoErr(c.Fault(victim, fault.Faults{Cut: ids(c.Hosts)}))
+	c.is.NoErr(c.Kill(first))
+	begun := time.Now()
+	c.await(patience, func(context.Context) error {
+		if n := len(c.started("apart")); n != 2 {
+			return errors.Newf("%d attempts were started", n)
+		}
+		return nil
+	})
+	t.Logf("the job was started again %s after the kill; the lease is %s", time.Since(begun), lease)
+	c.is.NoErr(c.Fault(victim, fault.Faults{}))
+	c.awaitState(patience, second, workshop, "apart", model.JobFinished)
+}
+
 // Guards against jobs lost or doubled when no entry host of a failure domain is left for a while.
 func TestAllEntryHostsKilled(t *testing.T) {
 	for _, down := range []time.Duration{0, lease + time.Second} {
