--- a/test/capacity/fleet.go
+++ b/test/capacity/fleet.go
@@ -12,7 +12,7 @@
 
 const (
 	measured model.DomainID = "kartli-a"
-	operator                = "capacity-operator"
+	operator string         = "capacity-operator"
 	// teams and regions are those of the design size.
 	teams   = 120
 	regions = 3
