Test planners that race

Cause: no test failed when workers accepted batches of a lower term. Change: a test whose entry hosts are cut off from each other while both reach all workers.

--- a/test/process/planner_test.go
+++ b/test/process/planner_test.go
@@ -101,6 +101,30 @@
 	t.Logf("%d members started again", again)
 }
 
+// Guards against two planners of a failure domain that both start jobs: its entry hosts are cut off from each other,
+// so that each of them takes the other for failed, while both reach the log and all workers.
+func TestRacingPlanners(t *testing.T) {
+	c := start(t, launcher.Options{Hosts: hosts(domainA), Relays: true})
+	c.alone(domainA)
+	jobs := c.load(c.Hosts[0], 4, time.Second)
+	c.is.NoErr(c.Partition(ids(c.Hosts[:1]), ids(c.Hosts[1:]), false))
+	for i := range 12 {
+		spec := gang(fmt.Sprintf("racing-%d", i), 3, time.Second)
+		jobs = append(jobs, c.submit(c.Hosts[i%2], workshop, spec).Spec.ID)
+		time.Sleep(300 * time.Millisecond)
+	}
+	c.is.NoErr(c.Heal())
+	again := c.awaitAll(c.Hosts[0], jobs)
+	var terms uint64
+	for _, h := range c.Hosts {
+		s, err := c.Client(h, operator1).Status(short(patience))
+		c.is.NoErr(err)
+		terms = max(terms, s.Term.Number)
+	}
+	t.Logf("%d terms, %d members started again", terms, again)
+	c.is.True(terms >= 3) // the hosts did race
+}
+
 // Guards against a next planner that starts a job again while its earlier attempt still runs on a worker that the
 // planner cannot reach.
 func TestTakeoverWithWorkerOutOfReach(t *testing.T) {
