--- a/internal/claimer/run.go
+++ b/internal/claimer/run.go
@@ -86,7 +86,7 @@
 // spent refuses a request whose claim may be in the log. The claim is never used, so not-run is certain.
 func spent(kind model.ErrorKind, message string) Decision {
 	d := refuse(kind, message, spentRemedy)
-	d.Spent = true
+	d.Spent, d.Err.SpentID = true, true
 	return d
 }
 
@@ -163,7 +163,7 @@
 		if e := res.Error; e != nil && e.Outcome == model.OutcomeNotRun {
 			// Other hosts may already have passed this result on, so a repeat must not run the request.
 			spentErr := *e
-			spentErr.Remedy = spentRemedy
+			spentErr.Remedy, spentErr.SpentID = spentRemedy, true
 			res.Error = &spentErr
 		}
 	case VerdictLost:
@@ -194,7 +194,7 @@
 func refused(req Request, err *model.Error) Result {
 	if req.Repeat {
 		e := unknown(err.Kind, err.Message)
-		e.RetryAfterMS = err.RetryAfterMS
+		e.RetryAfterMS, e.SpentID = err.RetryAfterMS, err.SpentID
 		return failed(req, e)
 	}
 	return failed(req, err)
--- a/pkg/model/error.go
+++ b/pkg/model/error.go
@@ -46,6 +46,7 @@
 	Message      string    `json:"message"`
 	Remedy       string    `json:"remedy,omitempty"`
 	RetryAfterMS Millis    `json:"retry-after-ms,omitempty"`
+	SpentID      bool      `json:"spent-id,omitempty"` // the request id can't be used again, a repeat needs a new one
 	Faults       []Fault   `json:"faults,omitempty"`
 }
 
--- /dev/null
+++ b/pkg/parser/jobs.go
@@ -0,0 +1,42 @@
+package parser
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tailscale/hujson"
+
+	"chestnutmux.example/chestnutmux/pkg/model"
+)
+
+// ParseJobs reads a list of jobs strictly: unknown fields, repeated names and repeated ids are errors.
+func ParseJobs(data []byte) ([]model.JobSpec, error) {
+	v, err := hujson.Parse(data)
+	if err != nil {
+		return nil, errors.Wrap(err, "parser: the file is no JSON with comments; correct the syntax")
+	}
+	list, ok := v.Value.(*hujson.Array)
+	if !ok || len(list.Elements) == 0 {
+		return nil, syntaxError(data, v.StartOffset, "a list of jobs is expected, like [{\"class\": ...}]")
+	}
+	if err := checkRepeats(data, v); err != nil {
+		return nil, err
+	}
+	v.Standardize() // replaces comments by blanks, so that offsets stay
+	var specs []model.JobSpec
+	d := json.NewDecoder(bytes.NewReader(v.Pack()))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&specs); err != nil {
+		return nil, located(data, d.InputOffset(), err)
+	}
+	seen := make(map[model.JobID]bool, len(specs))
+	for i, s := range specs {
+		if s.ID != "" && seen[s.ID] {
+			return nil, syntaxError(data, list.Elements[i].StartOffset, fmt.Sprintf("the job id %q is given twice", s.ID))
+		}
+		seen[s.ID] = true
+	}
+	return specs, nil
+}
