--- a/internal/cli/bench.go
+++ b/internal/cli/bench.go
@@ -22,7 +22,7 @@
 
 // Help shows examples.
 func (benchCommand) Help() string {
-	return "chestnutmux bench\nchestnutmux bench urgent --fleet design --domains 1 --length 6h --json"
+	return examples("chestnutmux bench", "chestnutmux bench urgent --fleet design --domains 1 --length 6h --json")
 }
 
 // Run measures the policy.
@@ -33,6 +33,7 @@
 			continue
 		}
 		known = true
+		e.progress("measuring %s on %s", s.Name, c.Fleet)
 		r := s.Run(bencher.Options{Fleet: c.fleet(), Seed: c.Seed, Length: c.Length})
 		for _, check := range r.Checks {
 			if !check.Met {
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -5,9 +5,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net/url"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
+	"text/tabwriter"
+	"time"
 
 	"github.com/alecthomas/kong"
 	"github.com/cockroachdb/errors"
@@ -20,12 +24,15 @@
 const (
 	ExitOK       = 0
 	ExitFailure  = 1 // any other failure; also a job that did not finish
-	ExitUsage    = 2 // wrong flag or file
+	ExitUsage    = 2 // wrong flag, file or request
 	ExitNotRun   = 3 // the request was certainly not run
 	ExitUnknown  = 4 // the outcome is unknown; repeat with the same id
-	ExitConflict = 5 // another operator published first
+	ExitConflict = 5 // another operator published first, or the id belongs to other work
 )
 
+// requestTimeout bounds one exchange with an entry host, long poll included.
+const requestTimeout = 30 * time.Second
+
 // remote holds the flags of commands that talk to an entry host.
 type remote struct {
 	Server string `help:"URL of an entry host or of the balancer." default:"http://127.0.0.1:7001" env:"CHESTNUTMUX_SERVER"`
@@ -33,6 +40,18 @@
 	JSON   bool   `help:"Print JSON instead of text."`
 }
 
+// AfterApply checks the flags before the command runs.
+func (r *remote) AfterApply() error {
+	u, err := url.Parse(r.Server)
+	if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
+		return errors.Newf("--server %q is no URL; write it like http://10.0.0.1:7001", r.Server)
+	}
+	if r.Token == "" {
+		return errors.New("no token; give --token or set CHESTNUTMUX_TOKEN")
+	}
+	return nil
+}
+
 func (r *remote) client() *client.Client {
 	return &client.Client{Base: r.Server, Token: r.Token}
 }
@@ -40,10 +59,16 @@
 // env is handed to each command.
 type env struct {
 	ctx context.Context
+	in  io.Reader
 	out io.Writer
 	err io.Writer
 }
 
+// short returns a context for one exchange with an entry host.
+func (e *env) short() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(e.ctx, requestTimeout)
+}
+
 // printJSON writes v as one line.
 func (e *env) printJSON(v any) error {
 	return json.NewEncoder(e.out).Encode(v)
@@ -53,15 +78,37 @@
 	fmt.Fprintf(e.out, format, args...)
 }
 
+// progress writes a line for a person who waits; it is no part of the result.
+func (e *env) progress(format string, args ...any) {
+	fmt.Fprintf(e.err, format+"\n", args...)
+}
+
+// table writes rows in aligned columns below their headings.
+func (e *env) table(heading string, rows [][]any) {
+	if len(rows) == 0 {
+		return
+	}
+	w := tabwriter.NewWriter(e.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, heading)
+	for _, row := range rows {
+		cells := make([]string, len(row))
+		for i, cell := range row {
+			cells[i] = fmt.Sprint(cell)
+		}
+		fmt.Fprintln(w, strings.TrimRight(strings.Join(cells, "\t"), "\t"))
+	}
+	_ = w.Flush()
+}
+
 type commands struct {
 	Serve    serveCommand    `cmd:"" help:"Run an entry host."`
 	Check    checkCommand    `cmd:"" help:"Check a configuration or settings file."`
 	Publish  publishCommand  `cmd:"" help:"Publish a configuration file."`
 	Diff     diffCommand     `cmd:"" help:"Show what a publish of the file would change."`
-	Submit   submitCommand   `cmd:"" help:"Submit a job."`
+	Submit   submitCommand   `cmd:"" help:"Submit a job, or all jobs of a file."`
 	Cancel   cancelCommand   `cmd:"" help:"Cancel jobs."`
 	Call     callCommand     `cmd:"" help:"Send a service request and print the answer."`
-	Status   statusCommand   `cmd:"" help:"Show an entry host, or the jobs of a workspace."`
+	Status   statusCommand   `cmd:"" help:"Show an entry host and what it knows, or jobs."`
 	Explain  explainCommand  `cmd:"" help:"Tell why a job waits and what would let it start."`
 	LogLevel logLevelCommand `cmd:"" help:"Change the log level of an entry host until it restarts."`
 	Drain    drainCommand    `cmd:"" help:"Shut an entry host down gracefully."`
@@ -69,38 +116,46 @@
 	Version  versionCommand  `cmd:"" help:"Print the version."`
 }
 
-// exit carries the code of kong's own exits (help, usage) through a panic-free path.
-type exit struct {
-	code *int
+// examples formats example commands for the help text, which keeps indented lines as they are.
+func examples(lines ...string) string {
+	return "Examples:\n\n  " + strings.Join(lines, "\n  ")
 }
 
 // Run parses args, runs one command and returns the exit code.
 func Run(args []string) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	return run(&env{ctx: ctx, out: os.Stdout, err: os.Stderr}, args)
+	return run(&env{ctx: ctx, in: os.Stdin, out: os.Stdout, err: os.Stderr}, args)
 }
 
-func run(e *env, args []string) int {
-	var cmds commands
-	var exited exit
-	parser, err := kong.New(&cmds,
+// newParser returns the parser of the command line; exit is called instead of os.Exit.
+func newParser(e *env, exit func(int)) (*kong.Kong, error) {
+	return kong.New(&commands{},
 		kong.Name("chestnutmux"),
-		kong.Description("Scheduler for multi-accelerator jobs and service requests under workspace guarantees."),
-		kong.UsageOnError(),
+		kong.Description("Scheduler for multi-accelerator jobs and service requests under workspace guarantees.\n\n"+
+			"Exit codes: 0 done, 1 failed, 2 wrong flag or file, 3 not run, 4 outcome unknown, 5 conflict."),
 		kong.Writers(e.out, e.err),
-		kong.Exit(func(code int) { exited.code = &code }),
+		kong.Exit(exit),
 	)
+}
+
+func run(e *env, args []string) int {
+	exited := -1
+	parser, err := newParser(e, func(code int) {
+		if exited < 0 {
+			exited = code
+		}
+	})
 	if err != nil {
 		fmt.Fprintln(e.err, "chestnutmux:", err)
 		return ExitFailure
 	}
 	kctx, err := parser.Parse(args)
-	if exited.code != nil {
-		return *exited.code
+	if exited >= 0 { // after --help
+		return exited
 	}
 	if err != nil {
-		fmt.Fprintf(e.err, "chestnutmux: %v; see chestnutmux --help\n", err)
+		fmt.Fprintf(e.err, "chestnutmux: %v; see chestnutmux %s--help\n", err, commandOf(err))
 		return ExitUsage
 	}
 	if err := kctx.Run(e); err != nil {
@@ -110,6 +165,18 @@
 	return ExitOK
 }
 
+// commandOf names the command that the flags of a failed parse belong to, for a hint to its help.
+func commandOf(err error) string {
+	var failed *kong.ParseError
+	if !errors.As(err, &failed) || failed.Context == nil {
+		return ""
+	}
+	if name := failed.Context.Command(); name != "" {
+		return strings.Fields(name)[0] + " "
+	}
+	return ""
+}
+
 // usageError marks a wrong flag or file.
 type usageError struct{ error }
 
@@ -126,12 +193,14 @@
 		return ExitFailure
 	}
 	switch {
+	case e.Outcome == model.OutcomeUnknown:
+		return ExitUnknown
 	case e.Kind == model.KindConflict:
 		return ExitConflict
+	case e.Kind == model.KindInvalid:
+		return ExitUsage
 	case e.Outcome == model.OutcomeNotRun:
 		return ExitNotRun
-	case e.Outcome == model.OutcomeUnknown:
-		return ExitUnknown
 	}
 	return ExitFailure
 }
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -1,7 +1,6 @@
 package cli
 
 import (
-	"os"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -16,11 +15,12 @@
 type checkCommand struct {
 	File     string `arg:"" help:"Configuration file, JSON with comments."`
 	Settings bool   `help:"The file holds the settings of an entry host."`
+	JSON     bool   `help:"Print JSON instead of text."`
 }
 
 // Help shows examples.
 func (checkCommand) Help() string {
-	return "chestnutmux check config.hujson\nchestnutmux check --settings entry.hujson"
+	return examples("chestnutmux check config.hujson", "chestnutmux check --settings entry.hujson")
 }
 
 // Run checks the file without an entry host.
@@ -29,24 +29,33 @@
 		if _, err := settings.Load(c.File); err != nil {
 			return usageError{err}
 		}
-		e.printf("%s: no faults\n", c.File)
-		return nil
+		return c.done(e)
 	}
-	set, err := readSet(c.File)
+	set, err := readSet(e, c.File)
 	if err != nil {
 		return err
 	}
 	if faults := validator.Check(set); len(faults) > 0 {
+		if c.JSON {
+			return errors.CombineErrors(usageError{errors.Newf("%d faults", len(faults))}, e.printJSON(map[string]any{"faults": faults}))
+		}
 		return usageError{faultsError(c.File, faults)}
 	}
+	return c.done(e)
+}
+
+func (c *checkCommand) done(e *env) error {
+	if c.JSON {
+		return e.printJSON(map[string]any{"faults": []model.Fault{}})
+	}
 	e.printf("%s: no faults\n", c.File)
 	return nil
 }
 
-func readSet(path string) (model.Set, error) {
-	data, err := os.ReadFile(path)
+func readSet(e *env, path string) (model.Set, error) {
+	data, err := e.readFile(path)
 	if err != nil {
-		return model.Set{}, usageError{errors.Wrap(err, "cannot read the configuration; check the path")}
+		return model.Set{}, err
 	}
 	set, err := parser.Parse(data)
 	if err != nil {
@@ -75,12 +84,14 @@
 
 // Help shows examples.
 func (publishCommand) Help() string {
-	return "chestnutmux publish config.hujson\nchestnutmux publish --base 41 config.hujson"
+	return examples("chestnutmux publish config.hujson", "chestnutmux publish --base 41 config.hujson") +
+		"\n\nThe file is the whole configuration: publishing an earlier file rolls back. With --base the publish is " +
+		"refused when an object that it changes was changed after that version."
 }
 
 // Run publishes what differs from the configuration in force.
 func (c *publishCommand) Run(e *env) error {
-	changes, current, err := c.changes(e)
+	changed, current, err := changes(e, &c.remote, c.File)
 	if err != nil {
 		return err
 	}
@@ -88,27 +99,33 @@
 	if base < 0 {
 		base = current
 	}
-	if len(changes) == 0 {
+	if len(changed) == 0 {
 		return c.print(e, current, 0)
 	}
-	version, err := c.client().Publish(e.ctx, model.Publish{Base: base, Schema: validator.Schema, Changes: changes})
+	e.progress("publishing %d changes based on version %d", len(changed), base)
+	ctx, stop := e.short()
+	defer stop()
+	version, err := c.client().Publish(ctx, model.Publish{Base: base, Schema: validator.Schema, Changes: changed})
 	if err != nil {
 		return withFaults(c.File, err)
 	}
-	return c.print(e, version, len(changes))
+	return c.print(e, version, len(changed))
 }
 
-func (c *publishCommand) changes(e *env) ([]model.Change, model.Version, error) {
-	set, err := readSet(c.File)
+// changes returns what turns the configuration in force into that of the file.
+func changes(e *env, r *remote, path string) ([]model.Change, model.Version, error) {
+	set, err := readSet(e, path)
 	if err != nil {
 		return nil, 0, err
 	}
-	current, err := c.client().Config(e.ctx)
+	ctx, stop := e.short()
+	defer stop()
+	current, err := r.client().Config(ctx)
 	if err != nil {
 		return nil, 0, err
 	}
-	changes, err := differ.Diff(current.Set, set)
-	return changes, current.Version, err
+	diff, err := differ.Diff(current.Set, set)
+	return diff, current.Version, err
 }
 
 func (c *publishCommand) print(e *env, version model.Version, changed int) error {
@@ -129,20 +146,26 @@
 }
 
 type diffCommand struct {
-	publishCommand
+	remote
+	File string `arg:"" help:"Configuration file, JSON with comments."`
+}
+
+// Help shows examples.
+func (diffCommand) Help() string {
+	return examples("chestnutmux diff config.hujson", "chestnutmux diff --json config.hujson")
 }
 
 // Run prints the changes without publishing them.
 func (c *diffCommand) Run(e *env) error {
-	changes, version, err := c.changes(e)
+	changed, version, err := changes(e, &c.remote, c.File)
 	if err != nil {
 		return err
 	}
 	if c.JSON {
-		return e.printJSON(map[string]any{"version": version, "changes": changes})
+		return e.printJSON(map[string]any{"version": version, "changes": changed})
 	}
 	e.printf("against version %d\n", version)
-	for _, ch := range changes {
+	for _, ch := range changed {
 		if ch.Spec == nil {
 			e.printf("- %s %s\n", ch.Kind, ch.Name)
 			continue
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -15,7 +15,8 @@
 
 // Help shows examples.
 func (serveCommand) Help() string {
-	return "chestnutmux serve --settings entry.hujson"
+	return examples("chestnutmux check --settings entry.hujson", "chestnutmux serve --settings entry.hujson") +
+		"\n\nLogs are JSON lines on standard error. SIGTERM shuts down gracefully."
 }
 
 // Run serves until SIGTERM, then shuts down gracefully.
