Bound each request and keep workspaces apart

Cause: requests that net/http refuses itself got plain text, slow readers could hold a connection for ever, and one name space of job ids let the callers of a workspace find out or take the ids of another. /debug/vars showed loads of all workspaces. Job ids are known inside as <workspace>:<id>, and texts for callers name no job of another workspace. /debug/vars takes an operator's token. GET /status is a read-only page; without a token it tells readiness only.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -56,7 +56,7 @@
 	for i := range b.jobs {
 		if b.jobs[i].Spec.ID == id {
 			b.jobs[i].State, b.jobs[i].Attempt = model.JobFinished, 1
-			if id == "bad" {
+			if id == "w:bad" {
 				b.jobs[i].State, b.jobs[i].Error = model.JobFailed, "exit status 1"
 			}
 			return b.jobs[i], b.err
@@ -218,13 +218,13 @@
 func TestCancelAll(t *testing.T) {
 	is := is.New(t)
 	b := &backend{jobs: []model.Job{
-		{Spec: model.JobSpec{ID: "a"}, State: model.JobQueued},
-		{Spec: model.JobSpec{ID: "b"}, State: model.JobFinished},
-		{Spec: model.JobSpec{ID: "c"}, State: model.JobRunning},
+		{Spec: model.JobSpec{ID: "w:a"}, State: model.JobQueued},
+		{Spec: model.JobSpec{ID: "w:b"}, State: model.JobFinished},
+		{Spec: model.JobSpec{ID: "w:c"}, State: model.JobRunning},
 	}}
 	r := execute(t, b, "caller", "cancel", "--all", "--json")
 	is.Equal(r.code, ExitOK)
-	is.Equal(b.cancelled, []model.JobID{"a", "c"})
+	is.Equal(b.cancelled, []model.JobID{"w:a", "w:c"})
 	is.Equal(r.out, `{"cancelled":["a","c"]}`+"\n")
 }
 
@@ -271,7 +271,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			b := &backend{jobs: []model.Job{{Spec: model.JobSpec{ID: "j"}, State: model.JobQueued}}}
+			b := &backend{jobs: []model.Job{{Spec: model.JobSpec{ID: "w:j"}, State: model.JobQueued}}}
 			r := execute(t, b, c.token, append([]string{"status"}, c.args...)...)
 			is.True(strings.Contains(r.out, c.want))
 			is.Equal(r.code != ExitOK, c.want == "")
--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -64,8 +64,9 @@
 	return d.jobs.submit(ctx, spec)
 }
 
-// maxJobID bounds the ids that callers choose; they are kept in memory and in the log.
-const maxJobID = 128
+// maxJobID bounds the ids of jobs, a workspace of 63 characters and a caller's id of 128; they are kept in memory
+// and in the log.
+const maxJobID = 192
 
 // checkJobID refuses ids that would make gang ids, "<job>/<attempt>", ambiguous.
 func checkJobID(id model.JobID) error {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -158,7 +158,7 @@
 	group.Go(func() error { return peerclient.NewServer(d, d.peerOptions()).Serve(tasks, peerListener) })
 	web := (&server.Server{Backend: d, Logger: d.logger, Metrics: d.recorder}).HTTP()
 	group.Go(func() error {
-		if err := web.Serve(httpListener); !errors.Is(err, http.ErrServerClosed) {
+		if err := web.Serve(server.Listen(httpListener)); !errors.Is(err, http.ErrServerClosed) {
 			return errors.Wrap(err, "daemon: HTTP listener")
 		}
 		return nil
--- a/internal/server/caller.go
+++ b/internal/server/caller.go
@@ -23,7 +23,7 @@
 
 func (s *Server) submit(w http.ResponseWriter, r *http.Request, id Identity) {
 	var spec model.JobSpec
-	if !readJSON(w, r, &spec) {
+	if !readJSON(w, r, maxJSON, &spec) {
 		return
 	}
 	if spec.Workspace != "" && spec.Workspace != id.Workspace {
@@ -33,14 +33,18 @@
 		})
 		return
 	}
-	spec.Workspace = id.Workspace
-	spec.Caller = id.Caller
-	job, err := s.Backend.Submit(r.Context(), spec)
+	own, err := newJobID(spec.ID)
 	if err != nil {
 		writeError(w, err)
 		return
 	}
-	writeJSON(w, http.StatusAccepted, job)
+	spec.ID, spec.Workspace, spec.Caller = scoped(id.Workspace, own), id.Workspace, id.Caller
+	job, err := s.Backend.Submit(r.Context(), spec)
+	if err != nil {
+		writeError(w, unscopedError(id.Workspace, err))
+		return
+	}
+	writeJSON(w, http.StatusAccepted, unscoped(id.Workspace, job))
 }
 
 func (s *Server) jobs(w http.ResponseWriter, r *http.Request, id Identity) {
@@ -49,7 +53,11 @@
 		writeError(w, err)
 		return
 	}
-	writeJSON(w, http.StatusOK, model.JobsReply{Jobs: jobs})
+	own := make([]model.Job, 0, len(jobs))
+	for _, j := range jobs {
+		own = append(own, unscoped(id.Workspace, j))
+	}
+	writeJSON(w, http.StatusOK, model.JobsReply{Jobs: own})
 }
 
 func (s *Server) job(w http.ResponseWriter, r *http.Request, id Identity) {
@@ -58,12 +66,17 @@
 		writeError(w, err)
 		return
 	}
-	job, err := s.Backend.Job(r.Context(), id.Workspace, model.JobID(r.PathValue("id")), time.Now().Add(wait))
+	job, err := s.Backend.Job(r.Context(), id.Workspace, jobIDOf(r, id), time.Now().Add(wait))
 	if err != nil {
-		writeError(w, err)
+		writeError(w, unscopedError(id.Workspace, err))
 		return
 	}
-	writeJSON(w, http.StatusOK, job)
+	writeJSON(w, http.StatusOK, unscoped(id.Workspace, job))
+}
+
+// jobIDOf returns the id of the path within the caller's workspace.
+func jobIDOf(r *http.Request, id Identity) model.JobID {
+	return scoped(id.Workspace, model.JobID(r.PathValue("id")))
 }
 
 // waitOf reads the parameter wait-ms of a long poll.
@@ -83,19 +96,20 @@
 }
 
 func (s *Server) cancel(w http.ResponseWriter, r *http.Request, id Identity) {
-	if err := s.Backend.Cancel(r.Context(), id.Workspace, model.JobID(r.PathValue("id"))); err != nil {
-		writeError(w, err)
+	if err := s.Backend.Cancel(r.Context(), id.Workspace, jobIDOf(r, id)); err != nil {
+		writeError(w, unscopedError(id.Workspace, err))
 		return
 	}
 	writeJSON(w, http.StatusAccepted, struct{}{})
 }
 
 func (s *Server) explain(w http.ResponseWriter, r *http.Request, id Identity) {
-	e, err := s.Backend.Explain(r.Context(), id.Workspace, model.JobID(r.PathValue("id")))
+	e, err := s.Backend.Explain(r.Context(), id.Workspace, jobIDOf(r, id))
 	if err != nil {
-		writeError(w, err)
+		writeError(w, unscopedError(id.Workspace, err))
 		return
 	}
+	e.Job, e.Reason = model.JobID(r.PathValue("id")), unscopedText(id.Workspace, e.Reason)
 	writeJSON(w, http.StatusOK, e)
 }
 
@@ -121,6 +135,7 @@
 	h.Set(client.HeaderOutcome, string(model.OutcomeAnswered))
 	h.Set(client.HeaderRunner, string(answer.Runner))
 	h.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	boundWrite(w)
 	w.WriteHeader(http.StatusOK)
 	_, _ = w.Write(answer.Body)
 }
--- a/internal/server/json.go
+++ b/internal/server/json.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -37,10 +39,17 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	boundWrite(w)
 	w.WriteHeader(status)
 	_, _ = w.Write(data)
 }
 
+// boundWrite ends the connection of a client that does not read its answer in time.
+func boundWrite(w http.ResponseWriter) {
+	// It fails only for writers without a connection, as in tests.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTime))
+}
+
 // writeError writes a typed error; any other error is one of unknown outcome.
 func writeError(w http.ResponseWriter, err error) {
 	var e *model.Error
@@ -54,6 +63,10 @@
 	if !ok {
 		status = http.StatusBadGateway
 	}
+	writeErrorAs(w, status, e)
+}
+
+func writeErrorAs(w http.ResponseWriter, status int, e *model.Error) {
 	if e.Outcome != "" {
 		w.Header().Set(client.HeaderOutcome, string(e.Outcome))
 	}
@@ -68,12 +81,17 @@
 }
 
 // readJSON decodes a bounded body strictly; on failure it writes the error and returns false.
-func readJSON(w http.ResponseWriter, r *http.Request, out any) bool {
-	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxJSON))
+func readJSON(w http.ResponseWriter, r *http.Request, limit int64, out any) bool {
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, limit))
 	d.DisallowUnknownFields()
 	err := d.Decode(out)
-	if err == nil && d.More() {
-		err = errors.New("more than one JSON value")
+	if err == nil {
+		if _, more := d.Token(); !errors.Is(more, io.EOF) {
+			err = errors.New("more than one JSON value")
+			if errors.HasType(more, (*http.MaxBytesError)(nil)) {
+				err = more
+			}
+		}
 	}
 	if err == nil {
 		return true
@@ -82,7 +100,7 @@
 	if errors.As(err, &tooLarge) {
 		writeError(w, &model.Error{
 			Outcome: model.OutcomeNotRun, Kind: model.KindTooLarge,
-			Message: "the body is larger than " + strconv.Itoa(maxJSON) + " bytes", Remedy: "send less",
+			Message: "the body is larger than " + strconv.FormatInt(limit, 10) + " bytes", Remedy: "send less",
 		})
 		return false
 	}
--- a/internal/server/operator.go
+++ b/internal/server/operator.go
@@ -19,7 +19,7 @@
 
 func (s *Server) publish(w http.ResponseWriter, r *http.Request, id Identity) {
 	var p model.Publish
-	if !readJSON(w, r, &p) {
+	if !readJSON(w, r, maxConfig, &p) {
 		return
 	}
 	p.Author = id.Operator
@@ -47,7 +47,7 @@
 
 func (s *Server) logLevel(w http.ResponseWriter, r *http.Request, id Identity) {
 	var body LogLevel
-	if !readJSON(w, r, &body) {
+	if !readJSON(w, r, maxJSON, &body) {
 		return
 	}
 	level := hclog.LevelFromString(body.Level)
--- /dev/null
+++ b/internal/server/page.go
@@ -0,0 +1,78 @@
+package server
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"chestnutmux.example/chestnutmux/pkg/model"
+)
+
+// page is a read-only status page in plain text. Without a token it tells only what a balancer may know: names and
+// loads of workspaces would tell one tenant about another, and callers reach the same listener.
+func (s *Server) page(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get("Authorization") != "" {
+		s.operator(s.fullPage)(w, r)
+		return
+	}
+	text := "ready\n"
+	if err := s.Backend.Ready(); err != nil {
+		text = "not ready: " + err.Error() + "\n"
+	}
+	writePage(w, text+"\nSend an operator's bearer token for the whole page.\n")
+}
+
+func (s *Server) fullPage(w http.ResponseWriter, r *http.Request, _ Identity) {
+	status, err := s.Backend.Status(r.Context())
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	var b strings.Builder
+	formatStatus(&b, status)
+	writePage(w, b.String())
+}
+
+func writePage(w http.ResponseWriter, text string) {
+	h := w.Header()
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("X-Content-Type-Options", "nosniff")
+	h.Set("Cache-Control", "no-store")
+	h.Set("Content-Length", strconv.Itoa(len(text)))
+	boundWrite(w)
+	_, _ = io.WriteString(w, text)
+}
+
+func formatStatus(out io.Writer, s model.Status) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	defer func() { _ = w.Flush() }()
+	fmt.Fprintf(w, "host\t%s\nfailure domain\t%s\nregion\t%s\n", s.Host, s.FailureDomain, s.Region)
+	fmt.Fprintf(w, "ready\t%t %s\ndraining\t%t\n", s.Ready, s.NotReady, s.Draining)
+	fmt.Fprintf(w, "configuration\t%d\nrole\t%s\nplanner\t%s term %d\n", s.ConfigVersion, s.Role, s.Planner, s.Term.Number)
+	log := "reachable"
+	if !s.LogDownSince.IsZero() {
+		log = "unreachable since " + s.LogDownSince.UTC().Format(time.RFC3339)
+	}
+	fmt.Fprintf(w, "log\t%s\nfragmentation\t%.2f\n", log, s.Fragmentation)
+	for _, inv := range slices.Sorted(maps.Keys(s.Violations)) {
+		fmt.Fprintf(w, "invariant violated\t%s %d times\n", inv, s.Violations[inv])
+	}
+	fmt.Fprint(w, "\nWORKSPACE\tQUEUED\tRUNNING\tIN USE\tQUOTA\n")
+	for _, x := range s.Workspaces {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\n", x.Workspace, x.Queued, x.Running, x.InUse, x.Quota)
+	}
+	fmt.Fprint(w, "\nENTRY HOST\tFAILURE DOMAIN\tLIVE\tCONFIGURATION\n")
+	for _, x := range s.Peers {
+		fmt.Fprintf(w, "%s\t%s\t%t\t%d\n", x.Host, x.FailureDomain, x.Live, x.ConfigVersion)
+	}
+	fmt.Fprint(w, "\nWORKER\tRACK\tHEALTH\n")
+	for _, x := range s.Workers {
+		fmt.Fprintf(w, "%s\t%s\t%s\n", x.Worker, x.Rack, x.Health)
+	}
+}
--- a/test/capacity/rig.go
+++ b/test/capacity/rig.go
@@ -98,6 +98,7 @@
 	if err != nil {
 		return v, errors.Wrap(err, "vars")
 	}
+	req.Header.Set("Authorization", "Bearer "+operator)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return v, errors.Wrap(err, "vars")
