Let the planner's task of a standby sleep

Cause: on a host that does not plan, a pass is due from the first message on and never made, so the task woke every millisecond. Ruled out: the reserver's driver (a tick each 50 ms) and heartbeats (the planner of the domain has the same ones at a quarter of the processor time).

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -117,7 +117,7 @@
 
 // wait is the time until the next pass is due.
 func (p *Planner) wait() time.Duration {
-	if !p.dirty {
+	if !p.dirty || p.sched == nil { // a standby has no passes
 		return idleTick
 	}
 	return max(time.Millisecond, time.Until(p.passed.Add(p.cfg.Pass)))
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -138,3 +138,10 @@
 		})
 	}
 }
+
+// Guards against a standby that wakes every millisecond for a pass that it never makes.
+func TestStandbyIsIdle(t *testing.T) {
+	p := New(Config{Pass: 100 * time.Millisecond})
+	p.dirty = true
+	is.New(t).Equal(p.wait(), idleTick)
+}
