Use the number of an attempt once

Cause: when all entry hosts died before the record of a start was durable and the leases ended, the next planner found the ended attempt but planned the job with the same attempt number, and started tasks of the same ids again. A process test with all entry hosts killed found it in one of three runs. Change: an ended attempt that is found raises the attempt number of its job. Result: the new test fails without the change and passes with it.

--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -157,6 +157,7 @@
 	g, ok := p.gangs[r.Gang]
 	if !ok {
 		g = &gang{job: r.Job, attempt: attemptOf(r.Gang)}
+		p.spend(r.Job, g.attempt, now)
 		p.gangs[r.Gang] = g
 	}
 	if g.ended {
@@ -194,6 +195,19 @@
 	p.settled(ctx, r.Gang)
 }
 
+// spend notes an attempt that an earlier planner started without a durable record, so that its number and the ids of
+// its tasks are not used again.
+func (p *Planner) spend(id model.JobID, attempt int, now time.Time) {
+	j, ok := p.jobs[id]
+	if !ok || j.Attempt >= attempt || p.decided[id] || p.hasGang(id) {
+		return
+	}
+	j.Attempt = attempt
+	p.jobs[id] = j
+	p.sched.Cancel(id, now)
+	p.sched.Submit(j.Job, now)
+}
+
 // settled lets the workers forget a gang on which no outcome of its job depends.
 func (p *Planner) settled(ctx context.Context, id model.GangID) {
 	delete(p.gangs, id)
