Transfer the host list only when it has changed, compressed

Cause: every host reads the whole list each second; at 8,802 workers that is 1,282,000 bytes a second against a budget of 13,000 for all control, and 4.6% of a core. Change: the client names the list it knows (If-None-Match); a service that supports entity tags answers 304, others behave as before. The transport already asked for gzip; the fake list now supports both. An unchanged list is passed to the planner only, which needs the time of the read. Ruled out: a longer interval, which would delay takeovers (they wait for a read) and the news that a runner leaves.

--- a/internal/daemon/membership.go
+++ b/internal/daemon/membership.go
@@ -23,8 +23,10 @@
 			d.logger.Warn("host list is unreachable", "error", snap.Err.Error())
 		}
 		if snap.Err == nil {
-			d.monitor.SetHosts(snap.Hosts)
-			d.router.SetRunners(snap.Hosts)
+			if !snap.Unchanged {
+				d.monitor.SetHosts(snap.Hosts)
+				d.router.SetRunners(snap.Hosts)
+			}
 			d.planner.Post(planner.HostsListed{Hosts: snap.Hosts, ReadAt: snap.ReadAt})
 		}
 		select {
--- a/internal/fake/hosts/hosts.go
+++ b/internal/fake/hosts/hosts.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"crypto/rand"
 	"maps"
 	"net/http"
 	"slices"
@@ -30,6 +31,8 @@
 	visible map[model.HostID]hostclient.Host
 	pending []change // ordered by time
 	routes  map[route]string
+	epoch   string // differs from that of any other list, so that a tag is never valid for another one
+	edition int    // counts the changes that are visible
 }
 
 type change struct {
@@ -45,7 +48,7 @@
 	if opts.Now == nil {
 		opts.Now = time.Now
 	}
-	h := &Hosts{now: opts.Now, lag: opts.Lag, actual: map[model.HostID]hostclient.Host{}, routes: map[route]string{}}
+	h := &Hosts{now: opts.Now, lag: opts.Lag, actual: map[model.HostID]hostclient.Host{}, routes: map[route]string{}, epoch: rand.Text()}
 	for _, x := range initial {
 		h.actual[x.ID] = x
 	}
@@ -61,7 +64,7 @@
 			fault.Error(w, http.StatusServiceUnavailable, model.KindOverloaded, "the host list refuses requests")
 			return
 		}
-		fault.WriteJSON(w, http.StatusOK, h.List(model.HostID(r.Header.Get(fault.HeaderHostID))))
+		h.serve(w, r)
 	})
 	return h.Wrap(mux, nil)
 }
@@ -134,6 +137,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.routes[route{viewer, target}] = addr
+	h.edition++
 }
 
 // change queues a change; one that follows a shorter lag still keeps its place in the order.
@@ -158,4 +162,5 @@
 		n++
 	}
 	h.pending = h.pending[n:]
+	h.edition += n
 }
--- a/internal/fake/hosts/hosts_test.go
+++ b/internal/fake/hosts/hosts_test.go
@@ -1,12 +1,16 @@
 package hosts
 
 import (
+	"fmt"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"chestnutmux.example/chestnutmux/internal/hostclient"
+	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
 // Guards against changes that show before the lag, or overtake earlier ones when the lag shrinks.
@@ -37,3 +41,32 @@
 	is.Equal(h.List("b").Hosts[0].PeerAddr, "relay")
 	is.Equal(h.List("c").Hosts[0].PeerAddr, "direct")
 }
+
+// Guards against a changed list that is confirmed as known, and against compression that the client cannot undo.
+func TestServesChangesToTheClient(t *testing.T) {
+	is := is.New(t)
+	var all []hostclient.Host
+	for i := range 100 {
+		all = append(all, hostclient.Host{ID: model.HostID(fmt.Sprintf("w%02d", i)), State: hostclient.StateLive})
+	}
+	h := New(Options{}, all...)
+	srv := httptest.NewServer(h.Handler())
+	defer srv.Close()
+	c := hostclient.NewClient(strings.TrimPrefix(srv.URL, "http://"), "b", nil)
+	first := c.Read(t.Context())
+	is.NoErr(first.Err)
+	is.Equal(first.Hosts, all)
+	is.True(c.Read(t.Context()).Unchanged)
+	for _, change := range []func(){
+		func() { h.Remove("w07") },
+		func() { h.Put(all[7]) },
+		func() { h.Update("w07", func(x *hostclient.Host) { x.State = hostclient.StateLeaving }) },
+		func() { h.SetRoute("b", "w07", "relay") },
+	} {
+		change()
+		s := c.Read(t.Context())
+		is.NoErr(s.Err)
+		is.True(!s.Unchanged)
+		is.Equal(s.Hosts, h.List("b").Hosts)
+	}
+}
--- a/internal/hostclient/client.go
+++ b/internal/hostclient/client.go
@@ -35,6 +35,10 @@
 	Hosts  []Host
 	ReadAt time.Time // when the request for it was sent; zero means that none was read yet
 	Err    error     // of the latest read, nil when it succeeded
+	// Unchanged says that the latest read found the list of the read before.
+	Unchanged bool
+
+	tag string // entity tag of Hosts, empty when the service gives none
 }
 
 // Age returns how old the list is at most.
@@ -56,9 +60,14 @@
 }
 
 // Read reads the list; when that fails the last list is returned with the error set.
+//
+// The request names the list that is known, so that a service that supports entity tags sends only changes. The
+// transport asks for compression by itself.
 func (c *Client) Read(ctx context.Context) Snapshot {
 	start := time.Now()
-	hosts, err := c.get(ctx)
+	known := c.Last().tag
+	next, err := c.get(ctx, known)
+	next.ReadAt = start
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
@@ -66,8 +75,10 @@
 		c.last.Err = err
 	case start.Before(c.last.ReadAt):
 		// A later read has already answered.
-	default:
-		c.last = Snapshot{Hosts: hosts, ReadAt: start}
+	case !next.Unchanged:
+		c.last = next
+	case c.last.tag == known:
+		c.last.ReadAt, c.last.Err, c.last.Unchanged = start, nil, true
 	}
 	return c.last
 }
@@ -79,30 +90,37 @@
 	return c.last
 }
 
-func (c *Client) get(ctx context.Context) ([]Host, error) {
+// get returns the hosts and their tag, or only Unchanged when the tag of the list is still known.
+func (c *Client) get(ctx context.Context, known string) (Snapshot, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, nil)
 	if err != nil {
-		return nil, errors.Wrap(err, "hostclient: request")
+		return Snapshot{}, errors.Wrap(err, "hostclient: request")
 	}
 	req.Header.Set("Host-Id", string(c.host))
+	if known != "" {
+		req.Header.Set("If-None-Match", known)
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return nil, errors.Wrap(err, "hostclient: read host list")
+		return Snapshot{}, errors.Wrap(err, "hostclient: read host list")
 	}
 	defer resp.Body.Close()
+	if known != "" && resp.StatusCode == http.StatusNotModified {
+		return Snapshot{Unchanged: true}, nil
+	}
 	if resp.StatusCode != http.StatusOK {
-		return nil, errors.Newf("hostclient: read host list: status %d", resp.StatusCode)
+		return Snapshot{}, errors.Newf("hostclient: read host list: status %d", resp.StatusCode)
 	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxList+1))
 	if err != nil {
-		return nil, errors.Wrap(err, "hostclient: read host list")
+		return Snapshot{}, errors.Wrap(err, "hostclient: read host list")
 	}
 	if len(data) > maxList {
-		return nil, errors.Newf("hostclient: host list exceeds %d bytes", maxList)
+		return Snapshot{}, errors.Newf("hostclient: host list exceeds %d bytes", maxList)
 	}
 	var l List
 	if err := json.Unmarshal(data, &l); err != nil {
-		return nil, errors.Wrap(err, "hostclient: decode host list")
+		return Snapshot{}, errors.Wrap(err, "hostclient: decode host list")
 	}
-	return l.Hosts, nil
+	return Snapshot{Hosts: l.Hosts, tag: resp.Header.Get("ETag")}, nil
 }
--- a/internal/hostclient/client_test.go
+++ b/internal/hostclient/client_test.go
@@ -44,3 +44,38 @@
 	is.NoErr(s.Err)
 	is.Equal(len(s.Hosts), 0)
 }
+
+// Guards against a list that is transferred again although it is known, one that is taken as known after the service
+// restarted or failed, and a read that looks old although the service confirmed the list.
+func TestReadsOnlyChanges(t *testing.T) {
+	is := is.New(t)
+	tag, body := `W/"1"`, `{"hosts":[{"id":"w1"}]}`
+	sent := 0
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("ETag", tag)
+		if r.Header.Get("If-None-Match") == tag {
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
+		sent++
+		_, _ = w.Write([]byte(body))
+	}))
+	defer srv.Close()
+	c := NewClient(strings.TrimPrefix(srv.URL, "http://"), "h1", nil)
+	first := c.Read(t.Context())
+	is.NoErr(first.Err)
+	is.True(!first.Unchanged)
+	again := c.Read(t.Context())
+	is.NoErr(again.Err)
+	is.True(again.Unchanged && again.ReadAt.After(first.ReadAt))
+	is.Equal(again.Hosts, first.Hosts)
+	is.Equal(sent, 1)
+	tag, body = `W/"2"`, "{" // unreadable: its tag must not be kept
+	is.True(c.Read(t.Context()).Err != nil)
+	body = `{"hosts":[{"id":"w2"}]}`
+	third := c.Read(t.Context())
+	is.NoErr(third.Err)
+	is.True(!third.Unchanged)
+	is.Equal(third.Hosts, []Host{{ID: "w2"}})
+	is.Equal(sent, 3)
+}
