--- a/test/capacity/main.go
+++ b/test/capacity/main.go
@@ -32,15 +32,26 @@
 	Changes  int           `default:"0" help:"Changes of the host list a minute."`
 	Jobs     int           `default:"0" help:"Short jobs submitted a minute."`
 	Publish  int           `default:"0" help:"Configuration changes a minute."`
+	Queue    int           `default:"0" help:"Waiting jobs added for the start of a host."`
+	Start    bool          `help:"Start one more entry host at the end and measure what it reads."`
 	Settle   time.Duration `default:"35s" help:"Wait before the measurement; longer than a poll."`
 	Time     time.Duration `default:"60s" help:"Length of the measurement."`
 	Keep     string        `help:"Directory for logs, kept; the default is a temporary one."`
 }
 
 func main() {
-	var args arguments
-	kong.Parse(&args, kong.Name("capacity"), kong.Description("Measures the control load of entry hosts; prints one line of JSON per entry host."))
-	if err := run(args, os.Stdout); err != nil {
+	var args struct {
+		Hosts arguments      `cmd:"" help:"Measure entry hosts as processes; one line of JSON per entry host."`
+		State stateArguments `cmd:"" help:"Measure state and decisions in this process; one line of JSON per point."`
+	}
+	parsed := kong.Parse(&args, kong.Name("capacity"), kong.Description("Measures the control load of entry hosts."))
+	var err error
+	if parsed.Command() == "state" {
+		err = runState(os.Stdout)
+	} else {
+		err = run(args.Hosts, os.Stdout)
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "capacity:", err)
 		os.Exit(1)
 	}
@@ -83,7 +94,14 @@
 			return err
 		}
 	}
-	return nil
+	if !args.Start {
+		return nil
+	}
+	s, err := r.startHost()
+	if err != nil {
+		return errors.Wrap(err, "start")
+	}
+	return json.NewEncoder(out).Encode(s)
 }
 
 func writeDeployment(args arguments, dir string) error {
--- a/test/capacity/rig.go
+++ b/test/capacity/rig.go
@@ -21,7 +21,7 @@
 	// patience bounds each step of the preparation.
 	patience = 2 * time.Minute
 	// submitters is the number of submissions in flight; the appender batches them.
-	submitters = 64
+	submitters = 256
 )
 
 // rig is a running cluster under measurement.
