Add the pages for operators, the decisions and the man page

Operators had the design page only. The pages explain deployment, publishing, failures, metrics, invariant counters and settings. Tests check that the man page has each command and flag, that all documented commands parse, and that operations.md names each metric, counter and setting. go test -race ./internal/cli passes.

--- /dev/null
+++ b/internal/cli/docs_test.go
@@ -0,0 +1,134 @@
+package cli
+
+import (
+	"bytes"
+	"io"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/alecthomas/kong"
+	"github.com/matryer/is"
+)
+
+func testParser(t *testing.T) *kong.Kong {
+	t.Helper()
+	p, err := newParser(&env{out: io.Discard, err: io.Discard}, func(int) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// Guards against commands and flags that the man page or the help does not explain.
+func TestManPage(t *testing.T) {
+	data, err := os.ReadFile("../../man/chestnutmux.1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	man := strings.ReplaceAll(string(data), `\-`, "-")
+	shared, commandsPart, _ := strings.Cut(man, ".SH COMMANDS")
+	sections := strings.Split(commandsPart, ".SS ")
+	for _, cmd := range testParser(t).Model.Children {
+		is := is.New(t)
+		is.True(strings.Contains(cmd.Detail, "chestnutmux "+cmd.Name)) // the help has an example
+		section := ""
+		for _, s := range sections {
+			if name, _, _ := strings.Cut(s, "\n"); strings.Fields(name + " x")[0] == cmd.Name {
+				section = s
+			}
+		}
+		if section == "" {
+			t.Errorf("the man page has no section %s", cmd.Name)
+		}
+		for _, f := range cmd.Flags {
+			there := regexp.MustCompile(`--` + f.Name + `\b`).MatchString
+			isShared := f.Name == "server" || f.Name == "token" || f.Name == "json" || f.Name == "help"
+			if !there(section) && (!isShared || !there(shared)) {
+				t.Errorf("the man page lacks --%s of %s", f.Name, cmd.Name)
+			}
+			is.True(f.Help != "")
+		}
+	}
+}
+
+var quoted = regexp.MustCompile(`'[^']*'|"[^"]*"|\S+`)
+
+// exampleLines returns the indented lines of a page and those of its sh blocks.
+func exampleLines(t *testing.T, path string) []string {
+	t.Helper()
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines := strings.Split(strings.Join(fenced(t, path, "sh"), ""), "\n")
+	for line := range strings.Lines(string(data)) {
+		if strings.HasPrefix(line, "    ") {
+			lines = append(lines, line)
+		}
+	}
+	return lines
+}
+
+// Guards against documented commands and examples of the help that the parser refuses.
+func TestDocumentedCommands(t *testing.T) {
+	is := is.New(t)
+	pages, err := filepath.Glob("../../docs/*.md")
+	is.NoErr(err)
+	var lines []string
+	for _, page := range append(pages, "../../README.md") {
+		lines = append(lines, exampleLines(t, page)...)
+	}
+	man, err := os.ReadFile("../../man/chestnutmux.1")
+	is.NoErr(err)
+	_, inMan, _ := strings.Cut(string(man), ".nf\n")
+	lines = append(lines, strings.Split(inMan, "\n")...)
+	for _, cmd := range testParser(t).Model.Children {
+		lines = append(lines, strings.Split(cmd.Detail, "\n")...)
+	}
+	t.Setenv("CHESTNUTMUX_TOKEN", "t")
+	n := 0
+	for _, line := range lines {
+		args, ok := strings.CutPrefix(strings.TrimSpace(line), "chestnutmux ")
+		if !ok {
+			continue
+		}
+		var words []string
+		for _, w := range quoted.FindAllString(args, -1) {
+			words = append(words, strings.Trim(w, `'"`))
+		}
+		n++
+		if _, err := testParser(t).Parse(words); err != nil {
+			t.Errorf("%s: %v", strings.TrimSpace(line), err)
+		}
+	}
+	is.True(n > 40)
+}
+
+// Guards against metrics, invariants and settings that docs/operations.md does not explain.
+func TestOperationsPage(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/operations.md")
+	is.NoErr(err)
+	for _, source := range []struct {
+		path, pattern string
+		least         int
+	}{
+		{"../recorder/recorder.go", `"([a-z]+(?:-[a-z]+)*)": &r\.`, 10},
+		{"../daemon/metrics.go", `Gauge\("([a-z-]+)"`, 4},
+		{"../asserter/asserter.go", `Invariant += "([a-z-]+)"`, 9},
+		{"../settings/settings.go", "`json:\"([a-z0-9-]+)\"`", 19},
+	} {
+		data, err := os.ReadFile(source.path)
+		is.NoErr(err)
+		found := regexp.MustCompile(source.pattern).FindAllSubmatch(data, -1)
+		is.True(len(found) >= source.least)
+		for _, m := range found {
+			if !bytes.Contains(page, []byte("`"+string(m[1])+"`")) {
+				t.Errorf("docs/operations.md does not explain %s", m[1])
+			}
+		}
+	}
+}
