Keep the histograms of teams and classes small

Cause: a histogram with two significant digits over a week takes 25 KB, not a few; 120 teams, 3 classes and 4 metrics take 35.6 MB of the 64 MB of a daemon.

--- a/internal/recorder/histogram.go
+++ b/internal/recorder/histogram.go
@@ -11,8 +11,11 @@
 const (
 	// maxMillis bounds recorded times; a week covers the longest jobs.
 	maxMillis = int64(7 * 24 * time.Hour / time.Millisecond)
-	// significantDigits gives a relative error of 1%, and keeps a histogram at a few kilobytes.
-	significantDigits = 2
+	// coarseDigits gives a relative error of 6% and keeps a histogram at 3.5 KB: 120 teams and 3 classes have 360
+	// histograms of each metric, which would take 9 MB with one more digit.
+	coarseDigits = 1
+	// fineDigits gives a relative error of 1% and takes 25 KB; it is for times with a target.
+	fineDigits = 2
 	// maxSeries bounds the label pairs of one metric, so that a flood of names cannot exhaust memory.
 	maxSeries = 1024
 )
@@ -29,6 +32,8 @@
 
 // Histograms holds one histogram of times for each pair of labels; its zero value is empty.
 type Histograms struct {
+	coarse bool
+
 	mu     sync.Mutex
 	series map[string]*hdrhistogram.Histogram
 }
@@ -45,7 +50,11 @@
 		if h.series == nil {
 			h.series = map[string]*hdrhistogram.Histogram{}
 		}
-		s = hdrhistogram.New(1, maxMillis, significantDigits)
+		digits := fineDigits
+		if h.coarse {
+			digits = coarseDigits
+		}
+		s = hdrhistogram.New(1, maxMillis, digits)
 		h.series[labels] = s
 	}
 	ms := min(max(d.Milliseconds(), 0), maxMillis)
--- /dev/null
+++ b/internal/recorder/histogram_test.go
@@ -0,0 +1,47 @@
+package recorder
+
+import (
+	"fmt"
+	"math"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against quantiles that are too coarse to compare with a target, and times beyond the range that are lost.
+func TestErrorOfQuantiles(t *testing.T) {
+	is := is.New(t)
+	r := New()
+	for h, most := range map[*Histograms]float64{r.UrgentStart: 0.01, r.PassTime: 0.01, r.JobWait: 0.07, r.RequestService: 0.07} {
+		for _, d := range []time.Duration{2800 * time.Millisecond, 37 * time.Second, 5 * time.Hour} {
+			label := d.String()
+			h.Record(label, d)
+			got := float64(h.Summaries()[label].P999)
+			is.True(math.Abs(got/float64(d.Milliseconds())-1) <= most)
+		}
+		h.Record("long", 30*24*time.Hour)
+		h.Record("long", -time.Second)
+		is.Equal(h.Summaries()["long"].Count, int64(2))
+	}
+}
+
+// Guards against histograms that use up the 64 MB of a daemon at 120 teams, 3 classes and 4 metrics.
+func TestMemoryAtDesignSize(t *testing.T) {
+	r := New()
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for i := range 120 * 3 {
+		for _, h := range []*Histograms{r.JobWait, r.JobCompletion, r.RequestWait, r.RequestService} {
+			h.Record(fmt.Sprint(i), time.Second)
+		}
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	kept := int64(after.HeapAlloc) - int64(before.HeapAlloc)
+	runtime.KeepAlive(r)
+	t.Logf("%d bytes", kept)
+	is.New(t).True(kept < 8<<20)
+}
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -39,7 +39,8 @@
 		"job-wait": &r.JobWait, "job-completion": &r.JobCompletion, "urgent-start": &r.UrgentStart,
 		"request-wait": &r.RequestWait, "request-service": &r.RequestService, "pass-time": &r.PassTime,
 	} {
-		*h = &Histograms{}
+		// The two fine ones have targets, and few labels.
+		*h = &Histograms{coarse: name != "urgent-start" && name != "pass-time"}
 		r.vars.Set(name, *h)
 	}
 	for name, m := range map[string]**expvar.Map{
