Test the end of all entry hosts during an outage of the log

Cause: attempts that start without a durable record were tested by chance only. Change: a process test in which tasks start and finish while the log is down, and all entry hosts are killed then.

--- a/test/process/planner_test.go
+++ b/test/process/planner_test.go
@@ -12,6 +12,7 @@
 
 	"chestnutmux.example/chestnutmux/internal/fake/fault"
 	"chestnutmux.example/chestnutmux/internal/fake/launcher"
+	"chestnutmux.example/chestnutmux/internal/fake/platform"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
@@ -170,6 +171,34 @@
 	}
 }
 
+// Guards against attempt numbers used twice and outcomes lost when tasks started and ended while the log was down and
+// then no entry host was left until the leases had ended.
+func TestAllEntryHostsKilledDuringLogOutage(t *testing.T) {
+	c := start(t, launcher.Options{Hosts: hosts(domainA)})
+	c.alone(domainA)
+	jobs := c.load(c.Hosts[0], 6, 2*time.Second) // the quota lets four of them run at once
+	c.is.NoErr(c.Fault(platform.NameLog, fault.Faults{Down: true}))
+	c.await(patience, func(context.Context) error {
+		for _, id := range jobs {
+			if n := len(c.started(id)); n < 3 {
+				return errors.Newf("job %s has %d members started", id, n)
+			}
+		}
+		return nil
+	})
+	for _, h := range c.Hosts {
+		c.is.NoErr(c.Kill(h))
+	}
+	time.Sleep(lease + time.Second)
+	c.is.NoErr(c.Fault(platform.NameLog, fault.Faults{}))
+	for _, h := range c.Hosts {
+		c.is.NoErr(c.StartHost(h))
+	}
+	again := c.awaitAll(c.Hosts[0], jobs)
+	t.Logf("%d members started again", again)
+	c.is.True(again <= 6) // the two jobs that ran; the outcomes of the others are kept by the workers
+}
+
 // Guards against state that lives in a host or an address: every entry host is replaced while jobs run.
 func TestHostsReplaced(t *testing.T) {
 	for _, atOnce := range []bool{false, true} {
