Tell repeated submissions the truth about refusals

Cause: a submission whose append got no answer may still be accepted, but a refusal of its repeat said not-run. Result: go test -race passes for internal/server, internal/cli and pkg/client.

--- a/internal/cli/job.go
+++ b/internal/cli/job.go
@@ -35,6 +35,7 @@
 	RunMS        model.Millis       `name:"run-ms" help:"Declared run time in milliseconds."`
 	Payload      string             `help:"JSON handed to the workers." default:"{}"`
 	File         string             `help:"JSON file with a list of jobs to submit instead; - reads standard input."`
+	Repeat       bool               `help:"The jobs may have been submitted before; a refusal is then unknown instead of not run."`
 	Wait         bool               `help:"Follow the jobs to their outcomes."`
 	Retry        bool               `help:"Repeat a submission that was not run, until the timeout."`
 	Timeout      time.Duration      `help:"Longest time until all jobs are accepted." default:"30s"`
@@ -93,15 +94,11 @@
 }
 
 func (c *submitCommand) submit(e *env, spec model.JobSpec, deadline time.Time) (model.Job, error) {
-	retry := client.Retry{Deadline: deadline, Notify: notify(e, string(spec.ID))}
-	if !c.Retry {
-		retry.Deadline = time.Time{}
-	}
-	ctx, cancel := e.short()
+	retry := client.Retry{Repeat: c.Repeat, Notify: notify(e, "job "+string(spec.ID))}
 	if c.Retry {
-		cancel()
-		ctx, cancel = e.until(deadline)
+		retry.Deadline = deadline
 	}
+	ctx, cancel := e.until(deadline)
 	defer cancel()
 	return c.client().SubmitRetry(ctx, spec, retry)
 }
--- a/internal/server/caller.go
+++ b/internal/server/caller.go
@@ -33,6 +33,11 @@
 		})
 		return
 	}
+	repeat, err := flagOf(r, client.HeaderRepeat)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
 	own, err := newJobID(spec.ID)
 	if err != nil {
 		writeError(w, err)
@@ -41,12 +46,27 @@
 	spec.ID, spec.Workspace, spec.Caller = scoped(id.Workspace, own), id.Workspace, id.Caller
 	job, err := s.Backend.Submit(r.Context(), spec)
 	if err != nil {
-		writeError(w, unscopedError(id.Workspace, err))
+		err = unscopedError(id.Workspace, err)
+		if repeat {
+			err = unknownError(err)
+		}
+		writeError(w, err)
 		return
 	}
 	writeJSON(w, http.StatusAccepted, unscoped(id.Workspace, job))
 }
 
+// unknownError makes the refusal of a repeated submission unknown: the record of the first one may still be on its way.
+func unknownError(err error) error {
+	var e *model.Error
+	if !errors.As(err, &e) || e.Outcome != model.OutcomeNotRun {
+		return err
+	}
+	u := *e
+	u.Outcome = model.OutcomeUnknown
+	return &u
+}
+
 func (s *Server) jobs(w http.ResponseWriter, r *http.Request, id Identity) {
 	jobs, err := s.Backend.Jobs(r.Context(), id.Workspace)
 	if err != nil {
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -218,6 +218,21 @@
 	is.Equal(b.calls[0].Workspace, model.WorkspaceID("blue"))
 }
 
+// Guards against a repeated submission that is told not-run while the first one may be accepted.
+func TestRepeatedSubmission(t *testing.T) {
+	for repeat, want := range map[string]model.Outcome{"true": model.OutcomeUnknown, "": model.OutcomeNotRun} {
+		is := is.New(t)
+		s := newServer(&backend{jobs: map[model.JobID]model.Job{"red:j": {}}})
+		r := httptest.NewRequest("POST", "/v1/jobs", strings.NewReader(`{"id":"j"}`))
+		r.Header = http.Header{"Authorization": {"Bearer caller-red"}, client.HeaderRepeat: {repeat}}
+		w := httptest.NewRecorder()
+		s.Handler().ServeHTTP(w, r)
+		var e model.Error
+		is.NoErr(json.Unmarshal(w.Body.Bytes(), &e))
+		is.Equal(e.Outcome, want)
+	}
+}
+
 // Guards against callers who publish, drain or read other tenants' loads, and operators who submit work.
 func TestRoles(t *testing.T) {
 	s := newServer(&backend{})
--- a/pkg/client/caller.go
+++ b/pkg/client/caller.go
@@ -20,6 +20,13 @@
 	return j, err
 }
 
+// Resubmit hands a job in again after an unknown outcome; a refusal of it is unknown too.
+func (c *Client) Resubmit(ctx context.Context, spec model.JobSpec) (model.Job, error) {
+	var j model.Job
+	err := c.doWith(ctx, http.Header{HeaderRepeat: {"true"}}, http.MethodPost, "/v1/jobs", spec, &j)
+	return j, unsent(true, err)
+}
+
 // Job returns a job, after waiting up to wait for it to end.
 func (c *Client) Job(ctx context.Context, id model.JobID, wait time.Duration) (model.Job, error) {
 	var j model.Job
@@ -81,7 +88,7 @@
 	path := "/v1/services/" + url.PathEscape(string(call.Service)) + "/call"
 	resp, data, err := c.send(ctx, http.MethodPost, path, header, bytes.NewReader(call.Body))
 	if err != nil {
-		return Answer{}, call.unsent(err)
+		return Answer{}, unsent(call.Repeat, err)
 	}
 	if resp.StatusCode != http.StatusOK {
 		return Answer{}, decodeError(resp, data)
@@ -97,9 +104,9 @@
 }
 
 // unsent makes a not-run unknown when an earlier call with the id may have been sent: this host only knows of its own.
-func (c Call) unsent(err error) error {
+func unsent(repeat bool, err error) error {
 	var e *model.Error
-	if c.Repeat && errors.As(err, &e) && e.Outcome == model.OutcomeNotRun {
+	if repeat && errors.As(err, &e) && e.Outcome == model.OutcomeNotRun {
 		u := *e
 		u.Outcome = model.OutcomeUnknown
 		return &u
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -72,8 +72,12 @@
 
 // do sends in as JSON and decodes the answer into out; either may be nil.
 func (c *Client) do(ctx context.Context, method, path string, in, out any) error {
+	return c.doWith(ctx, http.Header{}, method, path, in, out)
+}
+
+// doWith is do with additional headers.
+func (c *Client) doWith(ctx context.Context, header http.Header, method, path string, in, out any) error {
 	var body io.Reader
-	header := http.Header{}
 	if in != nil {
 		data, err := json.Marshal(in)
 		if err != nil {
--- a/pkg/client/retry.go
+++ b/pkg/client/retry.go
@@ -21,6 +21,8 @@
 type Retry struct {
 	// Deadline is the time after which no repeat is sent.
 	Deadline time.Time
+	// Repeat says that the job of SubmitRetry may have been submitted before.
+	Repeat bool
 	// Notify is called before the pause that precedes each repeat; it may be nil.
 	Notify func(err *model.Error, pause time.Duration)
 }
@@ -39,9 +41,14 @@
 // a reason that may pass.
 func (c *Client) SubmitRetry(ctx context.Context, spec model.JobSpec, r Retry) (model.Job, error) {
 	if spec.ID == "" {
-		r = Retry{} // without an id, each submission would be another job
+		r = Retry{Repeat: r.Repeat} // without an id, each submission would be another job
 	}
-	return retry(ctx, r, func(bool) (model.Job, error) { return c.Submit(ctx, spec) })
+	return retry(ctx, r, func(repeat bool) (model.Job, error) {
+		if repeat || r.Repeat {
+			return c.Resubmit(ctx, spec)
+		}
+		return c.Submit(ctx, spec)
+	})
 }
 
 // retry calls f until it succeeds, fails for good or the next repeat would come after the deadline.
--- a/pkg/client/retry_test.go
+++ b/pkg/client/retry_test.go
@@ -89,6 +89,8 @@
 		}}
 		_, err := s.client().SubmitRetry(t.Context(), model.JobSpec{ID: "j"}, Retry{Deadline: time.Now().Add(time.Minute)})
 		is.Equal(outcomeOf(t, err), model.OutcomeUnknown)
+		is.Equal(s.seen[0].Get(HeaderRepeat), "")
+		is.Equal(s.seen[1].Get(HeaderRepeat), "true")
 	})
 }
 
@@ -140,4 +142,6 @@
 	is.Equal(outcomeOf(t, err), model.OutcomeNotRun)
 	_, err = c.Call(t.Context(), Call{Service: "s", RequestID: "r", Repeat: true})
 	is.Equal(outcomeOf(t, err), model.OutcomeUnknown)
+	_, err = c.Resubmit(t.Context(), model.JobSpec{ID: "j"})
+	is.Equal(outcomeOf(t, err), model.OutcomeUnknown)
 }
