Read fewer records when a reply of the log is too large

Cause: a read asks for a thousand records, an entry batch may have 256 KB and a reply 32 MB, so after a flood of submissions a starting host could ask for the same unreadable reply for ever. Change: such a read is repeated with an eighth of the limit, down to one record. Result: the new test fails without the change and passes with it; go test -race ./internal/logclient ./internal/follower passes.

--- a/internal/logclient/client.go
+++ b/internal/logclient/client.go
@@ -70,7 +70,23 @@
 
 // Read returns at most limit records from the offset on, waiting up to wait for the first one. A read below the
 // oldest offset kept fails with kind trimmed; the reply then carries First when the log service reported it.
+//
+// A reply that exceeds the bound is asked for again with fewer records: after a flood of submissions a thousand records
+// of 256 KB can follow each other, and a reader that kept its limit would never get past them.
 func (c *Client) Read(ctx context.Context, s Stream, from model.Offset, limit int, wait time.Duration) (ReadReply, error) {
+	for {
+		reply, body, err := c.read(ctx, s, from, limit, wait)
+		if err == nil || len(body) <= maxReply || limit <= 1 {
+			return reply, err
+		}
+		limit = max(1, limit/fewer)
+	}
+}
+
+// fewer divides the limit of a read whose reply was too large.
+const fewer = 8
+
+func (c *Client) read(ctx context.Context, s Stream, from model.Offset, limit int, wait time.Duration) (ReadReply, []byte, error) {
 	query := url.Values{
 		"from":    {strconv.FormatInt(int64(from), 10)},
 		"max":     {strconv.Itoa(limit)},
@@ -89,7 +105,7 @@
 			reply.First, reply.Next = trimmed.First, trimmed.Next
 		}
 	}
-	return reply, err
+	return reply, body, err
 }
 
 // First returns the oldest offset still kept in the stream, which equals the next offset when the stream is empty.
--- a/internal/logclient/client_test.go
+++ b/internal/logclient/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -158,3 +159,34 @@
 		}
 	})
 }
+
+// Guards against a reader that never gets past records that exceed the bound of a reply together.
+func TestReadsLargeRecordsOneByOne(t *testing.T) {
+	is := is.New(t)
+	var asked []string
+	large := make([]byte, maxReply/4)
+	for i := range large {
+		large[i] = 'x'
+	}
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n := r.URL.Query().Get("max")
+		asked = append(asked, n)
+		count := 5
+		if n == "1" {
+			count = 1
+		}
+		_, _ = io.WriteString(w, `{"first":0,"next":5,"records":[`)
+		for i := range count {
+			if i > 0 {
+				_, _ = io.WriteString(w, ",")
+			}
+			_, _ = fmt.Fprintf(w, `{"offset":%d,"id":"r","at-ms":1,"data":"%s"}`, i, large)
+		}
+		_, _ = io.WriteString(w, `]}`)
+	}))
+	defer srv.Close()
+	reply, err := New(srv.URL, "h1", nil).Read(t.Context(), StreamJobs, 0, 20, 0)
+	is.NoErr(err)
+	is.Equal(len(reply.Records), 1)
+	is.Equal(asked, []string{"20", "2", "1"})
+}
