Report data races of the programs under test

Cause: go test -race covers the test program only. Change: the process tests search the logs for data races; GOFLAGS=-race builds the programs with the detector.

--- a/test/process/cluster_test.go
+++ b/test/process/cluster_test.go
@@ -151,7 +151,8 @@
 	}
 }
 
-// checkViolations guards against invariants that a process found violated itself.
+// checkViolations guards against invariants that a process found violated itself, and against data races in programs
+// that GOFLAGS=-race built.
 func (c *cluster) checkViolations() {
 	for _, h := range c.Hosts {
 		data, err := os.ReadFile(c.logPath(h))
@@ -159,8 +160,10 @@
 			c.t.Error(err)
 		}
 		for line := range bytes.Lines(data) {
-			if bytes.Contains(line, []byte("invariant violated")) || bytes.Contains(line, []byte("panic:")) {
-				c.t.Errorf("%s: %s", h.Settings.HostID, line)
+			for _, sign := range []string{"invariant violated", "panic:", "DATA RACE"} {
+				if bytes.Contains(line, []byte(sign)) {
+					c.t.Errorf("%s: %s", h.Settings.HostID, line)
+				}
 			}
 		}
 	}
