Fix what a first hour with the programs showed

Cause: a walk through publish, submit, explain, cancel and a log outage with the built programs printed faults twice, took certain refusals of a submission for unknown and cut off its answer at the timeout. Change: faults once, one to a line; submissions are marked as repeats only after an unknown outcome or on request; the last submission may wait for its answer. Result: the walk repeated shows the faults once; go test -race ./pkg/client ./internal/cli passes.

--- a/internal/cli/call.go
+++ b/internal/cli/call.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"os"
@@ -66,7 +67,7 @@
 			"request-id": call.RequestID, "outcome": model.OutcomeAnswered, "runner": answer.Runner, "body": string(answer.Body),
 		})
 	}
-	e.printf("%s\n", answer.Body)
+	e.printf("%s\n", bytes.TrimSuffix(answer.Body, []byte("\n")))
 	return nil
 }
 
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -136,13 +136,13 @@
 	return nil
 }
 
-// withFaults adds the faults of a refused publish to its message.
+// withFaults replaces the summary of a refused publish by its faults.
 func withFaults(path string, err error) error {
 	var refused *model.Error
 	if !errors.As(err, &refused) || len(refused.Faults) == 0 {
 		return err
 	}
-	return errors.WithSecondaryError(errors.Wrap(err, faultsError(path, refused.Faults).Error()), err)
+	return usageError{faultsError(path, refused.Faults)}
 }
 
 type diffCommand struct {
--- a/internal/cli/job.go
+++ b/internal/cli/job.go
@@ -19,6 +19,9 @@
 	lostBound = 2 * time.Minute
 	// lostPause lies between the tries to reach an entry host again.
 	lostPause = time.Second
+	// submitGrace lets the answer to the last submission arrive: an entry host waits for the log for up to 5 s, and
+	// without its answer the outcome would be unknown.
+	submitGrace = 10 * time.Second
 	// progressEvery is the number of jobs between two lines of progress.
 	progressEvery = 50
 )
@@ -38,7 +41,7 @@
 	Repeat       bool               `help:"The jobs may have been submitted before; a refusal is then unknown instead of not run."`
 	Wait         bool               `help:"Follow the jobs to their outcomes."`
 	Retry        bool               `help:"Repeat a submission that was not run, until the timeout."`
-	Timeout      time.Duration      `help:"Longest time until all jobs are accepted." default:"30s"`
+	Timeout      time.Duration      `help:"Time after which no submission is repeated." default:"30s"`
 }
 
 // Help shows examples.
@@ -98,7 +101,7 @@
 	if c.Retry {
 		retry.Deadline = deadline
 	}
-	ctx, cancel := e.until(deadline)
+	ctx, cancel := e.until(deadline.Add(submitGrace))
 	defer cancel()
 	return c.client().SubmitRetry(ctx, spec, retry)
 }
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -40,6 +40,9 @@
 		if err != nil {
 			return err
 		}
+		if len(jobs) == 0 {
+			e.progress("no jobs in the workspace")
+		}
 		return printJobs(e, c.JSON, jobs)
 	}
 	s, err := c.client().Status(ctx)
@@ -79,7 +82,7 @@
 }
 
 func printStatus(e *env, s model.Status) {
-	e.printf("host %s in %s (%s), configuration %d, %s", s.Host, s.FailureDomain, s.Region, s.ConfigVersion, s.Role)
+	e.printf("host %s in %s (%s), configuration %d, role %s", s.Host, s.FailureDomain, s.Region, s.ConfigVersion, s.Role)
 	if s.Planner != "" {
 		e.printf(", planner %s term %d", s.Planner, s.Term.Number)
 	}
--- a/pkg/client/retry.go
+++ b/pkg/client/retry.go
@@ -21,7 +21,7 @@
 type Retry struct {
 	// Deadline is the time after which no repeat is sent.
 	Deadline time.Time
-	// Repeat says that the job of SubmitRetry may have been submitted before.
+	// Repeat says that the work may have been sent before, with the same id.
 	Repeat bool
 	// Notify is called before the pause that precedes each repeat; it may be nil.
 	Notify func(err *model.Error, pause time.Duration)
@@ -31,8 +31,9 @@
 // Each repeat is marked as one, so a refusal of it can only say unknown, and the result stays unknown from then on
 // unless an answer arrives.
 func (c *Client) CallRetry(ctx context.Context, call Call, r Retry) (Answer, error) {
-	return retry(ctx, r, func(repeat bool) (Answer, error) {
-		call.Repeat = call.Repeat || repeat
+	r.Repeat = r.Repeat || call.Repeat
+	return retry(ctx, r, func(again, _ bool) (Answer, error) {
+		call.Repeat = r.Repeat || again
 		return c.Call(ctx, call)
 	})
 }
@@ -43,8 +44,9 @@
 	if spec.ID == "" {
 		r = Retry{Repeat: r.Repeat} // without an id, each submission would be another job
 	}
-	return retry(ctx, r, func(repeat bool) (model.Job, error) {
-		if repeat || r.Repeat {
+	return retry(ctx, r, func(_, unknown bool) (model.Job, error) {
+		// After certain refusals alone, a later one is as certain.
+		if r.Repeat || unknown {
 			return c.Resubmit(ctx, spec)
 		}
 		return c.Submit(ctx, spec)
@@ -52,10 +54,10 @@
 }
 
 // retry calls f until it succeeds, fails for good or the next repeat would come after the deadline.
-func retry[T any](ctx context.Context, r Retry, f func(repeat bool) (T, error)) (T, error) {
+func retry[T any](ctx context.Context, r Retry, f func(again, unknown bool) (T, error)) (T, error) {
 	unknown := false
 	for n := 0; ; n++ {
-		v, err := f(n > 0)
+		v, err := f(n > 0, unknown)
 		if err == nil {
 			return v, nil
 		}
@@ -70,7 +72,7 @@
 		}
 		unknown = unknown || e.Outcome == model.OutcomeUnknown
 		pause := pauseBefore(n, e)
-		if !repeatable(e, n > 0) || !time.Now().Add(pause).Before(r.Deadline) {
+		if !repeatable(e, n > 0 || r.Repeat) || !time.Now().Add(pause).Before(r.Deadline) {
 			return v, e
 		}
 		if r.Notify != nil {
