--- a/test/capacity/main.go
+++ b/test/capacity/main.go
@@ -33,6 +33,7 @@
 	Jobs     int           `default:"0" help:"Short jobs submitted a minute."`
 	Publish  int           `default:"0" help:"Configuration changes a minute."`
 	Queue    int           `default:"0" help:"Waiting jobs added for the start of a host."`
+	Snapshot time.Duration `default:"0s" help:"Time between snapshots; 0 means a quarter of a day."`
 	Start    bool          `help:"Start one more entry host at the end and measure what it reads."`
 	Settle   time.Duration `default:"35s" help:"Wait before the measurement; longer than a poll."`
 	Time     time.Duration `default:"60s" help:"Length of the measurement."`
@@ -75,6 +76,9 @@
 	}
 	c, err := launcher.Start(launcher.Options{Bin: args.Bin, Deploy: dir, Dir: dir, Hosts: hosts, Tune: func(s *settings.Settings) {
 		s.Poll, s.TaskLease, s.HostListPoll = millis(args.Poll), millis(args.Lease), millis(args.HostPoll)
+		if args.Snapshot > 0 { // a quarter of the retention, which must hold two claim windows
+			s.Retention, s.ClaimWindow = 4*millis(args.Snapshot), millis(args.Snapshot)
+		}
 	}})
 	if err != nil {
 		return err
--- a/test/capacity/start.go
+++ b/test/capacity/start.go
@@ -24,6 +24,7 @@
 	CPU      float64 `json:"cpu-ms"`
 	GoMB     float64 `json:"go-memory-mb"`
 	MaxRSSMB float64 `json:"max-rss-mb"`
+	Planner  float64 `json:"planner-max-rss-mb"` // of the host that wrote the snapshots
 }
 
 // startHost adds waiting jobs, starts one more entry host and measures how it reads the log.
@@ -37,11 +38,13 @@
 	if err := group.Wait(); err != nil {
 		return s, err
 	}
+	time.Sleep(r.Snapshot + r.Snapshot/2) // at least one snapshot has all jobs
 	ctx := context.Background()
 	v, err := r.vars(ctx, r.planner)
 	if err != nil {
 		return s, err
 	}
+	s.Planner = float64(v.Process.Resident) / (1 << 20)
 	s.Jobs = v.Planner.Stats.RunningGangs + r.Queue
 	for _, n := range v.Appends {
 		s.Records += n
