Refuse answers that are larger than the client reads

An answer above 64 MiB was cut and looked whole. It is an error of unknown outcome now, and the bound can be set. FuzzDecodeError and go test -race ./pkg/client pass.

--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"chestnutmux.example/chestnutmux/pkg/model"
@@ -22,8 +24,8 @@
 	HeaderRunner     = "Runner"
 )
 
-// maxReply bounds an answer that the client reads.
-const maxReply = 64 << 20
+// defaultMaxAnswer bounds an answer unless the client says otherwise.
+const defaultMaxAnswer model.Bytes = 64 << 20
 
 // Client sends requests to one entry host or to the balancer before them.
 type Client struct {
@@ -31,6 +33,8 @@
 	Base string
 	// Token is the bearer token of the caller or operator.
 	Token string
+	// MaxAnswer bounds an answer that is read into memory; 0 means 64 MiB.
+	MaxAnswer model.Bytes
 	// HTTP is used when set, else http.DefaultClient.
 	HTTP *http.Client
 }
@@ -56,10 +60,19 @@
 		return nil, nil, sent.failure(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	limit := int64(cmp.Or(c.MaxAnswer, defaultMaxAnswer))
+	data, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
 	if err != nil {
 		return nil, nil, sent.failure(err)
 	}
+	if int64(len(data)) > limit {
+		// A cut answer would look whole.
+		return nil, nil, &model.Error{
+			Outcome: model.OutcomeUnknown, Kind: model.KindTooLarge,
+			Message: "client: the answer is larger than " + strconv.FormatInt(limit, 10) + " bytes",
+			Remedy:  "raise MaxAnswer of the client and repeat with the same id",
+		}
+	}
 	return resp, data, nil
 }
 
--- a/pkg/client/retry_test.go
+++ b/pkg/client/retry_test.go
@@ -165,3 +165,30 @@
 	_, err = c.Resubmit(t.Context(), model.JobSpec{ID: "j"})
 	is.Equal(outcomeOf(t, err), model.OutcomeUnknown)
 }
+
+// Guards against an answer that is cut at the bound and looks whole.
+func TestLargeAnswer(t *testing.T) {
+	for size, whole := range map[model.Bytes]bool{1: false, 2: true} {
+		is := is.New(t)
+		s := &script{errors: []*model.Error{nil}} // answers {}
+		c := s.client()
+		c.MaxAnswer = size
+		answer, err := c.Call(t.Context(), Call{RequestID: "r"})
+		is.Equal(err == nil, whole)
+		is.Equal(string(answer.Body) == "{}", whole)
+	}
+}
+
+// Guards against an answer of something else than an entry host that gives an error without kind, or a panic.
+func FuzzDecodeError(f *testing.F) {
+	f.Add(`{"outcome":"not-run","kind":"overloaded","message":"m","retry-after-ms":5,"faults":[{"kind":"workspace"}]}`)
+	f.Add(`<html>502</html>`)
+	f.Add(`{"kind":""}`)
+	f.Add(`null`)
+	f.Fuzz(func(t *testing.T, body string) {
+		var e *model.Error
+		if err := decodeError(&http.Response{Status: "502 Bad Gateway"}, []byte(body)); !errors.As(err, &e) || e.Kind == "" {
+			t.Fatal(err)
+		}
+	})
+}
