--- a/internal/peerclient/peerclient_test.go
+++ b/internal/peerclient/peerclient_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -127,6 +128,25 @@
 	is.True(err != nil) // the server closes the connection
 }
 
+// Guards against connections that send no hello, or end in the middle of it, and stay open.
+func TestSilentConnection(t *testing.T) {
+	addr, _ := serve(t, "127.0.0.1:0", echo{}, Options{Timeout: 50 * time.Millisecond})
+	for _, half := range []bool{false, true} {
+		is := is.New(t)
+		nc, err := net.Dial("tcp", addr)
+		is.NoErr(err)
+		defer nc.Close()
+		_, err = fmt.Fprint(nc, `{"jsonrpc":"2.0","id":1,"meth`)
+		is.NoErr(err)
+		if half {
+			is.NoErr(nc.(*net.TCPConn).CloseWrite())
+		}
+		is.NoErr(nc.SetReadDeadline(time.Now().Add(20 * time.Second)))
+		_, err = nc.Read(make([]byte, 1))
+		is.True(err != nil && !errors.Is(err, os.ErrDeadlineExceeded)) // closed by the server
+	}
+}
+
 // Guards against calls without an end, and against a hanging call that blocks others.
 func TestDeadline(t *testing.T) {
 	is := is.New(t)
