Finish accepted requests and their connections at shutdown

Change: the shutdown waits for all accepted requests, answers close their connection while the host drains, and it goes on refusing for 500 ms before the listener closes.

--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -128,6 +128,8 @@
 	if err := d.Ready(); err != nil {
 		return client.Answer{}, repeated(r, err)
 	}
+	d.calls.Add(1)
+	defer d.calls.Add(-1)
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
 	req := router.Request{
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -55,6 +55,7 @@
 
 	startedAt time.Time
 	draining  atomic.Bool
+	calls     atomic.Int64 // service requests in progress, also those that wait for their claim
 	stopOnce  sync.Once
 	stop      chan struct{} // closed when the graceful shutdown starts
 	tasks     context.Context
@@ -157,6 +158,7 @@
 	}
 	group.Go(func() error { return peerclient.NewServer(d, d.peerOptions()).Serve(tasks, peerListener) })
 	web := (&server.Server{Backend: d, Logger: d.logger, Metrics: d.recorder}).HTTP()
+	web.Handler = closeWhen(&d.draining, web.Handler)
 	group.Go(func() error {
 		if err := web.Serve(server.Listen(httpListener)); !errors.Is(err, http.ErrServerClosed) {
 			return errors.Wrap(err, "daemon: HTTP listener")
@@ -180,7 +182,7 @@
 const (
 	// handOver is how long the planner's role is kept after peers were told of the shutdown.
 	handOver = 2 * time.Second
-	// settle is how long balancers may take to see that the host is not ready.
+	// settle is how long balancers and callers may take to see that the host is not ready.
 	settle = 500 * time.Millisecond
 )
 
@@ -193,6 +195,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), settings.Duration(d.settings.DrainBound))
 	defer cancel()
 	time.Sleep(settle)
+	d.finishCalls(ctx)
+	time.Sleep(settle) // the next requests of these callers are refused, not cut off with the listener
 	drained := d.router.Drain(ctx)
 	d.asserter.Check(drained == nil, asserter.CutOffAtShutdown, "host", string(d.settings.HostID))
 	_ = web.Shutdown(ctx)
@@ -204,6 +208,14 @@
 	}
 }
 
+// finishCalls waits until the requests that were accepted have ended; the router does not know of those that wait for
+// their claim, and would refuse them once it drains.
+func (d *Daemon) finishCalls(ctx context.Context) {
+	for d.calls.Load() > 0 && ctx.Err() == nil {
+		time.Sleep(settle / 50)
+	}
+}
+
 // handOverPlanner waits until another host has taken the term, so that no lease lapses meanwhile.
 func (d *Daemon) handOverPlanner(ctx context.Context) {
 	until := time.Now().Add(handOver)
--- a/test/process/requests_test.go
+++ b/test/process/requests_test.go
@@ -214,33 +214,40 @@
 	return n
 }
 
-// Guards against shutdowns that cut requests off: callers see whole answers or a clean not-run, never unknown.
+// Guards against shutdowns that cut requests off or refuse requests that they had accepted, such as those whose claim
+// is on its way to the log: callers see whole answers, or a clean not-run for what arrives later.
 func TestShutdownUnderLoad(t *testing.T) {
 	c := start(t, launcher.Options{Hosts: hosts(domainA)})
+	c.is.NoErr(c.Fault(platform.NameLog, fault.Faults{SlowMS: 600}))
 	x := c.callers()
 	x.run = 700 * time.Millisecond // longer than the host waits before it refuses
 	h := c.Hosts[1]
 	var wg sync.WaitGroup
-	refused := make([]bool, 60)
+	refused := make([]time.Time, 60) // when the refused call of each caller began
 	for i := range refused {
 		wg.Go(func() {
-			for n := 0; n < 5000; n++ {
+			for refused[i].IsZero() {
+				begun := time.Now()
 				// New ids only, so that not-run is the whole truth about a request.
 				if x.call(h, workshop, client.Call{RequestID: newID(), Idempotent: i%2 == 0}) != nil {
-					refused[i] = true
-					return
+					refused[i] = begun
 				}
 			}
 		})
 	}
-	time.Sleep(3 * time.Second)
-	begun := time.Now()
+	time.Sleep(4 * time.Second)
+	signal := time.Now()
 	c.is.NoErr(c.Terminate(h))
-	t.Logf("the host ended %s after the signal", time.Since(begun))
+	t.Logf("the host ended %s after the signal", time.Since(signal))
 	wg.Wait()
 	answered, notRun, unknown := x.check()
 	t.Logf("told %d answered, %d not-run, %d unknown; kinds %v", answered, notRun, unknown, x.errs)
 	c.is.True(answered > 100)
 	c.is.Equal(unknown, 0) // no request in progress was cut off
 	c.is.Equal(notRun, len(refused))
+	for _, begun := range refused {
+		if early := signal.Sub(begun); early > 200*time.Millisecond {
+			t.Errorf("a request was refused that began %s before the signal", early)
+		}
+	}
 }
