Let aged gangs take the room of narrower lent work

Change: aging begins after 10 min; the aged gang preempts narrower lent work that is not more urgent, within the shares of the workspaces; workspaces over their share have no part in aging.

--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -302,7 +302,7 @@
 		j.wait = WaitQuota
 		return
 	}
-	if s.tryGuaranteed(j) || s.tryLent(j) {
+	if s.tryGuaranteed(j) || s.tryLent(j) || s.reclaimAged(j) {
 		return
 	}
 	if p.pinnedBy != j.spec.ID || !s.alloc.AllUsable(p.pinned) {
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -215,11 +215,14 @@
 	s.dirty = true
 }
 
-// oldest returns the waiting job accepted first among those that ok accepts, of callers within their share.
+// oldest returns the waiting job accepted first among those that ok accepts, of workspaces and callers within their share.
 func (s *Scheduler) oldest(now time.Time, ok func(*job) bool) *job {
 	var best *job
 	for lv := range s.order {
 		for _, b := range s.order[lv] {
+			if s.beyondShare(b.workspace, 0) {
+				continue
+			}
 			for _, l := range b.lanes {
 				if len(l.jobs) == 0 || s.over(l, l.jobs[0], now) {
 					continue
--- a/internal/scheduler/reclaim.go
+++ b/internal/scheduler/reclaim.go
@@ -30,13 +30,36 @@
 	// Room of the same workspace frees as much of its quota and of its share.
 	total := j.spec.Shape.Total()
 	within := total <= s.quotaLeft(j.spec.Workspace) && !s.beyondShare(j.spec.Workspace, total)
+	if !s.claimLent(j, false, func(v *gang) bool { return s.evictableFor(v, j, within) }) {
+		p.noEvict[j.spec.Shape] = true
+		return false
+	}
+	return true
+}
+
+// reclaimAged makes room for an aged gang, whose shape seldom becomes free by itself: narrower lent work that is not
+// more urgent is preempted, because it finds other room more easily.
+func (s *Scheduler) reclaimAged(j *job) bool {
+	if j.spec.Shape.Workers == 1 || s.shareClaims() >= maxShareClaims {
+		return false
+	}
+	within := !s.beyondShare(j.spec.Workspace, j.spec.Shape.Total())
+	return s.claimLent(j, true, func(v *gang) bool {
+		if v == nil || v.state != running || v.trial || v.aged || v.level < j.level || v.Shape.Workers >= j.spec.Shape.Workers {
+			return false
+		}
+		return within || v.Workspace == j.spec.Workspace || s.beyondShare(v.Workspace, -v.Shape.Total())
+	})
+}
+
+// claimLent claims the room of eligible lent gangs for a job and preempts them.
+func (s *Scheduler) claimLent(j *job, aged bool, eligible func(*gang) bool) bool {
 	g := s.newGang(j)
-	victims, ok := s.alloc.PlaceOver(&g.Gang, p.now, func(v *allocator.Gang) bool { return s.evictableFor(s.gangs[v.ID], j, within) })
+	victims, ok := s.alloc.PlaceOver(&g.Gang, s.pass.now, func(v *allocator.Gang) bool { return eligible(s.gangs[v.ID]) })
 	if !ok {
-		p.noEvict[j.spec.Shape] = true
 		return false
 	}
-	g.forShare = true
+	g.forShare, g.aged = true, aged
 	s.admitGang(j, g)
 	for _, v := range victims {
 		s.preempt(s.gangs[v.ID], j)
@@ -67,7 +90,7 @@
 // evictableFor reports whether a gang runs on room that a job of a caller within its share may claim; within says that
 // the job's workspace is within its share, too, and may claim room of other workspaces.
 func (s *Scheduler) evictableFor(v *gang, j *job, within bool) bool {
-	if v == nil || v.job == nil || v.state != running || v.trial {
+	if v == nil || v.job == nil || v.state != running || v.trial || v.aged {
 		return false
 	}
 	if v.Workspace != j.spec.Workspace {
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -39,6 +39,7 @@
 	caller   *account
 	forJob   model.JobID // reclaims the room of a doomed gang
 	deadline time.Time   // of the checkpoint of a doomed gang
+	aged     bool        // took its room by age; not preempted for a share
 	forShare bool        // claims room of lent work beyond a share
 	trial    bool        // runs on a worker in probation
 	decided  uint64      // pass that decided the start
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -15,15 +15,15 @@
 type Options struct {
 	Policy          allocator.Policy // default Gradient
 	CheckpointBound time.Duration    // time that a preempted gang has for its checkpoint, default 1 s
-	AgingAfter      time.Duration    // age from which the oldest waiting job comes first, default 30 min
-	ShareGrace      time.Duration    // wait until work beyond a share is preempted for a job within its share, default 1 min
+	AgingAfter      time.Duration    // age from which the oldest waiting job comes first, default 10 min
+	ShareGrace      time.Duration    // wait until work beyond a share is preempted for a job within its share, default 30 s
 	Baseline        bool             // first-come-first-served and first-fit, without guarantees, preemption and backfill
 }
 
 // The defaults of Options.
 const (
 	DefaultCheckpointBound = time.Second
-	DefaultAgingAfter      = 30 * time.Minute
+	DefaultAgingAfter      = 10 * time.Minute
 )
 
 // Scheduler plans one failure domain; create it with New or NewBaseline.
--- a/internal/scheduler/share_test.go
+++ b/internal/scheduler/share_test.go
@@ -67,3 +67,29 @@
 	is.Equal(len(ds), 1)
 	is.Equal(ds[0].Job, model.JobID("small0"))
 }
+
+// TestAgedGangReclaims guards against a wide gang that waits for as long as narrower lent work keeps arriving.
+func TestAgedGangReclaims(t *testing.T) {
+	is := is.New(t)
+	s := New(Options{AgingAfter: 10 * time.Minute})
+	s.SetConfig(config(1, 8, 0), domain)
+	addWorkers(s, 1)
+	for i := range 8 {
+		s.Submit(work(fmt.Sprint("narrow", i), "b", "batch", 1, 8), start)
+	}
+	for _, d := range starts(s.Pass(start)) {
+		s.Started(d.Gang, start)
+	}
+	s.Submit(work("wide", "b", "batch", 8, 8), start)
+	is.Equal(len(preempts(s.Pass(start.Add(9*time.Minute)))), 0)
+	at := start.Add(10 * time.Minute)
+	s.dirty = true
+	gone := preempts(s.Pass(at))
+	is.Equal(len(gone), 8)
+	for _, d := range gone {
+		s.Preempted(d.Gang, at)
+	}
+	ds := starts(s.Pass(at))
+	is.Equal(len(ds), 1)
+	is.Equal(ds[0].Job, model.JobID("wide"))
+}
