--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -54,6 +54,7 @@
 		Invariant: func(_, detail string) {
 			d.asserter.Violated(asserter.WrongAnswer, "detail", detail)
 		},
+		Violated: d.asserter.Violated,
 	}
 }
 
--- a/internal/router/api.go
+++ b/internal/router/api.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"chestnutmux.example/chestnutmux/internal/asserter"
 	"chestnutmux.example/chestnutmux/internal/hostclient"
 	"chestnutmux.example/chestnutmux/internal/queuer"
 	"chestnutmux.example/chestnutmux/internal/runnerclient"
@@ -53,6 +54,7 @@
 	Retry     func(ws model.WorkspaceID, class model.ClassID)
 	LinkBytes func(ws model.WorkspaceID, class model.ClassID, n model.Bytes)
 	Invariant func(name, detail string) // an answer carried the id of another request
+	Violated  func(inv asserter.Invariant, args ...any)
 }
 
 // Options are the place and bounds of a Router; zero values mean the defaults.
--- a/internal/router/model_test.go
+++ b/internal/router/model_test.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"pgregory.net/rapid"
 
+	"chestnutmux.example/chestnutmux/internal/asserter"
 	"chestnutmux.example/chestnutmux/internal/hostclient"
 	"chestnutmux.example/chestnutmux/internal/limiter"
 	"chestnutmux.example/chestnutmux/internal/queuer"
@@ -87,6 +88,9 @@
 
 func newBench(o Options) *bench {
 	b := &bench{now: time.Now(), started: make(chan *attempt), freeSlots: -1}
+	if o.Hooks.Violated == nil {
+		o.Hooks.Violated = (&asserter.Asserter{Fatal: true}).Violated
+	}
 	o.Domain, o.Region, o.LinkBytesPerSecond = "d1", "r1", cmp.Or(o.LinkBytesPerSecond, 1_000_000)
 	o.Dial = func(h hostclient.Host, _ runnerclient.Options) Sender { return fakeSender{h.ID, b.started} }
 	b.task = &task{
--- a/internal/router/outcome.go
+++ b/internal/router/outcome.go
@@ -26,6 +26,7 @@
 	entry    *queuer.Entry[*call] // while it waits in the queue
 	arrived  time.Time
 	attempts int
+	written  bool // an earlier attempt sent a byte, so a non-idempotent request must not be sent again
 	mayRun   bool // an earlier attempt has an unknown outcome, so not-run can't be said any more
 	accepted bool
 	canceled bool
@@ -91,7 +92,7 @@
 	took := now.Sub(f.started)
 	if f.err == nil {
 		c.service.observe(c.req.Class, r, took, now)
-		r.succeeded(f.answer.Status, f.started)
+		r.succeeded(f.answer.Status, f.started, now)
 		t.chargeLink(c, r, model.Bytes(len(f.answer.Body)), now)
 		if h := t.opts.Hooks.Service; h != nil {
 			h(c.req.Workspace, c.req.Class, took)
@@ -118,6 +119,7 @@
 	default:
 		r.failed(failure.Status, failure.NotRun && failure.BytesSent, f.started, now, t.rng)
 	}
+	c.written = c.written || failure.BytesSent || !failure.NotRun
 	if !failure.NotRun {
 		c.mayRun = true
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -76,7 +76,7 @@
 		t.settle(timer, time.Now())
 	}
 	for _, s := range t.services {
-		s.setRunners(t, nil)
+		s.setRunners(t, nil, time.Now())
 	}
 	return nil
 }
--- a/internal/router/runner.go
+++ b/internal/router/runner.go
@@ -47,6 +47,7 @@
 	inFlight  int
 	othersUse int // slots that other hosts used at the last answer
 	leaving   bool
+	leavingAt time.Time // when this host learned of it
 	gone      bool // no longer in the table
 	slowness  float64
 	slowAt    time.Time
@@ -99,9 +100,16 @@
 	return (own + others) * slow
 }
 
-func (r *runner) note(st runnerclient.Status) {
+// leave notes that the runner takes no new work.
+func (r *runner) leave(now time.Time) {
+	if !r.leaving {
+		r.leaving, r.leavingAt = true, now
+	}
+}
+
+func (r *runner) note(st runnerclient.Status, now time.Time) {
 	if st.Leaving {
-		r.leaving = true
+		r.leave(now)
 	}
 	if st.FreeSlots >= 0 {
 		// inFlight no longer counts the answered request, and neither does the runner.
@@ -110,8 +118,8 @@
 	}
 }
 
-func (r *runner) succeeded(st runnerclient.Status, started time.Time) {
-	r.note(st)
+func (r *runner) succeeded(st runnerclient.Status, started, now time.Time) {
+	r.note(st, now)
 	if !started.Before(r.failedAt) {
 		r.failures, r.retryAt = 0, time.Time{}
 	}
@@ -119,7 +127,7 @@
 
 // failed backs off; failures of attempts that were already in progress at the latest one count once.
 func (r *runner) failed(st runnerclient.Status, refused bool, started, now time.Time, rng *rand.Rand) {
-	r.note(st)
+	r.note(st, now)
 	if r.failures > 0 && started.Before(r.failedAt) {
 		return
 	}
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -47,7 +47,7 @@
 
 // setRunners replaces the table. A runner that stays listed keeps its load and health, and one that said
 // that it is leaving keeps being avoided, because the host list lags.
-func (s *service) setRunners(t *task, hosts []hostclient.Host) {
+func (s *service) setRunners(t *task, hosts []hostclient.Host, now time.Time) {
 	listed := map[model.HostID]bool{}
 	for _, h := range hosts {
 		if h.Role != hostclient.RoleRunner || h.Service != s.id {
@@ -64,7 +64,7 @@
 			s.runners[h.ID] = r
 		}
 		if h.State == hostclient.StateLeaving {
-			r.leaving = true
+			r.leave(now)
 		} else if r.host.State == hostclient.StateLeaving {
 			r.leaving = false // the platform took the departure back
 		}
--- a/internal/router/task.go
+++ b/internal/router/task.go
@@ -62,7 +62,7 @@
 	for id, s := range t.services {
 		if _, ok := set.Services[id]; !ok {
 			t.refuseWaiting(s, model.KindNotFound, "the service was removed from the configuration")
-			s.setRunners(t, nil)
+			s.setRunners(t, nil, now)
 			delete(t.services, id)
 		}
 	}
@@ -82,7 +82,7 @@
 		}
 		s.spec = spec
 		s.queue.SetWeights(weights)
-		s.setRunners(t, t.hostList)
+		s.setRunners(t, t.hostList, now)
 		t.dispatch(s, now)
 	}
 }
@@ -90,7 +90,7 @@
 func (t *task) setRunners(hosts []hostclient.Host, now time.Time) {
 	t.hostList = hosts
 	for _, s := range t.services {
-		s.setRunners(t, hosts)
+		s.setRunners(t, hosts, now)
 		t.dispatch(s, now)
 	}
 }
@@ -250,6 +250,9 @@
 
 // send starts an attempt.
 func (t *task) send(c *call, r *runner, now time.Time) {
+	if !t.inspect(c, r, now) {
+		return
+	}
 	if c.attempts == 0 {
 		t.budget(c.req.Workspace).Request()
 		if f := t.opts.Hooks.Wait; f != nil {
