Assert in the claimer that a request is sent once

Cause: the claimer trusted claims and results alone to prevent a repeated send. Change: it remembers the newest requests that it sent, apart from both, and refuses and counts a second send.

--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"chestnutmux.example/chestnutmux/internal/asserter"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
@@ -126,4 +127,6 @@
 	MaxResults int
 	MaxBytes   model.Bytes
 	Now        func() time.Time // nil means time.Now
+	// Violated is called for a request that was about to be sent again; nil means that it is not told.
+	Violated func(inv asserter.Invariant, args ...any)
 }
--- a/internal/claimer/claimer_test.go
+++ b/internal/claimer/claimer_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"chestnutmux.example/chestnutmux/internal/asserter"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
@@ -69,7 +70,7 @@
 // restart replaces the host by a process that knows nothing but the log.
 func (w *world) restart(id model.HostID) {
 	h := &host{w: w, id: id}
-	h.c = New(Options{Host: id, Appender: h, Fold: h, Answers: w, MaxResults: 4, Now: func() time.Time { return w.now }})
+	h.c = New(Options{Host: id, Appender: h, Fold: h, Answers: w, MaxResults: 4, Now: func() time.Time { return w.now }, Violated: (&asserter.Asserter{Fatal: true}).Violated})
 	w.hosts[id] = h
 }
 
--- a/internal/claimer/run.go
+++ b/internal/claimer/run.go
@@ -16,6 +16,7 @@
 
 	mu    sync.Mutex
 	store store
+	sent  sent
 }
 
 // New returns a claimer that keeps no results yet.
@@ -35,7 +36,7 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
-	return &Claimer{opts: o, store: store{maxResults: o.MaxResults, maxBytes: o.MaxBytes}}
+	return &Claimer{opts: o, store: store{maxResults: o.MaxResults, maxBytes: o.MaxBytes}, sent: sent{limit: o.MaxResults}}
 }
 
 // Claim appends a claim and waits for the verdict; a repeat of an id never wins again.
@@ -158,6 +159,9 @@
 	}
 	switch d.Verdict {
 	case VerdictWon:
+		if !c.maySend(rec) {
+			return failed(req, unknown(model.KindAlreadyClaimed, "this host has already sent the request"))
+		}
 		res = run(context.WithoutCancel(ctx))
 		res.Digest = req.Digest
 		if e := res.Error; e != nil && e.Outcome == model.OutcomeNotRun {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -107,7 +107,7 @@
 	d.claimer = claimer.New(claimer.Options{
 		Host: s.HostID, Appender: d.claims, Fold: d.claims,
 		Answers: peerAnswers{client: d.peers, monitor: d.monitor},
-		Window:  settings.Duration(s.ClaimWindow),
+		Window:  settings.Duration(s.ClaimWindow), Violated: d.asserter.Violated,
 	})
 	d.gauges()
 	return d
--- a/internal/router/runner.go
+++ b/internal/router/runner.go
@@ -48,7 +48,7 @@
 	othersUse int // slots that other hosts used at the last answer
 	leaving   bool
 	leavingAt time.Time // when this host learned of it
-	gone      bool // no longer in the table
+	gone      bool      // no longer in the table
 	slowness  float64
 	slowAt    time.Time
 	failures  int // in a row
