--- a/test/capacity/doc.go
+++ b/test/capacity/doc.go
@@ -1,3 +1,3 @@
-// Command capacity measures the control load of entry hosts as real processes against fakes in one process, and its
-// benchmarks measure the state per job, record and host; docs/CAPACITY.md names the command behind each figure.
+// Command capacity measures what control costs: "hosts" runs entry hosts as processes against the fakes, "state" measures
+// folds, lists and planning in its own process. docs/CAPACITY.md names the command behind each figure.
 package main
