Assert partial gangs and over-committed workers

Cause: a part of a gang that runs past its bound, and a worker that holds more than it has, were noticed by tests from outside only. Change: the reserver looks at the gangs of each worker with every poll and reports one of which a part is confirmed running for longer than three polls, a task lease and a call. It sums up what a worker holds with every answer; a sum above the declared capacity makes it ask for all tasks, and their list decides, because a worker does not tell in its changes which tasks it has forgotten.

--- a/internal/planner/handle.go
+++ b/internal/planner/handle.go
@@ -38,8 +38,9 @@
 
 func (p *Planner) configChanged(ctx context.Context, set *model.Set) {
 	p.set = set
-	var inv reserver.Inventory
+	inv := reserver.Inventory{Racks: map[model.RackID]reserver.Resources{}}
 	for id, r := range set.FailureDomains[p.cfg.Domain].Racks {
+		inv.Racks[id] = reserver.Resources{Accelerators: r.Accelerators, Cores: r.Cores, MemoryMB: r.MemoryMB}
 		for i := range r.Workers {
 			inv.Positions = append(inv.Positions, reserver.Position{Rack: id, Index: i})
 		}
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -53,6 +53,12 @@
 			"worker", string(r.Worker), "cause", string(r.Cause), "error", r.Error)
 	case reserver.GangLost:
 		p.cfg.Logger.Warn("gang lost", "gang", string(r.Gang), "reason", r.Reason)
+	case reserver.GangPartial:
+		p.cfg.Asserter.Violated(asserter.PartialGang, "gang", string(r.Gang), "job", string(r.Job), "running", r.Running,
+			"size", r.Size, "since", r.Since, "members", r.Members)
+	case reserver.WorkerOver:
+		p.cfg.Asserter.Violated(asserter.OverCommitted, "worker", string(r.Worker), "held", r.Held, "declared", r.Declared,
+			"tasks", r.Tasks)
 	case reserver.GangEnded:
 		p.gangEnded(ctx, r, now)
 	}
--- a/internal/reserver/event.go
+++ b/internal/reserver/event.go
@@ -25,7 +25,17 @@
 }
 
 // Inventory replaces the declared positions of the failure domain.
-type Inventory struct{ Positions []Position }
+type Inventory struct {
+	Positions []Position
+	Racks     map[model.RackID]Resources // what each worker of a rack has; nothing is asserted for other racks
+}
+
+// Resources are an amount of what tasks occupy on a worker.
+type Resources struct {
+	Accelerators model.Accelerators
+	Cores        model.Cores
+	MemoryMB     model.Megabytes
+}
 
 // TermSeen carries a term learned from elsewhere, such as a heartbeat.
 type TermSeen struct{ Term model.Term }
--- a/internal/reserver/gang.go
+++ b/internal/reserver/gang.go
@@ -54,6 +54,10 @@
 	err      string
 	worker   model.HostID // of the first failed member
 	acked    bool         // the outcome is durable
+
+	partialSince time.Time // a part of it has been confirmed running since, zero for none or all
+	partialNoted time.Time // when it was last looked at
+	partialTold  bool
 }
 
 // member is one task of a gang.
--- a/internal/reserver/reply.go
+++ b/internal/reserver/reply.go
@@ -46,6 +46,7 @@
 	if len(reply.Tasks) > 0 {
 		r.report(WorkerReporting{Worker: w.host.ID, Tasks: reply.Tasks})
 	}
+	r.checkHeld(w, reply.Tasks, full)
 	r.watch(w)
 	if w.pending() {
 		r.heat(w)
--- a/internal/reserver/report.go
+++ b/internal/reserver/report.go
@@ -116,6 +116,16 @@
 	Reason string
 }
 
+// GangPartial reports, once, a gang of which a part is confirmed running beyond the bound of a partial gang.
+type GangPartial struct {
+	Gang    model.GangID
+	Job     model.JobID
+	Since   time.Time
+	Running int // members that their workers confirm
+	Size    int
+	Members []Member
+}
+
 // CheckpointDone reports that every member of a preempted gang saved its state; GangEnded follows.
 type CheckpointDone struct {
 	Gang model.GangID
@@ -149,18 +159,28 @@
 	Tasks  []workerclient.Task
 }
 
+// WorkerOver reports, once, a worker that lists tasks which together hold more than the rack declares for it.
+type WorkerOver struct {
+	Worker   model.HostID
+	Held     Resources
+	Declared Resources
+	Tasks    []model.TaskID
+}
+
 func (RoleChanged) report()     {}
 func (GangStarted) report()     {}
 func (MemberFailed) report()    {}
 func (GangEnded) report()       {}
 func (GangAdopted) report()     {}
 func (GangLost) report()        {}
+func (GangPartial) report()     {}
 func (CheckpointDone) report()  {}
 func (GangRefused) report()     {}
 func (WorkerUp) report()        {}
 func (WorkerDown) report()      {}
 func (WorkerRestarted) report() {}
 func (WorkerReporting) report() {}
+func (WorkerOver) report()      {}
 
 // Status is a copy of the reserver's authority for other goroutines.
 type Status struct {
--- a/internal/reserver/reserver.go
+++ b/internal/reserver/reserver.go
@@ -21,6 +21,7 @@
 	hosts       []hostclient.Host // latest list, workers of the domain only
 	hostsReadAt time.Time
 	positions   []Position
+	declared    map[model.RackID]Resources
 
 	tookAt      time.Time // when the takeover began
 	plannerAt   time.Time // when a majority had acknowledged the term
@@ -89,6 +90,7 @@
 		r.setHosts(ev)
 	case Inventory:
 		r.positions = slices.Clone(ev.Positions)
+		r.declare(ev.Racks)
 		r.noteUnlisted()
 	case TermSeen:
 		r.see(ev.Term)
--- a/internal/reserver/sim_test.go
+++ b/internal/reserver/sim_test.go
@@ -62,20 +62,21 @@
 // sim runs planners against modelled workers over a network with loss, duplication,
 // delay and reordering, in virtual time.
 type sim struct {
-	rng       *rand.Rand
-	now       time.Time
-	seq       int
-	queue     simQueue
-	workers   []*simWorker
-	planners  []*simPlanner
-	jobs      []*simJob
-	loss, dup int // percent
-	slow      int // percent of messages that take up to the whole time of a call
-	partial   map[model.GangID]time.Time
-	finished  map[model.TaskID]bool // ever; a planner may know it when the worker has restarted since
-	slack     time.Duration         // pauses so far; they may delay the planner's part of a bound
-	counts    map[string]int
-	faults    []string
+	rng        *rand.Rand
+	now        time.Time
+	seq        int
+	queue      simQueue
+	workers    []*simWorker
+	planners   []*simPlanner
+	jobs       []*simJob
+	loss, dup  int // percent
+	slow       int // percent of messages that take up to the whole time of a call
+	partial    map[model.GangID]time.Time
+	finished   map[model.TaskID]bool // ever; a planner may know it when the worker has restarted since
+	slack      time.Duration         // pauses so far; they may delay the planner's part of a bound
+	counts     map[string]int
+	faults     []string
+	impossible bool // the test breaks a rule, so alarms are right
 }
 
 func newSim(seed uint64, workers, planners int) *sim {
@@ -103,7 +104,7 @@
 	p.gen++
 	p.Reserver = New(Config{Host: p.id, Domain: "d", Rand: s.rng})
 	p.gangs, p.retryAt, p.up = map[model.JobID]model.GangID{}, map[model.JobID]time.Time{}, nil
-	inv := Inventory{}
+	inv := Inventory{Racks: map[model.RackID]Resources{"r": {Accelerators: 8}}}
 	for _, w := range s.workers {
 		inv.Positions = append(inv.Positions, Position{w.host.Rack, w.host.Index})
 	}
@@ -215,6 +216,11 @@
 			p.gangs[rep.Job] = rep.Gang
 			j := s.job(rep.Job)
 			j.attempt = max(j.attempt, attempt(rep.Gang))
+		case GangPartial, WorkerOver:
+			if s.impossible {
+				continue
+			}
+			s.fault("false alarm: %+v", rep)
 		case GangRefused:
 			p.retryAt[rep.Job] = rep.RetryAt
 			if p.gangs[rep.Job] == rep.Gang {
--- a/internal/reserver/simworker_test.go
+++ b/internal/reserver/simworker_test.go
@@ -27,6 +27,7 @@
 	version uint64
 	tasks   []*simTask // in the order of their reservation
 	fails   bool       // every task fails
+	stuck   bool       // impossible: tasks ignore leases and stops
 }
 
 func (w *simWorker) find(id model.TaskID) *simTask {
@@ -47,7 +48,7 @@
 func (w *simWorker) advance(now time.Time) {
 	for _, t := range w.tasks {
 		switch {
-		case !t.State.Holds():
+		case !t.State.Holds() || w.stuck:
 		case !now.Before(t.lease) && (t.State == workerclient.TaskReserved || t.lease.Before(t.due)):
 			w.set(t, workerclient.TaskLapsed)
 		case t.State == workerclient.TaskRunning && !now.Before(t.due):
@@ -115,7 +116,7 @@
 			t.due = s.now.Add(time.Duration(200+s.rng.IntN(1500)) * time.Millisecond)
 		}
 	case workerclient.OpStop:
-		if t.State.Holds() {
+		if t.State.Holds() && !w.stuck {
 			w.set(t, workerclient.TaskStopped)
 		}
 		ok = t.State == workerclient.TaskStopped
--- a/internal/reserver/worker.go
+++ b/internal/reserver/worker.go
@@ -29,6 +29,7 @@
 
 	out     *outstanding // the batch in flight
 	hot     bool
+	over    bool // holds more than declared, as of its latest list
 	members []*member
 	cleanup []cleanup
 }
@@ -204,6 +205,7 @@
 func (r *Reserver) renew(w *worker, ttl time.Duration) workerclient.Op {
 	op := workerclient.Op{Kind: workerclient.OpRenewAll, TTL: millis(ttl)}
 	for _, m := range w.members {
+		r.notePartial(m.g)
 		if m.g.phase != phaseRunning || r.anyStale(m.g) {
 			op.Except = append(op.Except, m.g.id)
 		} else {
