Assert guarantees and room in the scheduler

Cause: a guaranteed cell that could not be reclaimed, and a start on workers without room, were noticed by tests only. Change: the scheduler tells a hook when a job gets no cell although unused cells exist and the healthy workers hold all cells, when a claim waits beyond the checkpoint bound and a margin, and when a start or claim finds no room. Too few healthy workers are a shortage in its statistics. It also lists the usage of workers.

--- a/internal/scheduler/api.go
+++ b/internal/scheduler/api.go
@@ -42,6 +42,8 @@
 	Pass(now time.Time) []Decision
 	// Explain tells why a job waits and what would let it start.
 	Explain(id model.JobID, now time.Time) Explanation
+	// Usages returns the usage of all workers, sorted by id.
+	Usages() []allocator.Usage
 	// Stats returns the figures of the domain at this moment.
 	Stats(now time.Time) Stats
 }
@@ -155,4 +157,7 @@
 	Preempted     int64              // gangs preempted so far
 	Reclaims      int64              // guaranteed starts that needed preemption so far
 	Quarantined   int
+	// Shortage is what jobs within unused guarantees lack because too few workers are healthy; of jobs of the same
+	// workspace and shape it counts the first.
+	Shortage model.Accelerators
 }
--- a/internal/scheduler/claim.go
+++ b/internal/scheduler/claim.go
@@ -58,6 +58,7 @@
 			s.alloc.Promote(v)
 		}
 		s.pass.noCell[k] = true
+		s.refusedCell(j)
 		return false
 	}
 	s.admitGang(j, g)
@@ -72,7 +73,7 @@
 		return true
 	}
 	s.reclaims++
-	s.claims = append(s.claims, g)
+	s.claim(g)
 	return true
 }
 
--- a/internal/scheduler/machine_test.go
+++ b/internal/scheduler/machine_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"chestnutmux.example/chestnutmux/internal/allocator"
+	"chestnutmux.example/chestnutmux/internal/asserter"
 	"chestnutmux.example/chestnutmux/pkg/model"
 	"pgregory.net/rapid"
 )
@@ -224,6 +225,8 @@
 	set := config(worldRacks, 16, 3)
 	set.Workspaces["a"] = model.Workspace{Quota: 64}
 	set.Workspaces["b"] = model.Workspace{Quota: rapid.SampledFrom([]model.Accelerators{40, 96, 128}).Draw(t, "quota")}
+	// Gangs leave only when a rule of the machine settles, so that claims may wait for any time.
+	opts.ClaimMargin, opts.Violated = 1000*time.Hour, (&asserter.Asserter{Fatal: true}).Violated
 	w := &world{
 		t: t, opts: opts, set: set, now: start, jobs: map[model.JobID]*model.Job{}, gangs: map[model.GangID]Running{},
 		down: map[model.HostID]bool{}, leave: map[model.GangID]bool{},
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -48,12 +48,14 @@
 	stop     bool
 	pinned   []model.HostID // reservation of the aged job, kept between passes
 	pinnedBy model.JobID
+	short    []*job // within an unused guarantee, but too few workers are healthy
 }
 
 // Pass returns the decisions for the current state; the slice is valid until the next pass.
 func (s *Scheduler) Pass(now time.Time) []Decision {
 	s.out = append(s.out[:0], s.pending...)
 	s.pending = s.pending[:0]
+	s.watchClaims(now)
 	if !s.planned || !s.dirty && now.Before(s.wake) {
 		return s.out
 	}
@@ -101,6 +103,7 @@
 	if s.waiting > 0 {
 		s.wakeAt(now.Add(review))
 	}
+	s.countShortage()
 	s.prune(now)
 	s.dirty = p.undone
 	return s.out
@@ -350,6 +353,9 @@
 }
 
 func (s *Scheduler) start(g *gang) {
+	if !s.alloc.Fits(&g.Gang) {
+		s.overCommitted(g, "a start was decided")
+	}
 	g.state = starting
 	g.decided = s.pass.number
 	g.StartedAt = s.pass.now
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -35,20 +35,21 @@
 
 // job is an accepted job without an outcome.
 type job struct {
-	spec      model.JobSpec
-	accepted  time.Time
-	offset    model.Offset
-	attempt   int
-	level     level
-	known     bool // submitted, not only adopted
-	entitled  bool // fits the workspace's guarantee
-	queued    bool
-	gang      *gang
-	notBefore time.Time // end of the back-off
-	refusals  int
-	failures  int
-	lastError string
-	lane      *lane
+	refusedCell bool // was reported as refused within its guarantee
+	spec        model.JobSpec
+	accepted    time.Time
+	offset      model.Offset
+	attempt     int
+	level       level
+	known       bool // submitted, not only adopted
+	entitled    bool // fits the workspace's guarantee
+	queued      bool
+	gang        *gang
+	notBefore   time.Time // end of the back-off
+	refusals    int
+	failures    int
+	lastError   string
+	lane        *lane
 
 	wait     Wait // as of the last pass
 	ahead    int
--- a/internal/scheduler/reclaim.go
+++ b/internal/scheduler/reclaim.go
@@ -68,7 +68,7 @@
 		s.start(g)
 		return true
 	}
-	s.claims = append(s.claims, g)
+	s.claim(g)
 	return true
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"chestnutmux.example/chestnutmux/internal/allocator"
+	"chestnutmux.example/chestnutmux/internal/asserter"
 	"chestnutmux.example/chestnutmux/internal/detector"
 	"chestnutmux.example/chestnutmux/internal/estimator"
 	"chestnutmux.example/chestnutmux/pkg/model"
@@ -13,11 +14,13 @@
 
 // Options are the settings of a Scheduler; zero fields get the defaults.
 type Options struct {
-	Policy          allocator.Policy // default Gradient
-	CheckpointBound time.Duration    // time that a preempted gang has for its checkpoint, default 1 s
-	AgingAfter      time.Duration    // age from which the oldest waiting job comes first, default 10 min
-	ShareGrace      time.Duration    // wait until work beyond a share is preempted for a job within its share, default 30 s
-	Baseline        bool             // first-come-first-served and first-fit, without guarantees, preemption and backfill
+	Policy          allocator.Policy                          // default Gradient
+	CheckpointBound time.Duration                             // time that a preempted gang has for its checkpoint, default 1 s
+	AgingAfter      time.Duration                             // age from which the oldest waiting job comes first, default 10 min
+	ShareGrace      time.Duration                             // wait until work beyond a share is preempted for a job within its share, default 30 s
+	ClaimMargin     time.Duration                             // beyond the checkpoint bound, until a waiting claim is a violation, default 5 s
+	Violated        func(inv asserter.Invariant, args ...any) // nil means that violations are not told
+	Baseline        bool                                      // first-come-first-served and first-fit, without guarantees, preemption and backfill
 }
 
 // The defaults of Options.
@@ -70,6 +73,10 @@
 	pass       passState
 	preempted  int64
 	reclaims   int64
+
+	watchedAt time.Time          // of the claims
+	lateDown  model.Accelerators // of claims that wait for gangs on lost workers
+	shortage  model.Accelerators // of jobs without cells, as of the latest pass
 }
 
 // New returns a planner with the full policy.
@@ -83,6 +90,9 @@
 	if o.ShareGrace <= 0 {
 		o.ShareGrace = DefaultShareGrace
 	}
+	if o.ClaimMargin <= 0 {
+		o.ClaimMargin = DefaultClaimMargin
+	}
 	if o.AgingAfter <= 0 {
 		o.AgingAfter = DefaultAgingAfter
 	}
@@ -235,6 +245,7 @@
 		Fragmentation: stranded / max(1, float64(free)),
 		Preempted:     s.preempted,
 		Reclaims:      s.reclaims,
+		Shortage:      s.shortage + s.lateDown,
 		Quarantined:   s.alloc.Count(allocator.Quarantined) + s.alloc.Count(allocator.Probation),
 	}
 }
