Count scheduler violations and fill in figures of operators

Cause: urgent-start was never recorded, and status showed workers without load and quarantine and no runners. Change: the planner hands the violations of its scheduler to the asserter and records urgent starts within the guarantee; the daemon shows the shortage as guarantee-shortage and workers and runners in status, the command line too.

--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -113,9 +113,9 @@
 func printWorkers(e *env, all []model.WorkerStatus) {
 	rows := make([][]any, 0, len(all))
 	for _, w := range all {
-		rows = append(rows, []any{w.Worker, w.Rack, w.Health})
+		rows = append(rows, []any{w.Worker, w.Rack, w.Health, w.InUse, w.Accelerators})
 	}
-	e.table("WORKER\tRACK\tHEALTH", rows)
+	e.table("WORKER\tRACK\tHEALTH\tIN USE\tACCELERATORS", rows)
 }
 
 func printRunners(e *env, all []model.RunnerStatus) {
--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -226,9 +226,7 @@
 	}
 	s.Term, s.Role = st.Term, roleOf(st.Role)
 	s.Fragmentation = st.Stats.Fragmentation
-	for _, w := range st.Workers {
-		s.Workers = append(s.Workers, model.WorkerStatus{Worker: w.ID, Rack: w.Rack, Health: string(w.State)})
-	}
+	s.Workers, s.Runners = workerStatus(st), d.router.Runners()
 	s.Workspaces, err = d.workspaces(ctx)
 	return s, err
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -99,8 +99,12 @@
 	}), d.workers)
 	d.planner = planner.New(planner.Config{
 		Host: s.HostID, Domain: s.FailureDomain, Pass: settings.Duration(s.Pass),
-		Options: scheduler.Options{CheckpointBound: settings.Duration(s.CheckpointBound)},
-		Driver:  d.driver, Journal: d.jobs, Recorder: d.recorder, Asserter: d.asserter, Logger: logger,
+		Options: scheduler.Options{
+			CheckpointBound: settings.Duration(s.CheckpointBound),
+			// It takes two polls until a worker that does not answer counts as down.
+			ClaimMargin: 2*settings.Duration(s.Poll) + scheduler.DefaultClaimMargin,
+		},
+		Driver: d.driver, Journal: d.jobs, Recorder: d.recorder, Asserter: d.asserter, Logger: logger,
 	})
 	d.jobs.planner = d.planner
 	d.router = router.New(router.Options{Domain: s.FailureDomain, Region: s.Region, Hooks: d.routerHooks()})
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -8,6 +8,7 @@
 
 	"chestnutmux.example/chestnutmux/internal/asserter"
 	"chestnutmux.example/chestnutmux/internal/recorder"
+	"chestnutmux.example/chestnutmux/internal/reserver"
 	"chestnutmux.example/chestnutmux/internal/router"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
@@ -19,6 +20,15 @@
 	d.recorder.Gauge("invariant-violations", func() any { return d.asserter.Counts() })
 	d.recorder.Gauge("config-version", func() any { return d.config.view.Load().version })
 	d.recorder.Gauge("router", func() any { return d.router.Load() })
+	d.recorder.Gauge("guarantee-shortage", func() any {
+		ctx, cancel := context.WithTimeout(context.Background(), gaugeWait)
+		defer cancel()
+		s, err := d.planner.State(ctx)
+		if err != nil || s.Role != reserver.RolePlanner {
+			return nil
+		}
+		return s.Stats.Shortage
+	})
 	d.recorder.Gauge("planner", func() any {
 		ctx, cancel := context.WithTimeout(context.Background(), gaugeWait)
 		defer cancel()
--- a/internal/planner/pass.go
+++ b/internal/planner/pass.go
@@ -47,7 +47,7 @@
 		p.sched.Refused(d.Gang, now)
 		return
 	}
-	p.gangs[d.Gang] = &gang{job: d.Job, attempt: d.Attempt}
+	p.gangs[d.Gang] = &gang{job: d.Job, attempt: d.Attempt, guaranteed: d.Guaranteed}
 	s := j.Spec.Shape
 	p.post(ctx, reserver.StartGang{
 		Gang: d.Gang, Job: d.Job, Workspace: j.Spec.Workspace, AcceptedAt: j.AcceptedAt, Workers: d.Members,
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -72,6 +72,7 @@
 	job        model.JobID
 	attempt    int
 	startedAt  time.Time
+	guaranteed bool // started within the workspace's guarantee
 	preempting bool
 	cancelled  bool
 	ended      bool // the outcome is being recorded
@@ -79,6 +80,7 @@
 
 // New returns a Planner; Run must be called once.
 func New(cfg Config) *Planner {
+	cfg.Options.Violated = cfg.Asserter.Violated
 	return &Planner{
 		cfg:     cfg,
 		inbox:   poster.New[Message](),
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -124,6 +124,11 @@
 	p.sched.Started(r.Gang, r.At)
 	if j, ok := p.jobs[r.Job]; ok {
 		p.cfg.Recorder.JobStarted(j.Job, r.At)
+		// A later attempt has waited since its preemption or failure, not since the acceptance of the job.
+		urgent := p.set.Classes[j.Spec.Class].Urgency == model.UrgencyUrgent
+		if urgent && g.guaranteed && g.attempt == 1 {
+			p.cfg.Recorder.UrgentStart.Record(string(j.Spec.Workspace), r.At.Sub(j.AcceptedAt))
+		}
 		p.cfg.Logger.Info("job started", "job", string(r.Job), "gang", string(r.Gang),
 			"workspace", string(j.Spec.Workspace), "class", string(j.Spec.Class))
 	}
--- a/internal/planner/status.go
+++ b/internal/planner/status.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"chestnutmux.example/chestnutmux/internal/allocator"
 	"chestnutmux.example/chestnutmux/internal/hostclient"
 	"chestnutmux.example/chestnutmux/internal/reserver"
 	"chestnutmux.example/chestnutmux/internal/scheduler"
@@ -19,6 +20,7 @@
 	Held    bool // earlier jobs wait until all workers are accounted for
 	Stats   scheduler.Stats
 	Workers []hostclient.Host
+	Usages  []allocator.Usage `json:"-"` // of the workers that the scheduler knows, sorted by id
 }
 
 // State returns a copy of the state.
@@ -29,7 +31,7 @@
 		if p.sched == nil {
 			return
 		}
-		s.Stats = p.sched.Stats(time.Now())
+		s.Stats, s.Usages = p.sched.Stats(time.Now()), p.sched.Usages()
 		s.Workers = slices.SortedFunc(maps.Values(p.workers), func(a, b hostclient.Host) int {
 			if a.ID < b.ID {
 				return -1
