Hold quotas over all failure domains

Cause: no planner was told what a workspace uses in other failure domains, so a workspace could use its quota once in each. Change: the admitter adds up the running jobs by workspace and home, and the daemon posts the use elsewhere to the planner at most four times a second. When the records add up to more than the quota, because the log does not tell preemptions and losses, the quota is given to jobs in the order of their start, so that domains do not wait for each other's jobs that do not run.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -34,6 +34,8 @@
 	byCaller   map[callerKey]int
 	load       map[model.DomainID]map[callerKey]model.Accelerators // of queued and running jobs
 	guaranteed map[guaranteeKey]model.Accelerators                 // of queued and running jobs of a workspace in a domain
+	running    map[guaranteeKey]model.Accelerators                 // of running jobs of a workspace in a domain
+	changed    bool                                                // what UsedElsewhere returns may have changed
 	starts     map[model.WorkspaceID]*rate
 }
 
@@ -60,6 +62,8 @@
 	home   model.DomainID
 	state  model.JobState
 	total  model.Accelerators
+
+	startedAt time.Time // of the latest attempt
 }
 
 // New returns an Admitter without jobs.
@@ -77,6 +81,7 @@
 	a.byCaller = map[callerKey]int{}
 	a.load = map[model.DomainID]map[callerKey]model.Accelerators{}
 	a.guaranteed = map[guaranteeKey]model.Accelerators{}
+	a.running, a.changed = map[guaranteeKey]model.Accelerators{}, true
 	if a.starts == nil {
 		a.starts = map[model.WorkspaceID]*rate{}
 	}
@@ -84,7 +89,7 @@
 
 // SetConfig puts a configuration in force; the set is kept and must not change afterwards.
 func (a *Admitter) SetConfig(set model.Set) {
-	a.set = set
+	a.set, a.changed = set, true
 	a.inventory = make(map[model.DomainID]inventory, len(set.FailureDomains))
 	for id, d := range set.FailureDomains {
 		a.inventory[id] = newInventory(d)
@@ -103,7 +108,7 @@
 	}
 	e := entry{
 		ws: j.Spec.Workspace, class: j.Spec.Class, caller: j.Spec.Caller,
-		home: j.Home, state: j.State, total: j.Spec.Shape.Total(),
+		home: j.Home, state: j.State, total: j.Spec.Shape.Total(), startedAt: j.StartedAt,
 	}
 	a.jobs[j.Spec.ID] = e
 	a.count(e, 1)
@@ -118,6 +123,7 @@
 		a.byClass[classKey{e.ws, e.class}] += n
 		a.byCaller[callerKey{e.ws, e.caller}] += n
 	}
+	a.countRunning(e, n)
 	a.addLoad(e.home, callerKey{e.ws, e.caller}, e.total*model.Accelerators(n))
 	a.guaranteed[guaranteeKey{e.ws, e.home}] += e.total * model.Accelerators(n)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -156,7 +156,7 @@
 		d.config.appender.Run, d.jobs.appender.Run, d.claims.appender.Run,
 		d.jobs.follower.Run, d.config.follower.Run, d.claims.follower.Run,
 		d.driver.Run, d.planner.Run, d.monitor.Run,
-		d.followHosts, d.followMembers, d.followPeers, d.keepSnapshots, d.rehomeLost,
+		d.followHosts, d.followMembers, d.followPeers, d.followUsed, d.keepSnapshots, d.rehomeLost,
 	} {
 		group.Go(func() error { run(tasks); return nil })
 	}
--- a/internal/planner/handle.go
+++ b/internal/planner/handle.go
@@ -28,6 +28,11 @@
 		p.choose(ctx, m)
 	case TermSeen:
 		p.post(ctx, reserver.TermSeen{Term: m.Term})
+	case UsedElsewhere:
+		p.elsewhere = m.Used
+		if p.sched != nil {
+			p.sched.SetUsedElsewhere(m.Used)
+		}
 	case recorded:
 		p.recorded(ctx, m)
 	case query:
--- a/internal/planner/invariant_test.go
+++ b/internal/planner/invariant_test.go
@@ -6,6 +6,7 @@
 
 	"chestnutmux.example/chestnutmux/internal/asserter"
 	"chestnutmux.example/chestnutmux/internal/reserver"
+	"chestnutmux.example/chestnutmux/internal/scheduler"
 	"chestnutmux.example/chestnutmux/internal/workerclient"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
@@ -40,3 +41,13 @@
 		f.is.Equal(f.cfg.Recorder.UrgentStart.Summaries()["ws"].Count, tt.want)
 	}
 }
+
+// Guards against a new planner that does not know what other failure domains use of a quota until that changes.
+func TestUseElsewhereOutlivesTakeover(t *testing.T) {
+	ctx, f := newFixture(t, workerclient.TaskRunning)
+	f.handle(ctx, UsedElsewhere{Used: map[model.WorkspaceID]model.Accelerators{"ws": 8}})
+	f.takeOver(ctx)
+	f.sched.HoldBefore(0)
+	f.is.Equal(len(f.sched.Pass(time.Now())), 0)
+	f.is.Equal(f.sched.Explain("job", time.Now()).Wait, scheduler.WaitQuota)
+}
--- a/internal/planner/message.go
+++ b/internal/planner/message.go
@@ -50,6 +50,11 @@
 	Term model.Term
 }
 
+// UsedElsewhere carries the accelerators that workspaces use in other failure domains; it must not change afterwards.
+type UsedElsewhere struct {
+	Used map[model.WorkspaceID]model.Accelerators
+}
+
 // recorded says that an outcome is durable in the log.
 type recorded struct {
 	gang model.GangID // empty when no gang is to be acknowledged
@@ -69,5 +74,6 @@
 func (HostsListed) message()   {}
 func (Chosen) message()        {}
 func (TermSeen) message()      {}
+func (UsedElsewhere) message() {}
 func (recorded) message()      {}
 func (query) message()         {}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -53,6 +53,8 @@
 	caughtUp bool
 	next     model.Offset // of the jobs fold
 
+	elsewhere map[model.WorkspaceID]model.Accelerators // used in other failure domains
+
 	role    reserver.Role
 	term    model.Term
 	chosen  bool
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -85,6 +85,7 @@
 	p.gangs = map[model.GangID]*gang{}
 	p.workers = map[model.HostID]hostclient.Host{}
 	p.sched.SetConfig(p.set, p.cfg.Domain)
+	p.sched.SetUsedElsewhere(p.elsewhere)
 	p.held, p.probing = true, false
 	// Jobs from this offset on are accepted after the takeover, so no earlier planner can have started them.
 	hold := p.next
