Keep old versions out of force at start, halve the heartbeats

Change: a version comes into force once the fold has been as new as the log or a peer; the host is ready when the jobs are read, too.

--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -36,6 +36,11 @@
 			Outcome: model.OutcomeNotRun, Kind: model.KindNotReady, Message: "no configuration is in force",
 			Remedy: "publish one, or wait until the log or a peer supplies it", RetryAfterMS: retryNotReady,
 		}
+	case !d.jobs.settled.Load():
+		return &model.Error{
+			Outcome: model.OutcomeNotRun, Kind: model.KindNotReady, Message: "the jobs are still being read from the log",
+			Remedy: "use another entry host or try again", RetryAfterMS: retryNotReady,
+		}
 	}
 	return nil
 }
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -38,6 +38,7 @@
 	appender *appender.Appender
 	awaiter  awaiter
 	view     atomic.Pointer[configView]
+	settled  bool // the fold has been as new as the log or a peer; used on the follower's goroutine only
 	asserter *asserter.Asserter
 	logger   hclog.Logger
 	changed  func(*configView) // called on the follower's goroutine
@@ -51,7 +52,13 @@
 }
 
 // read runs on the follower's goroutine after records were applied or a peer's snapshot was restored.
+//
+// A host that starts reads the whole retention; the versions on the way are old and must not come into force.
 func (t *configTask) read(s follower.Status) {
+	defer t.awaiter.advance(s.Next) // who waits for a record finds its version in force
+	if t.settled = t.settled || s.CaughtUp; !t.settled {
+		return
+	}
 	old := t.view.Load()
 	v := t.fold.Version()
 	t.asserter.Check(v >= old.version, asserter.ConfigReverted, "in-force", int64(old.version), "offered", int64(v))
@@ -61,7 +68,13 @@
 		t.logger.Info("configuration in force", "version", int64(v))
 		t.changed(next)
 	}
-	t.awaiter.advance(s.Next)
+}
+
+// restore takes over the state of a peer, which is as new as anything that can be had while the log is unreachable.
+func (t *configTask) restore(ctx context.Context, s reducer.ConfigSnapshot) error {
+	return t.follower.Do(ctx, func() {
+		t.settled = t.fold.Restore(s) || t.fold.Version() >= s.Version || t.settled
+	})
 }
 
 func newConfigView(v model.Version, set model.Set) *configView {
--- a/internal/daemon/jobs.go
+++ b/internal/daemon/jobs.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -27,6 +28,7 @@
 	planner  *planner.Planner
 	waiters  map[model.JobID][]chan struct{} // closed at the end of the job; used on the follower's goroutine only
 	caughtUp bool
+	settled  atomic.Bool // the fold has been as new as the log, or as can be had without it
 }
 
 func newJobsTask(host model.HostID, domain model.DomainID, log *logclient.Client, app *appender.Appender) *jobsTask {
@@ -43,6 +45,9 @@
 	t.planner.Post(planner.JobsCaughtUp{CaughtUp: s.CaughtUp || t.caughtUp, Next: s.Next})
 	// A later outage of the log does not make the state worse than it was.
 	t.caughtUp = t.caughtUp || s.CaughtUp
+	if t.caughtUp || !s.UnreachableSince.IsZero() {
+		t.settled.Store(true)
+	}
 }
 
 // event runs on the follower's goroutine for each change of the fold.
@@ -213,6 +218,9 @@
 	if err != nil {
 		return model.Job{}, notReady(err)
 	}
+	if !ok && !t.settled.Load() {
+		return model.Job{}, notReady(errors.New("the jobs are still being read from the log"))
+	}
 	if !ok {
 		// The same answer for a job of another workspace, so that ids of others cannot be probed.
 		return model.Job{}, &model.Error{
--- a/internal/daemon/peer.go
+++ b/internal/daemon/peer.go
@@ -137,7 +137,7 @@
 	if err := json.Unmarshal(r.Data, &s); err != nil {
 		return errors.Wrap(err, "daemon: configuration of a peer")
 	}
-	return d.config.follower.Do(ctx, func() { d.config.fold.Restore(s) })
+	return d.config.restore(ctx, s)
 }
 
 func (d *Daemon) fetchJobs(ctx context.Context, addr string) error {
--- a/internal/monitor/driver.go
+++ b/internal/monitor/driver.go
@@ -107,6 +107,10 @@
 			if m.Host.Domain == d.cfg.Domain {
 				every = d.cfg.LocalEvery
 			}
+			// The peer's own exchange carried both states; one a pair is enough and halves the bytes.
+			if m.Beat.Host != "" && now.Sub(m.HeardAt) < every-d.cfg.LocalEvery/2 {
+				continue
+			}
 			// Half a tick of slack keeps timer jitter from skipping a turn.
 			due[id], busy[id] = now.Add(every-d.cfg.LocalEvery/2), true
 			wg.Go(func() {
