Count the wait for cells over claims that replace each other

Cause: a claim that is given up and made again began a new wait, so a job could wait for its cells for any time without a violation. Change: the wait is kept with the job while it holds a claim, and starts again only after a time without one.

--- a/internal/asserter/asserter.go
+++ b/internal/asserter/asserter.go
@@ -20,7 +20,7 @@
 	GuaranteeRefused  Invariant = "guarantee-refused"   // a guaranteed cell could not be reclaimed on healthy workers
 	RepeatedSend      Invariant = "repeated-send"       // a non-idempotent request was about to be sent again
 	CutOffAtShutdown  Invariant = "cut-off-at-shutdown" // a graceful shutdown ended with requests in progress
-	SentToLeavingHost Invariant = "sent-to-leaving-host"
+	SentToLeavingHost Invariant = "sent-to-leaving-host" // a runner got a request although it was known as leaving
 )
 
 // Asserter counts violations; its zero value counts without logging.
--- a/internal/scheduler/invariant.go
+++ b/internal/scheduler/invariant.go
@@ -54,20 +54,26 @@
 func (s *Scheduler) watchClaims(now time.Time) {
 	ran := min(now.Sub(s.watchedAt), watchGap)
 	s.watchedAt, s.lateDown = now, 0
+	s.watches++
 	for _, g := range s.claims {
+		j := g.job
 		if !g.Guaranteed {
 			continue
 		}
-		g.waited += ran
+		if s.watches-j.watched > 2 { // at one call it may be between two claims
+			j.waited = 0
+		}
+		j.watched = s.watches
+		j.waited += ran
 		switch {
-		case g.waited <= s.opts.CheckpointBound+s.opts.ClaimMargin || g.late:
+		case j.waited <= s.opts.CheckpointBound+s.opts.ClaimMargin || j.late:
 		case slices.ContainsFunc(s.doomed, func(v *gang) bool { return !v.gone && !s.alloc.Usable(&v.Gang) }):
 			// A gang ends only when its members on lost workers have lapsed.
 			s.lateDown += g.Shape.Total()
 		default:
-			g.late = true
+			j.late = true
 			s.violated(asserter.GuaranteeRefused, "job", string(g.Job), "gang", string(g.ID),
-				"workspace", string(g.Workspace), "waited", g.waited.String(), "reason", "the cells were not left in time")
+				"workspace", string(g.Workspace), "waited", j.waited.String(), "reason", "the cells were not left in time")
 		}
 	}
 }
--- a/internal/scheduler/invariant_test.go
+++ b/internal/scheduler/invariant_test.go
@@ -121,3 +121,21 @@
 	is.Equal(len(all), 8)
 	is.Equal(all[0], allocator.Usage{ID: workerID(0, 0), Health: allocator.Usable, Accelerators: 8, InUse: 8})
 }
+
+// Guards against a wait that is never noticed because the claim is given up and made again time after time.
+func TestLateClaimIsReportedOverReplacedClaims(t *testing.T) {
+	is := is.New(t)
+	var a asserter.Asserter
+	s := full(&a)
+	s.Submit(work("urgent", "a", "urgent", 4, 8), start)
+	at := start
+	for range 12 {
+		at = at.Add(time.Second)
+		s.Pass(at)
+		s.releaseClaims() // as for a new configuration
+		s.dirty = true
+		s.Pass(at)
+		is.Equal(len(s.claims), 1)
+	}
+	is.Equal(a.Counts(), map[string]int64{"guarantee-refused": 1})
+}
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -35,26 +35,30 @@
 
 // job is an accepted job without an outcome.
 type job struct {
-	refusedCell bool // was reported as refused within its guarantee
-	spec        model.JobSpec
-	accepted    time.Time
-	offset      model.Offset
-	attempt     int
-	level       level
-	known       bool // submitted, not only adopted
-	entitled    bool // fits the workspace's guarantee
-	queued      bool
-	gang        *gang
-	notBefore   time.Time // end of the back-off
-	refusals    int
-	failures    int
-	lastError   string
-	lane        *lane
+	spec      model.JobSpec
+	accepted  time.Time
+	offset    model.Offset
+	attempt   int
+	level     level
+	known     bool // submitted, not only adopted
+	entitled  bool // fits the workspace's guarantee
+	queued    bool
+	gang      *gang
+	notBefore time.Time // end of the back-off
+	refusals  int
+	failures  int
+	lastError string
+	lane      *lane
 
 	wait     Wait // as of the last pass
 	ahead    int
 	behind   model.JobID
 	expected time.Time
+
+	waited      time.Duration // for its cells, also over claims that replaced each other, while this process ran
+	watched     uint64        // call of watchClaims that last found it
+	refusedCell bool          // that it got no cell was reported
+	late        bool          // that its cells were not left in time was reported
 }
 
 // older orders jobs by age.
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -37,15 +37,13 @@
 	class    model.ClassID
 	level    level
 	caller   *account
-	forJob   model.JobID   // reclaims the room of a doomed gang
-	deadline time.Time     // of the checkpoint of a doomed gang
-	aged     bool          // took its room by age; not preempted for a share
-	forShare bool          // claims room of lent work beyond a share
-	trial    bool          // runs on a worker in probation
-	decided  uint64        // pass that decided the start
-	waited   time.Duration // as a claim, while this process ran
-	late     bool          // the wait was reported
-	gone     bool          // dropped; the lists of a pass skip it
+	forJob   model.JobID // reclaims the room of a doomed gang
+	deadline time.Time   // of the checkpoint of a doomed gang
+	aged     bool        // took its room by age; not preempted for a share
+	forShare bool        // claims room of lent work beyond a share
+	trial    bool        // runs on a worker in probation
+	decided  uint64      // pass that decided the start
+	gone     bool        // dropped; the lists of a pass skip it
 }
 
 // Submit adds an accepted job that has no outcome yet; a known job is left as it is.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -74,6 +74,7 @@
 	preempted  int64
 	reclaims   int64
 
+	watches   uint64             // calls of watchClaims
 	watchedAt time.Time          // of the claims
 	lateDown  model.Accelerators // of claims that wait for gangs on lost workers
 	shortage  model.Accelerators // of jobs without cells, as of the latest pass
