--- /dev/null
+++ b/internal/cli/status_test.go
@@ -0,0 +1,27 @@
+package cli
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"chestnutmux.example/chestnutmux/pkg/model"
+)
+
+// Guards against figures of workers and runners that do not stand below their headings.
+func TestStatusFigures(t *testing.T) {
+	is := is.New(t)
+	var out strings.Builder
+	e := &env{out: &out}
+	printWorkers(e, []model.WorkerStatus{{Worker: "w", Rack: "r1", Health: "quarantined", Accelerators: 8, InUse: 3}})
+	printRunners(e, []model.RunnerStatus{{Runner: "x", Leaving: true, Slots: 4, InFlight: 2}})
+	var lines []string
+	for line := range strings.Lines(out.String()) {
+		lines = append(lines, strings.Join(strings.Fields(line), " "))
+	}
+	is.Equal(lines, []string{
+		"WORKER RACK HEALTH IN USE ACCELERATORS", "w r1 quarantined 3 8",
+		"RUNNER LEAVING IN FLIGHT SLOTS", "x true 2 4",
+	})
+}
