Keep claims for a share within the quota

Cause: a claim for a share could take more of its workspace's quota than the gangs that leave for it, because a victim may be smaller than the job. Change: such a claim is not made unless the workspace is within its quota once all gangs that are being preempted have left.

--- a/internal/scheduler/reclaim.go
+++ b/internal/scheduler/reclaim.go
@@ -59,6 +59,13 @@
 	if !ok {
 		return false
 	}
+	if !s.freesQuota(j, victims) {
+		for _, v := range victims {
+			s.alloc.Doom(v, false)
+		}
+		s.alloc.Free(&g.Gang)
+		return false
+	}
 	g.forShare, g.aged = true, aged
 	s.admitGang(j, g)
 	for _, v := range victims {
@@ -72,6 +79,25 @@
 	return true
 }
 
+// freesQuota reports whether a job is within its quota once the victims and all gangs that are being preempted have
+// left. Victims may be smaller than the job, and quota that the job took beyond theirs would keep more urgent work of
+// its workspace from starting.
+func (s *Scheduler) freesQuota(j *job, victims []*allocator.Gang) bool {
+	w := j.spec.Workspace
+	left := s.quotaLeft(w) - j.spec.Shape.Total()
+	for _, v := range victims {
+		if v.Workspace == w {
+			left += v.Shape.Total()
+		}
+	}
+	for _, v := range s.doomed {
+		if !v.gone && v.Workspace == w {
+			left += v.Shape.Total()
+		}
+	}
+	return left >= 0
+}
+
 func (s *Scheduler) shareClaims() int {
 	n := 0
 	for _, g := range s.claims {
--- a/internal/scheduler/share_test.go
+++ b/internal/scheduler/share_test.go
@@ -93,3 +93,37 @@
 	is.Equal(len(ds), 1)
 	is.Equal(ds[0].Job, model.JobID("wide"))
 }
+
+// TestShareClaimStaysWithinQuota guards against a claim that takes more of its workspace's quota than the gangs that
+// leave for it: more urgent work of the workspace would wait for a round of preemption more.
+func TestShareClaimStaysWithinQuota(t *testing.T) {
+	is := is.New(t)
+	s := New(Options{ShareGrace: time.Second})
+	set := config(1, 8, 0)
+	set.Workspaces["b"] = model.Workspace{Quota: 60}
+	s.SetConfig(set, domain)
+	addWorkers(s, 1)
+	submit := func(id string, caller model.CallerID, acc model.Accelerators) {
+		j := work(id, "b", "standard", 1, acc)
+		j.Spec.Caller = caller
+		s.Submit(j, start)
+	}
+	for i := range 15 {
+		submit(fmt.Sprint("large", i), "large", 4) // all of the quota; one worker has 4 accelerators left
+	}
+	for _, d := range starts(s.Pass(start)) {
+		s.Started(d.Gang, start)
+	}
+	for i := range 9 {
+		submit(fmt.Sprint("small", i), model.CallerID(fmt.Sprint("small", i)), 8)
+	}
+	for i := range 5 {
+		s.dirty = true
+		s.Pass(start.Add(time.Duration(i+1) * time.Hour))
+		left := s.quotaLeft("b")
+		for _, g := range s.doomed {
+			left += g.Shape.Total()
+		}
+		is.True(left >= 0)
+	}
+}
