--- a/internal/bencher/engine.go
+++ b/internal/bencher/engine.go
@@ -95,7 +95,7 @@
 type run struct {
 	state      *state
 	guaranteed bool
-	entitled   bool // the job was entitled when it arrived
+	entitled   bool      // the job was entitled when it arrived
 	startedAt  time.Time // zero while it starts
 	over       bool
 	preempting bool
--- a/internal/bencher/scenario.go
+++ b/internal/bencher/scenario.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"chestnutmux.example/chestnutmux/internal/scheduler"
@@ -26,12 +27,12 @@
 
 // Report is the outcome of one scenario.
 type Report struct {
-	Scenario string   `json:"scenario"`
-	Fleet    string   `json:"fleet"`
-	Seed     uint64   `json:"seed"`
-	Hours    float64  `json:"hours"`
+	Scenario string    `json:"scenario"`
+	Fleet    string    `json:"fleet"`
+	Seed     uint64    `json:"seed"`
+	Hours    float64   `json:"hours"`
 	Results  []*Result `json:"results"`
-	Checks   []Check  `json:"checks"`
+	Checks   []Check   `json:"checks"`
 }
 
 // Scenario measures one part of the policy.
@@ -79,17 +80,28 @@
 	return Check{Name: name, Target: target, Limit: limit, Measured: measured, Met: measured >= limit}
 }
 
+// ratio divides measures; two zeros are equal, and a value beside a zero is out of all proportion.
+func ratio(a, b float64) float64 {
+	switch {
+	case b != 0:
+		return a / b
+	case a == 0:
+		return 1
+	}
+	return math.MaxFloat64
+}
+
 func load(o Options) Report {
 	sources := usual(o.Fleet, 0.9, o.Length)
 	p := measure(o, "policy", policy, sources, false)
 	b := measure(o, "baseline", baseline, sources, false)
 	return o.report("load", []*Result{p, b},
 		atMost("mean completion, share of baseline", "at least 40% under the baseline",
-			p.Groups[groupCompletion].Mean/b.Groups[groupCompletion].Mean, 0.6),
+			ratio(p.Groups[groupCompletion].Mean, b.Groups[groupCompletion].Mean), 0.6),
 		atMost("p99 completion of gangs, share of baseline", "no worse than the baseline",
-			float64(p.Groups[groupGangCompletion].P99)/float64(b.Groups[groupGangCompletion].P99), 1),
-		atMost("fragmentation, share of baseline", "at most half of the baseline's", p.Fragmentation/b.Fragmentation, 0.5),
-		atLeast("accepted jobs that finished", "all", float64(p.Finished)/float64(p.Submitted-p.Refused), 1),
+			ratio(float64(p.Groups[groupGangCompletion].P99), float64(b.Groups[groupGangCompletion].P99)), 1),
+		atMost("fragmentation, share of baseline", "at most half of the baseline's", ratio(p.Fragmentation, b.Fragmentation), 0.5),
+		atLeast("accepted jobs that finished", "all", ratio(float64(p.Finished), float64(p.Submitted-p.Refused)), 1),
 	)
 }
 
@@ -156,7 +168,7 @@
 			after += flooded.Done[ws]
 		}
 	}
-	return after / before
+	return ratio(after, before)
 }
 
 func lowestKept(calm, flooded *Result, flooder model.WorkspaceID) float64 {
--- a/internal/server/auth.go
+++ b/internal/server/auth.go
@@ -23,27 +23,27 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 		if !ok {
-			writeError(w, &model.Error{
+			writeError(w, asRepeat(r, &model.Error{
 				Outcome: model.OutcomeNotRun, Kind: model.KindUnauthorized,
 				Message: "no bearer token", Remedy: "send the header Authorization: Bearer <token>",
-			})
+			}))
 			return
 		}
 		id, ok := s.Backend.Authenticate(token)
 		if !ok {
-			writeError(w, &model.Error{
+			writeError(w, asRepeat(r, &model.Error{
 				Outcome: model.OutcomeNotRun, Kind: model.KindUnauthorized,
 				Message: "the token is not in the configuration",
 				Remedy:  "ask an operator to publish a caller or operator object with its SHA-256 digest",
-			})
+			}))
 			return
 		}
 		if !allowed(id) {
-			writeError(w, &model.Error{
+			writeError(w, asRepeat(r, &model.Error{
 				Outcome: model.OutcomeNotRun, Kind: model.KindForbidden,
 				Message: "the token does not allow this request",
 				Remedy:  "use a caller's token for jobs and services, an operator's for configuration and status",
-			})
+			}))
 			return
 		}
 		next(w, r, id)
--- a/internal/server/caller.go
+++ b/internal/server/caller.go
@@ -136,13 +136,13 @@
 func (s *Server) call(w http.ResponseWriter, r *http.Request, id Identity) {
 	req, err := requestOf(r, id)
 	if err != nil {
-		writeError(w, err)
+		writeError(w, asRepeat(r, err))
 		return
 	}
 	limit := int64(s.Backend.MaxBody(req.Service))
 	req.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	if err != nil {
-		writeError(w, bodyError(err, limit))
+		writeError(w, asRepeat(r, bodyError(err, limit)))
 		return
 	}
 	answer, err := s.Backend.Call(r.Context(), req)
