Give the quota in the order of first starts

Cause: TestQuotaHoldsAcrossDomains was flaky since it was added, because it ran over a map, and it showed a real fault: the order of the latest start moves a restarted job behind others, and the order of ids among starts of the same moment puts later records first. Both let another domain start work while the earlier work ran. Change: a job keeps the place of its first start in the order of the log, and the test runs 50 fixed histories in a fixed order.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -35,6 +35,7 @@
 	load       map[model.DomainID]map[callerKey]model.Accelerators // of queued and running jobs
 	guaranteed map[guaranteeKey]model.Accelerators                 // of queued and running jobs of a workspace in a domain
 	running    map[guaranteeKey]model.Accelerators                 // of running jobs of a workspace in a domain
+	applied    uint64                                              // records, for their order
 	changed    bool                                                // what UsedElsewhere returns may have changed
 	starts     map[model.WorkspaceID]*rate
 }
@@ -63,7 +64,8 @@
 	state  model.JobState
 	total  model.Accelerators
 
-	startedAt time.Time // of the latest attempt
+	startedAt time.Time // of the first attempt seen there, so that a restart keeps the job's place in the quota
+	order     uint64    // of the record of that start among those of the same time
 }
 
 // New returns an Admitter without jobs.
@@ -110,6 +112,12 @@
 		ws: j.Spec.Workspace, class: j.Spec.Class, caller: j.Spec.Caller,
 		home: j.Home, state: j.State, total: j.Spec.Shape.Total(), startedAt: j.StartedAt,
 	}
+	if known && old.home == e.home && !old.startedAt.IsZero() {
+		e.startedAt, e.order = old.startedAt, old.order
+	} else {
+		a.applied++
+		e.order = a.applied
+	}
 	a.jobs[j.Spec.ID] = e
 	a.count(e, 1)
 	if known && old.state == model.JobQueued && e.state == model.JobRunning {
--- a/internal/admitter/quota_test.go
+++ b/internal/admitter/quota_test.go
@@ -3,8 +3,10 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -97,8 +99,12 @@
 // of each other which were lost and do not run: after each record is read, the sum stays within the quota, and all
 // jobs end.
 func TestQuotaHoldsAcrossDomains(t *testing.T) {
-	is := is.New(t)
-	rng := rand.New(rand.NewPCG(1, 1))
+	for seed := range uint64(50) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { holdQuota(is.New(t), rand.New(rand.NewPCG(seed, 1))) })
+	}
+}
+
+func holdQuota(is *is.I, rng *rand.Rand) {
 	now := time.Unix(1000, 0)
 	domains := newDomains(now)
 	jobs := map[model.JobID]model.Job{}
@@ -126,7 +132,8 @@
 			is.True(sum <= quota)
 		}
 		for _, d := range domains {
-			for id, j := range d.running {
+			for _, id := range slices.Sorted(maps.Keys(d.running)) {
+				j := d.running[id]
 				switch rng.IntN(4) {
 				case 0: // lost; the log does not say so
 					d.s.Ended(id, scheduler.End{Reason: scheduler.EndLost}, now)
--- a/internal/admitter/used.go
+++ b/internal/admitter/used.go
@@ -13,8 +13,8 @@
 //
 // The log does not record that an attempt was preempted or lost, so a job takes its part from its first start to its
 // end. When domains have started other work of a workspace meanwhile, the parts add up to more than the quota. The
-// quota is then given to the jobs in the order of their latest start: each domain may use what its jobs were given,
-// so that the sum stays within the quota and domains do not wait for each other's preempted jobs.
+// quota is then given to the jobs in the order of their first start: each domain may use what its jobs were given, so
+// that the sum stays within the quota and domains do not wait for each other's preempted jobs.
 func (a *Admitter) UsedElsewhere() map[model.WorkspaceID]model.Accelerators {
 	a.changed = false
 	used := map[model.WorkspaceID]model.Accelerators{}
@@ -38,14 +38,14 @@
 
 // given returns what the running jobs of other failure domains are given of a quota.
 func (a *Admitter) given(ws model.WorkspaceID, quota model.Accelerators) (elsewhere model.Accelerators) {
-	var jobs []started
-	for id, e := range a.jobs {
+	var jobs []entry
+	for _, e := range a.jobs {
 		if e.ws == ws && e.state == model.JobRunning {
-			jobs = append(jobs, started{id, e})
+			jobs = append(jobs, e)
 		}
 	}
-	slices.SortFunc(jobs, func(x, y started) int {
-		return cmp.Or(x.startedAt.Compare(y.startedAt), cmp.Compare(x.id, y.id))
+	slices.SortFunc(jobs, func(x, y entry) int {
+		return cmp.Or(x.startedAt.Compare(y.startedAt), cmp.Compare(x.order, y.order))
 	})
 	for _, j := range jobs {
 		n := min(j.total, quota)
@@ -57,12 +57,6 @@
 	return elsewhere
 }
 
-// started is a running job with its id.
-type started struct {
-	id model.JobID
-	entry
-}
-
 // countRunning books the start (1) or end (-1) of a job.
 func (a *Admitter) countRunning(e entry, n int) {
 	if e.state != model.JobRunning || e.total == 0 {
