--- a/Makefile
+++ b/Makefile
@@ -7,15 +7,21 @@
 	go test -race ./...
 
 lint:
-	test -z "$$(go tool gofumpt -l cmd internal pkg)"
+	test -z "$$(go tool gofumpt -l cmd internal pkg test)"
 	go vet ./...
 	go tool staticcheck ./...
 
 fmt:
-	go tool gofumpt -w cmd internal pkg
+	go tool gofumpt -w cmd internal pkg test
 
 demo: build
 	bin/chestnutmux-demo --bin bin
 
+bench: build
+	bin/chestnutmux bench
+
+fuzz:
+	sh test/fuzz.sh
+
 clean:
 	rm -rf bin
