--- a/internal/planner/handle.go
+++ b/internal/planner/handle.go
@@ -69,12 +69,20 @@
 }
 
 func (p *Planner) jobsReplaced(ctx context.Context, live []reducer.Job) {
-	clear(p.jobs)
+	old := p.jobs
+	p.jobs = make(map[model.JobID]reducer.Job, len(live))
 	for _, j := range live {
 		if j.Home == p.cfg.Domain {
 			p.jobs[j.Spec.ID] = j
 		}
 	}
+	// The snapshot may cover the ends and moves of jobs whose records this host never read.
+	for id := range old {
+		if _, ok := p.jobs[id]; !ok {
+			delete(p.decided, id)
+			p.forget(ctx, id)
+		}
+	}
 	if p.sched == nil {
 		return
 	}
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -15,6 +15,7 @@
 	"chestnutmux.example/chestnutmux/internal/recorder"
 	"chestnutmux.example/chestnutmux/internal/reducer"
 	"chestnutmux.example/chestnutmux/internal/reserver"
+	"chestnutmux.example/chestnutmux/internal/scheduler"
 	"chestnutmux.example/chestnutmux/internal/workerclient"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
@@ -139,6 +140,19 @@
 	}
 }
 
+// Guards against a job that ended or moved in records which a snapshot replaced, and that would still be started here.
+func TestSnapshotEndsJobs(t *testing.T) {
+	ctx, f := newFixture(t, workerclient.TaskRunning)
+	for f.held {
+		f.read(ctx)
+		f.step(ctx)
+	}
+	f.is.Equal(f.sched.Explain("job", time.Now()).Wait, scheduler.WaitRunning)
+	f.handle(ctx, JobsReplaced{})
+	f.is.Equal(len(f.jobs), 0)
+	f.is.Equal(f.sched.Explain("job", time.Now()).Wait, scheduler.WaitUnknown)
+}
+
 // Guards against a standby that wakes every millisecond for a pass that it never makes.
 func TestStandbyIsIdle(t *testing.T) {
 	p := New(Config{Pass: 100 * time.Millisecond})
