--- a/internal/admitter/quota_test.go
+++ b/internal/admitter/quota_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -18,14 +17,10 @@
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
-// TestMain fixes rapid's seed unless the command line names one.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
-		_ = f.Value.Set("1")
-	}
+// The seed of the property tests is fixed, so that a failure repeats; the flags of the test run override it.
+func init() {
+	_ = flag.Set("rapid.seed", "1")
 	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
 }
 
 const quota = 64
--- a/internal/fake/worker/table_test.go
+++ b/internal/fake/worker/table_test.go
@@ -5,7 +5,6 @@
 	"flag"
 	"fmt"
 	"maps"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -18,11 +17,10 @@
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-func TestMain(m *testing.M) {
-	// The command line can override both.
+// The seed of the property tests is fixed, so that a failure repeats; the flags of the test run override it.
+func init() {
 	_ = flag.Set("rapid.seed", "20260101")
 	_ = flag.Set("rapid.checks", "1000")
-	os.Exit(m.Run())
 }
 
 func at(n int) time.Time { return start.Add(time.Duration(n) * time.Millisecond) }
--- a/internal/queuer/queue_test.go
+++ b/internal/queuer/queue_test.go
@@ -3,7 +3,6 @@
 import (
 	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -13,12 +12,9 @@
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
-		f.Value.Set("1")
-	}
-	os.Exit(m.Run())
+// The seed of the property tests is fixed, so that a failure repeats; the flags of the test run override it.
+func init() {
+	_ = flag.Set("rapid.seed", "1")
 }
 
 var epoch = time.Unix(1_800_000_000, 0)
--- a/internal/reserver/reserver_test.go
+++ b/internal/reserver/reserver_test.go
@@ -3,7 +3,6 @@
 import (
 	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -13,16 +12,10 @@
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
-// TestMain fixes rapid's seed unless the command line names one.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	set := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { set[f.Name] = true })
-	if !set["rapid.seed"] {
-		_ = flag.Set("rapid.seed", "1")
-	}
+// The seed of the property tests is fixed, so that a failure repeats; the flags of the test run override it.
+func init() {
+	_ = flag.Set("rapid.seed", "1")
 	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
 }
 
 func (s *sim) submit(size int) {
--- a/internal/router/model_test.go
+++ b/internal/router/model_test.go
@@ -6,7 +6,6 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -22,12 +21,9 @@
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
-		f.Value.Set("1")
-	}
-	os.Exit(m.Run())
+// The seed of the property tests is fixed, so that a failure repeats; the flags of the test run override it.
+func init() {
+	_ = flag.Set("rapid.seed", "1")
 }
 
 // attempt is a request at a fake runner, which answers when the test says so.
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -229,7 +229,7 @@
 				continue
 			}
 			for _, l := range b.lanes {
-				if len(l.jobs) == 0 || s.over(l, l.jobs[0], now) {
+				if len(l.jobs) == 0 || s.over(l.caller, l.jobs[0], now) {
 					continue
 				}
 				for _, j := range l.jobs {
--- a/internal/scheduler/reclaim.go
+++ b/internal/scheduler/reclaim.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"math"
 	"time"
 
 	"chestnutmux.example/chestnutmux/internal/allocator"
@@ -24,7 +23,7 @@
 	if p.now.Sub(j.accepted) < s.opts.ShareGrace || s.shareClaims() >= maxShareClaims || p.noEvict[j.spec.Shape] {
 		return false
 	}
-	if s.over(j.lane, j, p.now) {
+	if s.over(j.lane.caller, j, p.now) {
 		return false
 	}
 	// Room of the same workspace frees as much of its quota and of its share.
@@ -122,15 +121,5 @@
 	if v.Workspace != j.spec.Workspace {
 		return within && s.beyondShare(v.Workspace, -v.Shape.Total())
 	}
-	return v.level >= j.level && s.callerOver(v)
-}
-
-// callerOver reports whether the caller of a gang attained more than its share of the workspace.
-func (s *Scheduler) callerOver(v *gang) bool {
-	m, ok := s.pass.means[v.Workspace]
-	if !ok || v.caller == nil {
-		return false
-	}
-	one := service(&v.Shape) * s.typical(&v.job.spec).Seconds()
-	return v.caller.key(s.pass.now) > m.mean()+shareDeviations*math.Sqrt(m.mean()*one)+one
+	return v.level >= j.level && v.caller != nil && s.over(v.caller, v.job, s.pass.now)
 }
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -39,19 +39,19 @@
 	}
 }
 
-// over reports whether a caller attained more than its share by more than chance explains.
+// over reports whether the caller of a job attained more than its share by more than chance explains.
 //
 // Service is a sum over jobs, so its variance is about its mean times the service of one job.
-func (s *Scheduler) over(l *lane, j *job, now time.Time) bool {
+func (s *Scheduler) over(caller *account, j *job, now time.Time) bool {
 	mean := s.pass.means[j.spec.Workspace].mean()
 	one := service(&j.spec.Shape) * s.typical(&j.spec).Seconds()
-	return l.caller.key(now) > mean+shareDeviations*math.Sqrt(mean*one)+one
+	return caller.key(now) > mean+shareDeviations*math.Sqrt(mean*one)+one
 }
 
 // laneKey orders the callers of a workspace: those within their share by the age of their next job, the others after
 // them by service. Ordering all by service makes alike callers overtake one another, which lengthens the longest waits.
 func (s *Scheduler) laneKey(l *lane, j *job, now time.Time) float64 {
-	if s.opts.Baseline || !s.over(l, j, now) {
+	if s.opts.Baseline || !s.over(l.caller, j, now) {
 		return -now.Sub(j.accepted).Seconds() - 1
 	}
 	return l.caller.key(now)
