--- a/internal/claimer/claimer_test.go
+++ b/internal/claimer/claimer_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"fmt"
 	"sync"
@@ -10,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
--- a/internal/fake/fault/http.go
+++ b/internal/fake/fault/http.go
@@ -4,10 +4,11 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"net/http"
 
+	"github.com/cockroachdb/errors"
+
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
--- a/internal/queuer/queue.go
+++ b/internal/queuer/queue.go
@@ -1,10 +1,11 @@
 package queuer
 
 import (
-	"errors"
 	"maps"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
--- a/internal/runnerclient/client.go
+++ b/internal/runnerclient/client.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +12,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
@@ -193,7 +194,7 @@
 func (c *Client) read(resp *http.Response, req Request) (Answer, error) {
 	st := status(resp.Header)
 	unknown := func(format string, args ...any) (Answer, error) {
-		return Answer{}, &Error{BytesSent: true, Status: st, Err: fmt.Errorf(format, args...)}
+		return Answer{}, &Error{BytesSent: true, Status: st, Err: errors.Newf(format, args...)}
 	}
 	echoed := resp.Header.Get("Request-Id")
 	if echoed != string(req.ID) && (echoed != "" || resp.StatusCode == http.StatusOK) {
--- a/internal/scheduler/claim.go
+++ b/internal/scheduler/claim.go
@@ -36,12 +36,9 @@
 	g := s.newGang(j)
 	victims, ok := s.alloc.PlaceGuaranteed(&g.Gang, s.pass.now)
 	if ok && len(victims) > 0 && lack <= 0 && j.level > 0 {
+		s.takeBack(g, victims)
 		// Work that is not urgent takes free room first, and keeps it as
 		// guaranteed where its cells can be bound there.
-		for _, v := range victims {
-			s.alloc.Doom(v, false)
-		}
-		s.alloc.Free(&g.Gang)
 		if s.startLent(j) {
 			return true
 		}
@@ -51,12 +48,7 @@
 		victims, ok = s.placeOverOwn(g)
 	}
 	if !ok {
-		for _, v := range own {
-			s.alloc.Doom(&v.Gang, false)
-		}
-		for _, v := range held {
-			s.alloc.Promote(v)
-		}
+		s.spare(own, held)
 		s.pass.noCell[k] = true
 		s.refusedCell(j)
 		return false
@@ -68,13 +60,36 @@
 	for _, v := range own {
 		s.preempt(v, j)
 	}
+	s.startOrClaim(g)
+	return true
+}
+
+// startOrClaim starts a gang when its room is free, else it holds the room until the preempted gangs have left.
+func (s *Scheduler) startOrClaim(g *gang) {
 	if s.startable(g) {
 		s.start(g)
-		return true
+		return
 	}
 	s.reclaims++
 	s.claim(g)
-	return true
+}
+
+// takeBack undoes the placement of a gang that was not admitted.
+func (s *Scheduler) takeBack(g *gang, victims []*allocator.Gang) {
+	for _, v := range victims {
+		s.alloc.Doom(v, false)
+	}
+	s.alloc.Free(&g.Gang)
+}
+
+// spare undoes doom.
+func (s *Scheduler) spare(gs []*gang, held []*allocator.Gang) {
+	for _, v := range gs {
+		s.alloc.Doom(&v.Gang, false)
+	}
+	for _, v := range held {
+		s.alloc.Promote(v)
+	}
 }
 
 // doom marks gangs as leaving, so that a placement prefers their room, and
--- a/internal/scheduler/policy_test.go
+++ b/internal/scheduler/policy_test.go
@@ -1,13 +1,14 @@
 package scheduler
 
 import (
-	"errors"
 	"fmt"
 	"testing"
 	"time"
 
-	"chestnutmux.example/chestnutmux/pkg/model"
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
+
+	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
 func kind(err error) model.ErrorKind {
