--- a/internal/scheduler/policy_test.go
+++ b/internal/scheduler/policy_test.go
@@ -77,23 +77,25 @@
 func TestBackfill(t *testing.T) {
 	is := is.New(t)
 	s := New(Options{AgingAfter: 30 * time.Minute}) // beyond the times of the test
-	s.SetConfig(config(1, 8, 0), domain)
+	set := config(1, 8, 0)
+	set.Workspaces["a"] = model.Workspace{Quota: 1 << 20, Weight: 15} // so that the wide gang is within its share
+	s.SetConfig(set, domain)
 	addWorkers(s, 1)
 	for range 10 {
 		s.runs.Learn("b", "batch", time.Minute)
 		s.runs.Learn("b", "urgent", 10*time.Hour)
 	}
-	s.Submit(work("long", "a", "standard", 6, 8), start) // for an hour
+	s.Submit(work("long", "b", "standard", 3, 8), start) // for an hour
 	is.Equal(len(starts(s.Pass(start))), 1)
-	s.Submit(work("wide", "a", "standard", 8, 8), start)
+	s.Submit(work("wide", "a", "standard", 7, 8), start)
 	at := start.Add(10 * time.Minute)
 	is.Equal(len(starts(s.Pass(at))), 0)
 	e := s.Explain("wide", at)
 	is.Equal(e.Wait, WaitReserved)
 	is.Equal(e.ExpectedStart, start.Add(time.Hour))
-	short, long := work("short", "b", "batch", 1, 8), work("liar", "a", "batch", 1, 8)
+	short, long := work("short", "b", "batch", 1, 8), work("liar", "b", "urgent", 2, 8)
 	short.Spec.RunMS = 36_000_000 // declares ten hours
-	long.Spec.RunMS = 36_000_000
+	long.Spec.RunMS = 60_000      // declares a minute
 	s.Submit(short, at)
 	s.Submit(long, at)
 	ds := starts(s.Pass(at))
