Run every test anew

Go's cache of test results does not see the programs that the process tests build, so a change of the product could pass with an old result.

--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,9 @@
 build:
 	go build -o bin/ ./cmd/...
 
+# The process tests build and run the programs, which the cache of test results does not see.
 test:
-	go test -race ./...
+	go test -race -count=1 ./...
 
 lint:
 	test -z "$$(go tool gofumpt -l cmd internal pkg test)"
