Poll workers each 1.5 s by default

Cause: a planner of 18 workers with 9 entry hosts spent 14.6 KB/s for control, above the 13 KB/s that a daemon may spend; 9.8 of it were polls at 1 s. Ruled out: slower heartbeats, which delay the next planner. Change: 1.5 s.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -14,7 +14,7 @@
 
 // Defaults of the intervals; section 3 of docs/design.md gives the reasons.
 const (
-	DefaultPoll            model.Millis = 1_000
+	DefaultPoll            model.Millis = 1_500
 	DefaultTaskLease       model.Millis = 20_000
 	DefaultReserveTTL      model.Millis = 2_000
 	DefaultCheckpointBound model.Millis = 1_000
