Time answers of workers when they come

Cause: the dispatcher handles a burst of events with the time at which it began the burst. A start answered late in the burst counted as answered at its beginning, so a report that the worker had written before the start reached it, but after the burst began, was taken as one from after it: the run was "gone" and its task was started again while it went on (TWICE). The same stale time stood for the reading of a worker's clock, so that leases were asked for longer than the dispatcher counted. An end of such a run was then dropped without its failure being counted (BUDGET).

Now the session stamps each answer when it comes. The end of a run that was taken as lost is applied: a result ends the task and stops the newer run, a failure counts as an attempt.

Ruled out on the way: errors of the transport after a request was written (Go does not retry a POST), ends forgotten by a wrong ack number, a job that is added twice.

--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -14,28 +14,31 @@
 
 // reported is a report of a worker, or the failure to get one.
 type reported struct {
-	worker model.HostID
-	report Report
-	err    error
-	sentAt time.Time
-	acked  int64
-	done   chan struct{}
+	worker     model.HostID
+	report     Report
+	err        error
+	sentAt     time.Time
+	answeredAt time.Time
+	acked      int64
+	done       chan struct{}
 }
 
 // started is the outcome of a start order.
 type started struct {
-	worker model.HostID
-	run    model.Run
-	reply  Reply
-	err    error
+	worker     model.HostID
+	run        model.Run
+	reply      Reply
+	answeredAt time.Time
+	err        error
 }
 
 // stopped is the outcome of a stop order.
 type stopped struct {
-	worker model.HostID
-	run    model.Run
-	reply  Reply
-	err    error
+	worker     model.HostID
+	run        model.Run
+	reply      Reply
+	answeredAt time.Time
+	err        error
 }
 
 // changed is a change of a job in the log.
--- a/internal/dispatcher/order.go
+++ b/internal/dispatcher/order.go
@@ -85,13 +85,13 @@
 	}
 	r := w.runs[e.run]
 	if e.err == nil {
-		w.clock, w.clockAt, w.answers = e.reply.Clock, now, true
+		w.clock, w.clockAt, w.answers = e.reply.Clock, e.answeredAt, true
 		if r != nil {
 			if r.state == runStarting {
 				d.confirm(r, now)
 				d.begun(r, now)
 			}
-			r.answeredAt = now
+			r.answeredAt = e.answeredAt
 		}
 		d.updatePlan(w)
 		return
@@ -174,8 +174,8 @@
 	var refused *RefusedError
 	switch {
 	case e.err == nil:
-		w.clock, w.clockAt, w.answers = e.reply.Clock, now, true
-		r.stoppedAt = now
+		w.clock, w.clockAt, w.answers = e.reply.Clock, e.answeredAt, true
+		r.stoppedAt = e.answeredAt
 		w.session.set(func(p *holdPlan) { p.quick = r.answeredAt.IsZero() })
 		return
 	case errors.As(e.err, &refused) && refused.Reason == RefusedFence:
--- a/internal/dispatcher/report.go
+++ b/internal/dispatcher/report.go
@@ -24,11 +24,11 @@
 		d.planned = false
 	}
 	w.answers = true
-	w.clock, w.clockAt = e.report.Clock, now
+	w.clock, w.clockAt = e.report.Clock, e.answeredAt
 	d.incarnation(w, e.report.Incarnation)
 	if !w.settled {
 		// No lease was asked for yet, but what runs there has one of a former leader.
-		w.granted(now, d.Lease)
+		w.granted(e.answeredAt, d.Lease)
 		w.settled = true
 		d.planned = false
 	}
@@ -138,7 +138,8 @@
 		return
 	}
 	if t.active != nil && t.active != r {
-		return // a newer run has taken over
+		d.superseded(t, w, end, now)
+		return
 	}
 	d.Logger.Debug("run ended", "job", j.sub.ID, "task", end.Run.Task.String(), "run", end.Run.Number, "worker", w.info.ID,
 		"how", end.Kind, "number", end.Number)
@@ -157,6 +158,24 @@
 	d.planned = false
 }
 
+// superseded applies the end of a run that was taken as lost, while a newer run of its task goes on: a result ends the
+// task, and a failure counts as an attempt.
+func (d *Dispatcher) superseded(t *task, w *worker, end model.RunEnd, now time.Time) {
+	d.Logger.Warn("run ended that was taken as lost", "task", end.Run.Task.String(), "run", end.Run.Number, "worker", w.info.ID,
+		"how", end.Kind, "newer", t.active.id.Number)
+	switch {
+	case t.step.spec.LongRunning || t.done:
+	case end.Kind == model.EndFailed:
+		d.failed(t, w, end, now)
+	case end.Kind == model.EndDone && t.step.spec.Gang:
+		d.done(t, w, now)
+		d.stopStep(t.step, "a former run is done", now)
+	case end.Kind == model.EndDone:
+		d.done(t, w, now)
+		d.stopRun(t.active, "a former run is done", now)
+	}
+}
+
 // done marks a task done, and with it all members of its gang.
 func (d *Dispatcher) done(t *task, w *worker, now time.Time) {
 	w.prove(now)
--- /dev/null
+++ b/internal/dispatcher/report_test.go
@@ -0,0 +1,104 @@
+package dispatcher
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"chestnutmux.example/chestnutmux/internal/asserter"
+	"chestnutmux.example/chestnutmux/internal/journaler"
+	"chestnutmux.example/chestnutmux/pkg/model"
+)
+
+// fixture is a dispatcher with one worker and a job of one task whose start order has been sent.
+type fixture struct {
+	*Dispatcher
+	w   *worker
+	t   *task
+	now time.Time // of the pass of the dispatcher that handles the events
+}
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	d := &Dispatcher{
+		Term: journaler.Term{Fence: 1}, Workers: silent{}, Logger: hclog.NewNullLogger(), Metrics: NewMetrics(), Lease: time.Hour,
+		Violated: func(inv asserter.Invariant, args ...any) { t.Error(inv, args) }, settled: true,
+	}
+	d.Open()
+	d.ctx = ctx
+	f := &fixture{Dispatcher: d, now: time.Now()}
+	f.w = d.addWorker(model.Worker{ID: "w0", State: model.WorkerReady, Capacity: model.Resources{Accelerators: 8}}, f.now)
+	f.w.listed, f.w.settled, f.w.answers, f.w.clockAt, f.w.incarnation = true, true, true, f.now, 1
+	s := submission("job", 1, 1)
+	s.Queue.MaxAttempts = 3
+	f.t = d.addJob(journaler.Job{Submission: s}, f.now).steps[0].tasks[0]
+	f.start(1)
+	return f
+}
+
+// start orders run n of the task.
+func (f *fixture) start(n model.RunNumber) { f.startRun(f.t, f.w, n, f.now) }
+
+func (f *fixture) run(n model.RunNumber) model.Run { return model.Run{Task: f.t.ref(), Number: n} }
+
+// after returns a time some milliseconds into the pass.
+func (f *fixture) after(ms int) time.Time { return f.now.Add(time.Duration(ms) * time.Millisecond) }
+
+// report applies a report that was asked for some milliseconds into the pass.
+func (f *fixture) report(sent int, ends ...model.RunEnd) {
+	e := &reported{worker: "w0", report: Report{Incarnation: 1, Ended: ends}, sentAt: f.after(sent), done: make(chan struct{})}
+	e.apply(f.Dispatcher, f.now)
+}
+
+// Guards against a task that is started again while its first run goes on: a busy dispatcher handles many events with the
+// time at which it began; a report that the worker wrote before the order reached it was taken as one from after it.
+func TestReportFromBeforeAStart(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	(&started{worker: "w0", run: f.run(1), answeredAt: f.after(40)}).apply(f.Dispatcher, f.now)
+	f.report(20)
+	is.True(f.t.active != nil) // the report says nothing about the run
+	f.report(50)
+	is.True(f.t.active == nil) // the worker has lost it
+}
+
+// Guards against the same race for a stop: room was taken as free while the run was still being stopped.
+func TestReportFromBeforeAStop(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.stopRun(f.t.active, "test", f.now)
+	(&stopped{worker: "w0", run: f.run(1), answeredAt: f.after(40)}).apply(f.Dispatcher, f.now)
+	f.report(20)
+	is.True(f.t.active != nil)
+	f.report(50)
+	is.True(f.t.active == nil)
+}
+
+// Guards against work that is done twice: the lease of a worker lapsed after its run had ended, and the dispatcher learns
+// of that end only once the task runs again.
+func TestEndOfAFormerRun(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.lapse(f.w, f.now)
+	f.start(2)
+	f.report(20, model.RunEnd{Number: 1, Run: f.run(1), Kind: model.EndDone})
+	is.True(f.t.done)
+	is.True(f.jobs["job"] != nil) // until its last run has been stopped
+	is.Equal(f.t.active.state, runStopping)
+}
+
+// Guards against an attempt too many: the failure of a run that the dispatcher took as lost counts as well.
+func TestFailureOfAFormerRun(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.lapse(f.w, f.now)
+	f.start(2)
+	f.report(20, model.RunEnd{Number: 1, Run: f.run(1), Kind: model.EndFailed})
+	is.Equal(len(f.t.failed), 1)
+	is.Equal(f.t.active.state, runStarting) // the second attempt goes on
+}
--- a/internal/dispatcher/session.go
+++ b/internal/dispatcher/session.go
@@ -143,7 +143,9 @@
 		s.revoke(before)
 	}
 	done := make(chan struct{})
-	s.send(&reported{worker: p.info.ID, report: rep, err: err, sentAt: sentAt, acked: o.Acknowledged, done: done})
+	s.send(&reported{
+		worker: p.info.ID, report: rep, err: err, sentAt: sentAt, answeredAt: time.Now(), acked: o.Acknowledged, done: done,
+	})
 	select {
 	case <-done:
 	case <-s.ctx.Done():
@@ -211,7 +213,7 @@
 func (s *session) start(info model.Worker, o StartOrder) {
 	go s.order(func(ctx context.Context) event {
 		rep, err := s.client.Start(ctx, info, o)
-		return &started{worker: info.ID, run: o.Run, reply: rep, err: err}
+		return &started{worker: info.ID, run: o.Run, reply: rep, answeredAt: time.Now(), err: err}
 	})
 }
 
@@ -229,7 +231,7 @@
 		}
 		s.order(func(ctx context.Context) event {
 			rep, err := s.client.Stop(ctx, info, o)
-			return &stopped{worker: info.ID, run: o.Run, reply: rep, err: err}
+			return &stopped{worker: info.ID, run: o.Run, reply: rep, answeredAt: time.Now(), err: err}
 		})
 	}()
 }
