--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -173,6 +173,16 @@
 	return true
 }
 
+// whole reports whether every task of the step is done or has started.
+func (s *step) whole() bool {
+	for _, t := range s.tasks {
+		if !t.done && (t.active == nil || t.active.state == runStarting || t.active.state == runDoubtful) {
+			return false
+		}
+	}
+	return true
+}
+
 // active reports whether any task of the job has a run.
 func (j *job) active() bool {
 	for _, s := range j.steps {
--- a/internal/dispatcher/order.go
+++ b/internal/dispatcher/order.go
@@ -186,20 +186,19 @@
 	d.sendStop(r, stopRetry)
 }
 
-// begun notes the start of a run, and of its step once all tasks have started.
+// begun notes the start of a run, and of its step once all tasks have started. The members of a gang wait for each other,
+// so that none of them works before.
 func (d *Dispatcher) begun(r *run, now time.Time) {
 	if r.task == nil {
 		return
 	}
 	s := r.task.step
-	d.setRunning(s.job)
-	if !s.beganAt.IsZero() {
-		return
+	whole := s.whole()
+	if whole || !s.spec.Gang {
+		d.setRunning(s.job)
 	}
-	for _, t := range s.tasks {
-		if !t.done && (t.active == nil || t.active.state == runStarting) {
-			return
-		}
+	if !whole || !s.beganAt.IsZero() {
+		return
 	}
 	s.beganAt = now
 	d.Metrics.begun(s, now)
--- a/internal/dispatcher/report.go
+++ b/internal/dispatcher/report.go
@@ -83,6 +83,7 @@
 	}
 	if r.state == runStarting {
 		d.confirm(r, now)
+		d.begun(r, now)
 	}
 	r.progressed(st.Percent, now)
 }
--- a/internal/dispatcher/report_test.go
+++ b/internal/dispatcher/report_test.go
@@ -41,6 +41,17 @@
 	return f
 }
 
+// addGang adds a job with a gang of two tasks and orders their first run.
+func (f *fixture) addGang() *step {
+	s := submission("gang", 1, 2)
+	s.Steps[0].Gang = true
+	gang := f.addJob(journaler.Job{Submission: s}, f.now).steps[0]
+	for _, t := range gang.tasks {
+		f.startRun(t, f.w, 1, f.now)
+	}
+	return gang
+}
+
 // start orders run n of the task.
 func (f *fixture) start(n model.RunNumber) { f.startRun(f.t, f.w, n, f.now) }
 
@@ -102,3 +113,24 @@
 	is.Equal(len(f.t.failed), 1)
 	is.Equal(f.t.active.state, runStarting) // the second attempt goes on
 }
+
+// Guards against a waiting job that is shown as running: the members of a gang wait for each other, and the order to one of
+// them may fail.
+func TestGangWaitsForAllMembers(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	gang := f.addGang()
+	(&started{worker: "w0", run: gang.tasks[0].active.id, answeredAt: f.now}).apply(f.Dispatcher, f.now)
+	is.Equal(gang.job.state, model.JobQueued)
+	(&started{worker: "w0", run: gang.tasks[1].active.id, answeredAt: f.now}).apply(f.Dispatcher, f.now)
+	is.Equal(gang.job.state, model.JobRunning)
+}
+
+// Guards against a job that runs and is shown as waiting: the report of a worker may overtake its answer to the order.
+func TestReportOvertakesTheAnswer(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.running(f.w, model.RunState{Run: f.run(1)}, f.now)
+	(&started{worker: "w0", run: f.run(1), answeredAt: f.now}).apply(f.Dispatcher, f.now)
+	is.Equal(f.t.step.job.state, model.JobRunning)
+}
