Leave the leader's processor to its calls

Cause: on the grown sites (350 workers, a leader on 0.8 of a core) the dispatcher planned after every batch of events.

Now a pass is followed by a pause of three times its length, and the loop wakes when an append is due instead of with the next tick. A search for room by preemption prices a node anew only when its room has changed, and nodes of a rack follow each other.

--- a/internal/dispatcher/bench_test.go
+++ b/internal/dispatcher/bench_test.go
@@ -100,3 +100,32 @@
 		})
 	}
 }
+
+// mixed returns a dispatcher with a full fleet of less urgent tasks and gangs of many shapes that wait.
+func mixed(b *testing.B, workers, waiting int) *Dispatcher {
+	d := loaded(b, workers, 0)
+	for i := range waiting {
+		s := submission(fmt.Sprint("gang", i), model.Priority(i%2), 4+i%13)
+		s.Steps[0].Gang, s.Steps[0].OneRack = true, i%3 == 0
+		s.Steps[0].Need = model.Resources{Cores: 13_000, MemoryMB: 53_000, Accelerators: model.Accelerators(1 << (i % 4))}
+		d.addJob(journaler.Job{Submission: s}, time.Now())
+	}
+	for _, w := range d.workers {
+		for _, r := range w.runs {
+			r.state = runStopping // nothing gives way: each gang looks for room in vain
+		}
+	}
+	return d
+}
+
+// BenchmarkMixedPass measures a planning pass with many gangs of different shapes that wait for room.
+func BenchmarkMixedPass(b *testing.B) {
+	for _, n := range []int{48, 350, 1000} {
+		b.Run(fmt.Sprint("workers=", n), func(b *testing.B) {
+			d := mixed(b, n, 40)
+			for b.Loop() {
+				d.plan(time.Now())
+			}
+		})
+	}
+}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -17,6 +17,8 @@
 	eventBuffer = 4096
 	// tick is the longest pause between looks at leases and deadlines.
 	tick = 150 * time.Millisecond
+	// passShare is the time from one pass to the next, as a multiple of the time that the pass took.
+	passShare = 4
 	// startLease is the lease that a start grants to a worker without other work; the next report extends it.
 	startLease = 3 * time.Second
 )
@@ -47,8 +49,10 @@
 	fleetDirty bool
 	limits     Limits
 	journal    journal
-	planned    bool // the plan is up to date
-	settled    bool // every worker that a former leader may have used is known
+	planned    bool      // the plan is up to date
+	lookedAt   time.Time // of the last pass
+	lookAt     time.Time // of the next pass, at the earliest
+	settled    bool      // every worker that a former leader may have used is known
 	headroom   headroom
 	adopted    []*step // gangs that may lack members that a former leader started
 	order      int64
@@ -91,7 +95,7 @@
 	defer cancel()
 	d.ctx = ctx
 	d.takeOver(jobs, fleet, listed)
-	timer := time.NewTicker(tick)
+	timer := time.NewTimer(tick)
 	defer timer.Stop()
 	for d.err == nil {
 		select {
@@ -100,19 +104,41 @@
 		case e := <-d.events:
 			d.apply(e)
 		case <-timer.C:
-			d.planned = false
 		}
-		now := time.Now()
-		d.expire(now)
-		if !d.planned {
-			d.planned = true
-			d.plan(now)
-		}
-		d.journal.flush(now)
+		d.look(time.Now())
+		d.journal.flush(time.Now())
+		timer.Reset(time.Until(d.nextAt()))
 	}
 	return d.err
 }
 
+// look expires leases and plans when something has changed, or after a tick.
+//
+// A pass over a large fleet takes milliseconds, and a busy fleet sends hundreds of events a second. The pause after a pass
+// leaves most of the processor to the calls to workers: otherwise they would time out, and sound runs be taken as lost.
+func (d *Dispatcher) look(now time.Time) {
+	if now.Before(d.lookAt) || d.planned && now.Before(d.lookedAt.Add(tick)) {
+		return
+	}
+	d.planned = true
+	d.expire(now)
+	d.plan(now)
+	d.lookedAt = now
+	d.lookAt = now.Add(passShare * time.Since(now))
+}
+
+// nextAt returns when the loop has something to do without an event.
+func (d *Dispatcher) nextAt() time.Time {
+	at := d.lookedAt.Add(tick)
+	if !d.planned {
+		at = d.lookAt
+	}
+	if due := d.journal.dueAt(); due.Before(at) {
+		at = due
+	}
+	return at
+}
+
 // apply handles a message and those that wait behind it.
 func (d *Dispatcher) apply(e event) {
 	now := time.Now()
--- a/internal/dispatcher/journal.go
+++ b/internal/dispatcher/journal.go
@@ -88,21 +88,35 @@
 	if l.busy || l.d.err != nil || !l.due(now) {
 		return
 	}
+	l.lastAt = now
 	b, err := l.batch(now)
 	if err != nil {
 		l.d.Logger.Error("records can't be written", "error", err)
 		return
 	}
 	l.busy = true
-	l.lastAt = now
 	l.send(b, 0)
 }
 
 func (l *journal) due(now time.Time) bool {
-	if now.Sub(l.lastAt) < flushGap {
-		return false
+	return !now.Before(l.dueAt())
+}
+
+// dueAt returns when the next append is due, as far as is known now; one in flight ends with an event.
+func (l *journal) dueAt() time.Time {
+	at := l.renewAt
+	switch {
+	case l.busy:
+		return time.Now().Add(tick)
+	case l.urgent || l.resign:
+		at = l.lastAt
+	case len(l.dirty) > 0 && l.since.Add(lazyGap).Before(at):
+		at = l.since.Add(lazyGap)
+	}
+	if soonest := l.lastAt.Add(flushGap); at.Before(soonest) {
+		return soonest
 	}
-	return l.urgent || l.resign || now.After(l.renewAt) || len(l.dirty) > 0 && now.Sub(l.since) > lazyGap
+	return at
 }
 
 func (l *journal) batch(now time.Time) (*flush, error) {
--- a/internal/dispatcher/plan.go
+++ b/internal/dispatcher/plan.go
@@ -116,7 +116,7 @@
 	urgent := d.usedBy(func(q model.Priority) bool { return q == 0 })
 	d.headroom.observe(urgent, now)
 	p.keep = d.headroom.keep(urgent, p.capacity())
-	slices.SortFunc(p.nodes, func(a, b *placer.Node) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(p.nodes, func(a, b *placer.Node) int { return cmp.Or(cmp.Compare(a.Rack, b.Rack), cmp.Compare(a.ID, b.ID)) })
 	return p
 }
 
--- a/internal/placer/fleet.go
+++ b/internal/placer/fleet.go
@@ -103,18 +103,22 @@
 	return float64(part) / float64(whole)
 }
 
-// racks groups nodes by rack in their order.
+// racks groups nodes by rack in their order; it is fastest when the nodes of a rack follow each other.
 func racks(nodes []*Node) [][]*Node {
 	var out [][]*Node
 	at := map[model.RackID]int{}
+	last := -1
 	for _, n := range nodes {
-		i, ok := at[n.Rack]
-		if !ok {
-			i = len(out)
-			at[n.Rack] = i
-			out = append(out, nil)
+		if last < 0 || out[last][0].Rack != n.Rack {
+			i, ok := at[n.Rack]
+			if !ok {
+				i = len(out)
+				at[n.Rack] = i
+				out = append(out, nil)
+			}
+			last = i
 		}
-		out[i] = append(out[i], n)
+		out[last] = append(out[last], n)
 	}
 	return out
 }
--- a/internal/placer/reclaim.go
+++ b/internal/placer/reclaim.go
@@ -32,25 +32,32 @@
 // search frees room step by step: each step adds one task at the node where that costs least.
 type search struct {
 	r       *Request
-	nodes   []*Node
-	free    map[*Node]model.Resources
-	left    map[*Node]int // tasks that the node may still take
+	offers  []offer
+	at      map[*Node]int // index of a node's offer
 	stopped map[*Block]bool
 	victims []*Block
 	cost    float64
 }
 
+// offer is what one more task on a node costs.
+type offer struct {
+	node    *Node
+	free    model.Resources
+	left    int // tasks that the node may still take
+	known   bool
+	ok      bool
+	cost    float64
+	victims []*Block
+}
+
 func newSearch(nodes []*Node, r *Request) *search {
-	s := &search{
-		r: r, free: map[*Node]model.Resources{}, left: map[*Node]int{}, stopped: map[*Block]bool{},
-	}
+	s := &search{r: r, at: make(map[*Node]int, len(nodes)), stopped: map[*Block]bool{}}
 	for _, n := range nodes {
 		if !r.admits(n) || !n.Capacity.Fits(r.Need) {
 			continue
 		}
-		s.nodes = append(s.nodes, n)
-		s.free[n] = n.Free
-		s.left[n] = r.bound(n)
+		s.at[n] = len(s.offers)
+		s.offers = append(s.offers, offer{node: n, free: n.Free, left: r.bound(n)})
 		if !slices.IsSortedFunc(n.Runs, cheapestFirst) {
 			slices.SortStableFunc(n.Runs, cheapestFirst)
 		}
@@ -66,54 +73,59 @@
 func (s *search) run() ([]*Node, []*Block) {
 	places := make([]*Node, 0, s.r.Count)
 	for len(places) < s.r.Count {
-		n, victims := s.cheapest()
-		if n == nil {
+		o := s.cheapest()
+		if o == nil {
 			if s.r.Gang || len(places) == 0 {
 				return nil, nil
 			}
 			break
 		}
-		for _, b := range victims {
+		s.cost += o.cost
+		for _, b := range o.victims {
 			s.stop(b)
 		}
-		s.free[n] = s.free[n].Sub(s.r.Need)
-		s.left[n]--
-		places = append(places, n)
+		o.free = o.free.Sub(s.r.Need)
+		o.left--
+		o.known = false
+		places = append(places, o.node)
 	}
 	return places, s.victims
 }
 
-// cheapest returns the node where one more task costs least, and the blocks to stop for it.
-func (s *search) cheapest() (*Node, []*Block) {
-	var best *Node
-	var bestVictims []*Block
-	bestCost := 0.0
-	for _, n := range s.nodes {
-		if s.left[n] == 0 {
-			continue
-		}
-		victims, ok := s.makeRoom(n)
-		if !ok {
+// cheapest returns the offer of the node where one more task costs least, or nil.
+func (s *search) cheapest() *offer {
+	var best *offer
+	for i := range s.offers {
+		o := &s.offers[i]
+		if o.left == 0 {
 			continue
 		}
-		cost := 20*float64(n.Doubt) + float64(slow(n))
-		for _, b := range victims {
-			cost += b.Cost
-		}
-		if len(victims) == 0 {
-			cost += 0.1 * leftover(n, s.free[n], s.r.Need)
+		if !o.known {
+			s.price(o)
 		}
-		if best == nil || cost < bestCost {
-			best, bestVictims, bestCost = n, victims, cost
+		if o.ok && (best == nil || o.cost < best.cost) {
+			best = o
 		}
 	}
-	s.cost += bestCost
-	return best, bestVictims
+	return best
+}
+
+// price computes an offer; it holds until the room of its node changes.
+func (s *search) price(o *offer) {
+	o.known = true
+	o.victims, o.ok = s.makeRoom(o)
+	o.cost = 20*float64(o.node.Doubt) + float64(slow(o.node))
+	for _, b := range o.victims {
+		o.cost += b.Cost
+	}
+	if len(o.victims) == 0 {
+		o.cost += 0.1 * leftover(o.node, o.free, s.r.Need)
+	}
 }
 
 // makeRoom returns the blocks whose end lets one more task fit.
-func (s *search) makeRoom(n *Node) ([]*Block, bool) {
-	free := s.free[n]
+func (s *search) makeRoom(o *offer) ([]*Block, bool) {
+	n, free := o.node, o.free
 	if free.Fits(s.r.Need) {
 		return nil, true
 	}
@@ -171,8 +183,9 @@
 	s.stopped[b] = true
 	s.victims = append(s.victims, b)
 	for _, m := range b.Members {
-		if f, ok := s.free[m.Node]; ok {
-			s.free[m.Node] = f.Add(m.Need)
+		if i, ok := s.at[m.Node]; ok {
+			s.offers[i].free = s.offers[i].free.Add(m.Need)
+			s.offers[i].known = false
 		}
 	}
 }
