Give up the runs of silent workers only

The answer to a stop did not reach the plan of the worker's session, so no lease was asked for; the lease ended by the leader's count 1.3 s after the last answer, the runs were taken as lost and started again, though two of them had ended with a result that the next report told.

Now a worker must have answered nothing for 3 s before its runs are given up, the answer to a stop renews the lease, and only reports tell that a run makes no progress (answers to orders did, too, so sound runs were stopped as stuck when reports failed).

Ruled out: a lease that the dispatcher counted too short; the runs had all ended before it lapsed.

--- a/internal/dispatcher/health.go
+++ b/internal/dispatcher/health.go
@@ -136,7 +136,7 @@
 
 // unstick stops runs that make no progress though their worker answers.
 func (d *Dispatcher) unstick(w *worker, now time.Time) {
-	if now.Sub(w.clockAt) > freshReport {
+	if now.Sub(w.reportAt) > freshReport {
 		return
 	}
 	for _, r := range w.runs {
--- a/internal/dispatcher/order.go
+++ b/internal/dispatcher/order.go
@@ -176,6 +176,7 @@
 	case e.err == nil:
 		w.clock, w.clockAt, w.answers = e.reply.Clock, e.answeredAt, true
 		r.stoppedAt = e.answeredAt
+		d.updatePlan(w)
 		w.session.set(func(p *holdPlan) { p.quick = r.answeredAt.IsZero() })
 		return
 	case errors.As(e.err, &refused) && refused.Reason == RefusedFence:
--- a/internal/dispatcher/report.go
+++ b/internal/dispatcher/report.go
@@ -24,7 +24,7 @@
 		d.planned = false
 	}
 	w.answers = true
-	w.clock, w.clockAt = e.report.Clock, e.answeredAt
+	w.clock, w.clockAt, w.reportAt = e.report.Clock, e.answeredAt, e.answeredAt
 	d.incarnation(w, e.report.Incarnation)
 	if !w.settled {
 		// No lease was asked for yet, but what runs there has one of a former leader.
--- a/internal/dispatcher/report_test.go
+++ b/internal/dispatcher/report_test.go
@@ -134,3 +134,44 @@
 	(&started{worker: "w0", run: f.run(1), answeredAt: f.now}).apply(f.Dispatcher, f.now)
 	is.Equal(f.t.step.job.state, model.JobRunning)
 }
+
+// Guards against the results of a busy worker that are thrown away: its reports failed, but it answered orders, and its
+// runs were taken as lost when the lease had ended.
+func TestLapseOfASilentWorkerOnly(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	late := f.w.leaseEnds.Add(time.Second)
+	(&stopped{worker: "w0", run: f.run(1), answeredAt: late.Add(-time.Second)}).apply(f.Dispatcher, late)
+	f.expire(late)
+	is.True(f.t.active != nil)
+	f.expire(late.Add(3 * time.Second))
+	is.True(f.t.active == nil)
+}
+
+// Guards against a lease that ends while the worker answers: after a failed report no lease is asked for until the plan of
+// the session says that the worker answers again.
+func TestAnswerToAStopRenewsTheLease(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.w.answers = false
+	f.updatePlan(f.w)
+	(&stopped{worker: "w0", run: f.run(1), answeredAt: f.after(40)}).apply(f.Dispatcher, f.now)
+	is.True(f.w.session.get().answers)
+}
+
+// Guards against sound runs that are stopped as stuck: answers to orders tell nothing about the progress of runs.
+func TestNoProgressNeedsAReport(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.report(20)
+	f.running(f.w, model.RunState{Run: f.run(1)}, f.now)
+	late := f.now.Add(stallTime + time.Second)
+	f.w.clockAt = late
+	f.unstick(f.w, late)
+	is.Equal(f.t.active.state, runRunning)
+	(&reported{
+		worker: "w0", report: Report{Incarnation: 1, Running: []model.RunState{{Run: f.run(1)}}}, answeredAt: late, done: make(chan struct{}),
+	}).apply(f.Dispatcher, late)
+	f.unstick(f.w, late)
+	is.Equal(f.t.active.state, runStopping)
+}
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -17,8 +17,9 @@
 	closed   bool      // a former leader gave it no tasks but those that the log names
 
 	clock     WorkerTime // at clockAt
-	clockAt   time.Time
-	leaseEnds time.Time // no lease that a start granted lasts longer; those of reports are with the session
+	clockAt   time.Time  // of the last answer
+	reportAt  time.Time  // of the last report
+	leaseEnds time.Time  // no lease that a start granted lasts longer; those of reports are with the session
 
 	incarnation int64
 	seen        int64 // last end that was processed
@@ -58,9 +59,13 @@
 	return at.Add(time.Duration(float64(lease)*clockSkew) + leaseSlack)
 }
 
-// lapsed reports whether every lease of the worker has ended.
+// silentFor is how long a worker must have answered nothing before its runs are given up. One that answers orders will
+// soon report, and its runs may have ended with a result.
+const silentFor = 3 * time.Second
+
+// lapsed reports whether every lease of a silent worker has ended.
 func (w *worker) lapsed(now time.Time) bool {
-	return now.After(w.leaseEnds) && now.After(w.session.leaseEnds())
+	return now.After(w.leaseEnds) && now.After(w.session.leaseEnds()) && now.Sub(w.clockAt) > silentFor
 }
 
 // used returns the room that runs take, and the part of it that is being stopped.
