Keep workers for urgent work, let gangs wait for room to drain

Counted by reason (trials with a log line for each stop): small tasks took the last free part of every worker and rack, lived for about 1.2 s, and each gang stopped some; a gang that had been interrupted lost its vacated room to small tasks within milliseconds and stopped those 0.2 s later; work of priority 1 stopped fresh runs at once whenever that was cheap, and up to 20 times a job.

Change: - The workers of a service stand in a fixed order. The first are kept for priority 0, the next for priority 1 and so on, by what runs and waits of each (levels fall over 8 s, at most 0.7 of the fleet is kept). Single tasks with checkpoints, tasks bound to a label or a rack, and gangs of more than half of the rest are exempt. This replaces the headroom in accelerators. - Work of priority 1 and below waits for 0.6 of its slack before it stops anything. A waiting gang keeps the workers that empty soonest, and stays with them for 4 s. - The room of an interrupted gang is kept until it is ready again. - A leader's heap grows to five times what is in use between collections (a quarter of its processor time went there); the search for room keeps its memory and fails early.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -29,6 +30,9 @@
 	lostPause = 150 * time.Millisecond
 	// catchUpTimeout bounds the wait for the fold to reach the end of the log.
 	catchUpTimeout = time.Second
+	// leaderGCPercent is how far the heap of a leader grows between collections, in percent of what is in use; a leader
+	// allocates much more than it keeps. The memory limit of the process still holds.
+	leaderGCPercent = 400
 	// seqRange is the range of the random number of a term's first append.
 	seqRange = 1 << 40
 )
@@ -269,6 +273,7 @@
 // serve runs a term: the first list of workers starts the dispatcher, later ones are handed to it.
 func (c *Coordinator) serve(ctx context.Context, l *lead, jobs []journaler.Job, fleet []journaler.FleetWorker) {
 	defer close(l.done)
+	defer debug.SetGCPercent(debug.SetGCPercent(leaderGCPercent))
 	first := make(chan []model.Worker, 1)
 	started := false
 	go c.cfg.Registry.Follow(ctx, func(ws []model.Worker) {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -9,6 +9,7 @@
 
 	"chestnutmux.example/chestnutmux/internal/asserter"
 	"chestnutmux.example/chestnutmux/internal/journaler"
+	"chestnutmux.example/chestnutmux/internal/placer"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
@@ -53,7 +54,9 @@
 	lookedAt   time.Time // of the last pass
 	lookAt     time.Time // of the next pass, at the earliest
 	settled    bool      // every worker that a former leader may have used is known
-	headroom   headroom
+	headroom   map[model.ServiceID]*headroom
+	observedAt time.Time // of the last observation of the headroom
+	reclaimer  placer.Reclaimer
 	adopted    []*step // gangs that may lack members that a former leader started
 	order      int64
 	err        error
@@ -65,6 +68,7 @@
 	d.jobs = map[model.JobID]*job{}
 	d.finished = map[model.JobID]bool{}
 	d.workers = map[model.HostID]*worker{}
+	d.headroom = map[model.ServiceID]*headroom{}
 	d.journal.init(d)
 }
 
--- a/internal/dispatcher/headroom.go
+++ b/internal/dispatcher/headroom.go
@@ -9,124 +9,174 @@
 )
 
 const (
-	// headroomRise and headroomFall are the time constants of the level of urgent work in use: it follows a rise at once,
-	// and a lull only slowly, since the next urgent job comes within seconds.
+	// headroomRise and headroomFall are the time constants of the level of a priority: it follows a rise at once, and a lull
+	// only slowly, since the next such job comes within seconds.
 	headroomRise = 500 * time.Millisecond
 	headroomFall = 8 * time.Second
-	// headroomMost bounds the part of the fleet that is kept free for urgent work.
-	headroomMost = 0.3
+	// headroomMost bounds the part of the fleet that is kept from any priority, so that the last one is not shut out.
+	headroomMost = 0.7
+	// observeEvery is the pause between observations while no work waits.
+	observeEvery = 500 * time.Millisecond
+	// keptFor is how long a gang waits for the same workers before it looks for others that empty sooner.
+	keptFor = 4 * time.Second
 )
 
-// headroom follows the accelerators that work of priority 0 uses. What it has lately used stays free for the next such
-// work: runs without checkpoints that filled it would soon be stopped for nothing.
+// usage is a number of workers by priority.
+type usage [maxPriorities]float64
+
+// headroom follows, for each priority, how many workers its work fills, and what of it waits would fill.
+//
+// The workers stand in a fixed order, and the first of them are kept for the most urgent priority, the next for the one
+// after it, and so on. Less urgent work that spread over the whole fleet would take the last free part of each worker and
+// rack, so that each urgent gang would have to stop some of it.
 type headroom struct {
-	level float64
-	at    time.Time
+	levels usage
+	at     time.Time
 }
 
-// observe takes the accelerators in use now.
-func (h *headroom) observe(inUse model.Accelerators, now time.Time) {
+// observe takes the need of now.
+func (h *headroom) observe(need *usage, now time.Time) {
 	if h.at.IsZero() {
 		h.at = now
 	}
-	tau := headroomFall
-	if float64(inUse) > h.level {
-		tau = headroomRise
+	for p, n := range need {
+		tau := headroomFall
+		if n > h.levels[p] {
+			tau = headroomRise
+		}
+		w := 1 - math.Exp(-now.Sub(h.at).Seconds()/tau.Seconds())
+		h.levels[p] += w * (n - h.levels[p])
 	}
-	w := 1 - math.Exp(-now.Sub(h.at).Seconds()/tau.Seconds())
-	h.level += w * (float64(inUse) - h.level)
 	h.at = now
 }
 
-// keep returns the accelerators to leave free beside those in use.
-func (h *headroom) keep(inUse, capacity model.Accelerators) model.Accelerators {
-	keep := min(h.level, headroomMost*float64(capacity)) - float64(inUse)
-	return model.Accelerators(max(keep, 0))
+// from returns the number of workers that are kept from a priority, out of those that take tasks.
+func (h *headroom) from(p model.Priority, open int) int {
+	sum := 0.0
+	for q := range level(p) {
+		sum += h.levels[q]
+	}
+	return int(min(sum, headroomMost*float64(open)))
 }
 
-// keepRoom keeps less urgent work off the workers that a waiting gang needs, so that they empty.
-func (p *plan) keepRoom(u *unit, r *placer.Request) {
-	if !u.step.spec.Gang {
-		return
+// level returns the index of a priority in a usage; the last one stands for all that are less urgent still.
+func level(p model.Priority) int {
+	return min(int(p), maxPriorities-1)
+}
+
+// pool is what a pass knows of the workers of a service.
+type pool struct {
+	open     int             // workers that take tasks
+	capacity model.Resources // of all of them
+	need     usage
+}
+
+// mean returns the capacity of a worker of the pool.
+func (l *pool) mean() model.Resources {
+	n := max(1, l.open)
+	return model.Resources{
+		Cores: l.capacity.Cores / model.MilliCores(n), MemoryMB: l.capacity.MemoryMB / model.Megabytes(n),
+		Accelerators: l.capacity.Accelerators / model.Accelerators(n),
 	}
-	r.MaxCost = 0
-	places, _ := placer.Reclaim(p.nodes, r)
-	for _, n := range places {
-		placer.Take(n, u.step.spec.Need)
+}
+
+// add counts tasks of a priority as needed.
+func (l *pool) add(p model.Priority, need model.Resources, tasks int) {
+	l.need[level(p)] += placer.Footprint(need, l.mean()) * float64(tasks)
+}
+
+// reserve numbers the nodes of each service that take tasks, and observes what each priority needs of them.
+func (p *plan) reserve(units []*unit) {
+	for _, n := range p.nodes {
+		l := p.pool(n.Service)
+		n.Index = l.open
+		if !n.Closed {
+			l.open++
+			l.capacity = l.capacity.Add(n.Capacity)
+		}
 	}
+	for _, w := range p.d.workers {
+		for _, r := range w.runs {
+			if r.task != nil && (r.state == runStarting || r.state == runRunning) {
+				p.pool(w.info.Service).add(r.task.step.job.sub.Queue.Priority, r.need, 1)
+			}
+		}
+	}
+	for _, u := range units {
+		q := u.step.job.sub.Queue
+		p.pool(q.Service).add(q.Priority, u.step.spec.Need, len(u.tasks))
+	}
+	for id, l := range p.pools {
+		if p.d.headroom[id] == nil {
+			p.d.headroom[id] = &headroom{}
+		}
+		p.d.headroom[id].observe(&l.need, p.now)
+	}
+	p.d.observedAt = p.now
 }
 
-// withinQuota cuts the unit down to what the quota of its workspace leaves, and reports whether anything is left.
-func (p *plan) withinQuota(u *unit) bool {
-	ws := u.step.job.sub.Workspace
-	quota, ok := p.d.limits.Quota[ws]
-	need := u.step.spec.Need.Accelerators
-	if !ok || need == 0 {
-		return true
+func (p *plan) pool(id model.ServiceID) *pool {
+	l := p.pools[id]
+	if l == nil {
+		l = &pool{}
+		p.pools[id] = l
 	}
-	left := int((quota - p.d.inUse(ws)) / need)
-	if u.step.spec.Gang {
-		return left >= len(u.tasks)
+	return l
+}
+
+// from returns how many of the first workers of its service are kept from the unit.
+//
+// A task of its own with checkpoints loses little when it gives way, and one that is bound to certain workers has no
+// others. A gang always has twice the workers that it needs.
+func (p *plan) from(u *unit) int {
+	spec, q := u.step.spec, u.step.job.sub.Queue
+	h := p.d.headroom[q.Service]
+	if h == nil || !spec.Gang && spec.Checkpoints || spec.Label != "" || spec.NearRack != "" {
+		return 0
 	}
-	if left < len(u.tasks) {
-		u.tasks = u.tasks[:max(left, 0)]
+	l := p.pool(q.Service)
+	n := h.from(q.Priority, l.open)
+	if spec.Gang {
+		n = min(n, l.open-2*int(math.Ceil(placer.Footprint(spec.Need, l.mean())*float64(len(u.tasks)))))
 	}
-	return len(u.tasks) > 0
+	return max(n, 0)
 }
 
-// besideHeadroom cuts a unit that would lose its work down to the room that is not kept for urgent work, and reports
-// whether anything is left.
-func (p *plan) besideHeadroom(u *unit) bool {
-	need, priority := u.step.spec.Need.Accelerators, u.step.job.sub.Queue.Priority
-	if priority == 0 || u.step.spec.Checkpoints || need == 0 || p.keep == 0 {
-		return true
+// keepRoom keeps less urgent work off the workers that a waiting gang needs, so that they empty.
+func (p *plan) keepRoom(u *unit, r *placer.Request) {
+	s := u.step
+	if !s.spec.Gang {
+		return
 	}
-	free := p.d.usedBy(func(q model.Priority) bool { return q > priority }) - p.keep
-	for _, n := range p.nodes {
-		if !n.Closed {
-			free += max(n.Free.Accelerators, 0)
+	if p.now.After(s.keptUntil) || len(s.kept) > 0 && !p.usable(s.kept) {
+		p.fill()
+		r.Drain = true
+		places, _ := p.d.reclaimer.Reclaim(p.nodes, r)
+		s.kept, s.keptUntil = s.kept[:0], p.now.Add(keptFor)
+		for _, n := range places {
+			s.kept = append(s.kept, p.workers[n])
 		}
 	}
-	most := int(max(free, 0) / need)
-	if u.step.spec.Gang {
-		return most >= len(u.tasks)
+	for _, w := range s.kept {
+		placer.Take(p.node[w], s.spec.Need)
 	}
-	if most < len(u.tasks) {
-		u.tasks = u.tasks[:most]
-	}
-	return len(u.tasks) > 0
 }
 
-// usedBy returns the accelerators that runs of the chosen priorities take.
-func (d *Dispatcher) usedBy(chosen func(model.Priority) bool) model.Accelerators {
-	n := model.Accelerators(0)
-	for _, w := range d.workers {
-		for _, r := range w.runs {
-			if r.task != nil && chosen(r.task.step.job.sub.Queue.Priority) {
-				n += r.need.Accelerators
-			}
+// keepVacated keeps the room of the members of an interrupted gang that have ended, until the gang is ready again.
+func (p *plan) keepVacated(s *step) {
+	for _, t := range s.tasks {
+		if n := p.node[t.last]; n != nil && t.active == nil {
+			placer.Take(n, s.spec.Need)
 		}
 	}
-	return n
 }
 
-// inUse returns the accelerators that runs and claims of a workspace take.
-func (d *Dispatcher) inUse(ws model.WorkspaceID) model.Accelerators {
-	n := model.Accelerators(0)
-	for _, j := range d.jobs {
-		if j.sub.Workspace != ws {
-			continue
-		}
-		for _, s := range j.steps {
-			for _, t := range s.tasks {
-				if t.active != nil {
-					n += s.spec.Need.Accelerators
-				}
-			}
-			if s.claim != nil {
-				n += s.spec.Need.Accelerators * model.Accelerators(len(s.claim.tasks))
-			}
+// usable reports whether all workers take tasks.
+func (p *plan) usable(workers []*worker) bool {
+	for _, w := range workers {
+		if n := p.node[w]; n == nil || n.Closed {
+			return false
 		}
 	}
-	return n
+	return true
 }
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -36,6 +36,8 @@
 	failedRuns map[model.RunNumber]bool
 	checkpoint model.Checkpoint // of a gang
 	claim      *claim
+	kept       []*worker // that empty for a waiting gang
+	keptUntil  time.Time
 	notBefore  time.Time // of the next attempt
 	avoid      map[model.HostID]bool
 	beganAt    time.Time // when all tasks were first started
@@ -51,6 +53,7 @@
 	failed     map[model.RunNumber]bool
 	checkpoint model.Checkpoint
 	active     *run
+	last       *worker // of the last run of this term
 	failedOn   map[model.HostID]bool
 	failedAt   time.Time    // of the last failed run in this term
 	former     model.HostID // the worker that a former leader ordered it to, until that worker is settled
@@ -151,7 +154,28 @@
 
 // ready reports whether the step's turn has come.
 func (s *step) ready(now time.Time) bool {
-	if s.left == 0 || s.notBefore.After(now) || s.due.After(now) {
+	return !s.notBefore.After(now) && s.unblocked(now)
+}
+
+// returning reports whether a gang that was interrupted will be ready in a moment: its members are being stopped, or it
+// pauses before the next attempt.
+func (s *step) returning(now time.Time) bool {
+	if s.claim != nil || !s.unblocked(now) {
+		return false
+	}
+	stopping := false
+	for _, t := range s.tasks {
+		if t.done || t.active != nil && t.active.state != runStopping && t.active.state != runDoubtful {
+			return false
+		}
+		stopping = stopping || t.active != nil
+	}
+	return stopping || s.notBefore.After(now)
+}
+
+// unblocked reports whether the step is due and all steps before it are done.
+func (s *step) unblocked(now time.Time) bool {
+	if s.left == 0 || s.due.After(now) {
 		return false
 	}
 	base := s.ref.Occurrence * len(s.job.sub.Steps)
--- a/internal/dispatcher/order.go
+++ b/internal/dispatcher/order.go
@@ -21,7 +21,7 @@
 		id: model.Run{Task: t.ref(), Number: n}, task: t, worker: w, need: t.step.spec.Need, state: runStarting,
 		sentAt: now, percentAt: now, resumed: t.resumeFrom() != "",
 	}
-	t.active = r
+	t.active, t.last = r, w
 	w.runs[r.id] = r
 	o := StartOrder{
 		Run: r.id, Payload: t.step.job.sub.Payload, Checkpoint: t.resumeFrom(), Fence: d.Term.Fence,
--- a/internal/dispatcher/plan.go
+++ b/internal/dispatcher/plan.go
@@ -14,15 +14,17 @@
 	step  *step
 	tasks []*task
 	rank  placer.Rank
+	later bool // its members still stop, or it pauses; until then its room is kept
 }
 
 // plan starts what has room, most urgent first, and makes room by stopping less urgent work.
 func (d *Dispatcher) plan(now time.Time) {
 	units := d.units(now)
-	if len(units) == 0 {
+	if len(units) == 0 && now.Sub(d.observedAt) < observeEvery {
 		return
 	}
 	p := newPlan(d, now)
+	p.reserve(units)
 	for _, u := range units {
 		p.unit(u)
 	}
@@ -37,6 +39,10 @@
 			continue
 		}
 		for _, s := range j.steps {
+			if s.spec.Gang && s.returning(now) {
+				out = append(out, &unit{step: s, tasks: s.tasks, rank: ranks[j], later: true})
+				continue
+			}
 			if !s.ready(now) || s.spec.Gang && !s.idle() {
 				continue
 			}
@@ -90,17 +96,21 @@
 	ranks   map[*job]placer.Rank
 	nodes   []*placer.Node
 	workers map[*placer.Node]*worker
+	node    map[*worker]*placer.Node
 	claimed map[*worker]model.Resources
-	blocks  []func()            // stops a block, by its id
+	blocks  []victim            // by the id of the block
 	noRoom  map[requestKey]bool // requests that found no room in this pass
 	racks   map[requestKey]bool // whether a rack could hold a gang
 	last    placer.Rank         // of the least urgent work that runs
-	keep    model.Accelerators  // to leave free for urgent work
-	filled  bool                // the nodes list what may give way
+	pools   map[model.ServiceID]*pool
+	filled  bool // the nodes list what may give way
 }
 
 func newPlan(d *Dispatcher, now time.Time) *plan {
-	p := &plan{d: d, now: now, workers: map[*placer.Node]*worker{}, noRoom: map[requestKey]bool{}, racks: map[requestKey]bool{}}
+	p := &plan{
+		d: d, now: now, workers: map[*placer.Node]*worker{}, node: map[*worker]*placer.Node{}, noRoom: map[requestKey]bool{},
+		racks: map[requestKey]bool{}, pools: map[model.ServiceID]*pool{},
+	}
 	p.claimed = d.claims(now)
 	for _, w := range d.workers {
 		if !w.listed {
@@ -111,32 +121,22 @@
 			Capacity: w.info.Capacity, Free: p.free(w), Closed: !w.open(now), Doubt: w.doubt, Proven: w.proven(now), Slowness: w.slowness,
 		}
 		p.nodes = append(p.nodes, n)
-		p.workers[n] = w
+		p.workers[n], p.node[w] = w, n
 	}
-	urgent := d.usedBy(func(q model.Priority) bool { return q == 0 })
-	d.headroom.observe(urgent, now)
-	p.keep = d.headroom.keep(urgent, p.capacity())
 	slices.SortFunc(p.nodes, func(a, b *placer.Node) int { return cmp.Or(cmp.Compare(a.Rack, b.Rack), cmp.Compare(a.ID, b.ID)) })
 	return p
 }
 
-// capacity returns the accelerators of all open nodes.
-func (p *plan) capacity() model.Accelerators {
-	n := model.Accelerators(0)
-	for _, node := range p.nodes {
-		if !node.Closed {
-			n += node.Capacity.Accelerators
-		}
-	}
-	return n
-}
-
 func (p *plan) unit(u *unit) {
+	if u.later {
+		p.keepVacated(u.step)
+		return
+	}
 	if u.step.claim != nil {
 		p.startClaimed(u)
 		return
 	}
-	if !p.withinQuota(u) || !p.besideHeadroom(u) {
+	if !p.withinQuota(u) {
 		return
 	}
 	r := p.request(u)
@@ -186,12 +186,13 @@
 	oneRack bool
 	careful bool
 	proven  bool
+	from    int
 }
 
 func keyOf(r *placer.Request) requestKey {
 	k := requestKey{
 		need: r.Need, service: r.Service, label: r.Label, rack: r.NearRack, most: r.MaxPerWorker, oneRack: r.OneRack,
-		careful: r.Careful, proven: r.Proven,
+		careful: r.Careful, proven: r.Proven, from: r.From,
 	}
 	if r.Gang {
 		k.count = r.Count
@@ -210,6 +211,7 @@
 	r := &placer.Request{
 		Count: len(u.tasks), Need: s.spec.Need, Service: s.job.sub.Queue.Service, Rank: u.rank, Gang: s.spec.Gang, OneRack: s.spec.OneRack && s.spec.Gang,
 		Label: s.spec.Label, NearRack: s.spec.NearRack, MaxPerWorker: s.spec.MaxPerWorker, Avoid: s.avoid,
+		From: p.from(u),
 	}
 	// A gang wider than any rack runs on several, more slowly; waiting for a rack would be in vain.
 	if r.OneRack && !p.fitsRack(r) {
@@ -235,6 +237,7 @@
 // start sends the start orders of the unit's first tasks.
 func (p *plan) start(u *unit, places []*placer.Node) {
 	s := u.step
+	s.kept = nil
 	if s.spec.Gang {
 		s.attempts++
 	}
--- a/internal/dispatcher/reclaim.go
+++ b/internal/dispatcher/reclaim.go
@@ -14,29 +14,18 @@
 // restoreCost is the work, in seconds, that a run with checkpoints loses by being stopped.
 const restoreCost = 0.8
 
-// reclaimable returns places for the unit's tasks and what must stop first.
-func (p *plan) reclaimable(u *unit) ([]*placer.Node, []*placer.Block) {
-	p.fill()
-	r := p.request(u)
-	r.MaxCost = p.maxCost(u)
-	return placer.Reclaim(p.nodes, r)
-}
-
-const (
-	// cheapLoss is the work, in seconds, that less urgent runs may lose to work that can still wait.
-	cheapLoss = 0.5
-	// patience is the part of its slack that work of lower priority waits before it stops dearer runs.
-	patience = 0.6
-)
+// patience is the part of its slack that work waits for room before it stops less urgent runs. Most of them end by
+// themselves in that time; stopped ones start over and are soon in the way again.
+const patience = 0.6
 
-// maxCost bounds what a unit may take from less urgent work: the first priority has no bound, the others only once they
-// have waited for a part of the time that their objective leaves.
-func (p *plan) maxCost(u *unit) float64 {
+// reclaimable returns places for the unit's tasks and what must stop first; work of the first priority does not wait.
+func (p *plan) reclaimable(u *unit) ([]*placer.Node, []*placer.Block) {
 	j := u.step.job
-	if j.sub.Queue.Priority == 0 || p.now.Sub(j.seenAt) > time.Duration(patience*float64(j.slack())) {
-		return 0
+	if j.sub.Queue.Priority > 0 && p.now.Sub(j.seenAt) <= time.Duration(patience*float64(j.slack())) {
+		return nil, nil
 	}
-	return cheapLoss
+	p.fill()
+	return p.d.reclaimer.Reclaim(p.nodes, p.request(u))
 }
 
 // startClaimed starts the tasks of a claim whose room has become free.
@@ -84,19 +73,33 @@
 		c.workers = append(c.workers, w)
 		p.claimed[w] = p.claimed[w].Add(u.step.spec.Need)
 	}
-	u.step.claim = c
+	u.step.claim, u.step.kept = c, nil
 	p.d.Logger.Info("room reclaimed", "job", u.step.ref.Job, "step", u.step.ref.Step, "rank", u.rank, "tasks", len(places),
 		"victims", len(victims))
 	p.d.Metrics.Runs.Add("preempted-blocks", int64(len(victims)))
 	for _, b := range victims {
-		p.blocks[b.ID]()
+		p.giveWay(p.blocks[b.ID])
 	}
 	for _, n := range p.nodes {
-		n.Runs = slices.DeleteFunc(n.Runs, func(b *placer.Block) bool { return slices.Contains(victims, b) })
+		n.Runs = slices.DeleteFunc(n.Runs, func(r placer.Part) bool { return slices.Contains(victims, r.Block) })
 	}
 	p.refresh()
 }
 
+// victim is what is stopped as a whole: a run, or the members of a gang.
+type victim struct {
+	run  *run
+	gang *step
+}
+
+func (p *plan) giveWay(v victim) {
+	if v.gang != nil {
+		p.d.stopStep(v.gang, "gives way", p.now)
+		return
+	}
+	p.d.stopRun(v.run, "gives way", p.now)
+}
+
 // refresh computes the free room of the nodes anew after runs or claims have changed.
 func (p *plan) refresh() {
 	clear(p.noRoom)
@@ -112,41 +115,35 @@
 	}
 	p.filled = true
 	p.ranks = p.d.ranks()
-	node := map[*worker]*placer.Node{}
-	for n, w := range p.workers {
-		node[w] = n
-	}
 	for _, j := range p.d.jobs {
 		for _, s := range j.steps {
-			p.fillStep(s, node)
+			p.fillStep(s)
 		}
 	}
 }
 
-func (p *plan) fillStep(s *step, node map[*worker]*placer.Node) {
+func (p *plan) fillStep(s *step) {
 	var gang *placer.Block
 	for _, t := range s.tasks {
 		r := t.active
-		if r == nil || r.state != runRunning || node[r.worker] == nil {
+		if r == nil || r.state != runRunning || p.node[r.worker] == nil {
 			continue
 		}
-		n := node[r.worker]
+		n := p.node[r.worker]
 		b := gang
 		if b == nil {
 			b = &placer.Block{ID: len(p.blocks), Rank: p.ranks[s.job]}
 			p.last = max(p.last, b.Rank)
-			stop := func() { p.d.stopRun(r, "gives way", p.now) }
+			v := victim{run: r}
 			if s.spec.Gang {
 				gang = b
-				stop = func() { p.d.stopStep(s, "gives way", p.now) }
+				v = victim{gang: s}
 			}
-			p.blocks = append(p.blocks, stop)
+			p.blocks = append(p.blocks, v)
 		}
 		b.Cost += p.cost(r)
-		b.Members = append(b.Members, placer.Member{Node: n, Need: s.spec.Need})
-		if !slices.Contains(n.Runs, b) {
-			n.Runs = append(n.Runs, b)
-		}
+		b.Left = max(b.Left, r.remaining(p.now).Seconds())
+		n.Add(b, s.spec.Need)
 	}
 }
 
--- a/internal/placer/fleet.go
+++ b/internal/placer/fleet.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"iter"
 	"slices"
 
 	"chestnutmux.example/chestnutmux/pkg/model"
@@ -22,7 +23,27 @@
 	Doubt    int             // grows with signs that the worker is faulty
 	Proven   bool            // has lately done its work
 	Slowness float64         // observed run time relative to other workers; 0 means not known
-	Runs     []*Block        // what may give way here
+	Runs     []Part          // what may give way here
+
+	Index int // among the nodes of its service that take tasks, in their order
+
+	offer int // index of the node's offer in the search that goes on
+}
+
+// Part is what a block takes of a node.
+type Part struct {
+	*Block
+	Room model.Resources
+}
+
+// Add notes a member of a block that runs on the node.
+func (n *Node) Add(b *Block, need model.Resources) {
+	b.Members = append(b.Members, Member{Node: n, Need: need})
+	if i := slices.IndexFunc(n.Runs, func(p Part) bool { return p.Block == b }); i >= 0 {
+		n.Runs[i].Room = n.Runs[i].Room.Add(need)
+		return
+	}
+	n.Runs = append(n.Runs, Part{Block: b, Room: need})
 }
 
 // Block is work that can only be stopped as a whole: a task, or all members of a gang.
@@ -30,6 +51,7 @@
 	ID      int // chosen by the caller
 	Rank    Rank
 	Cost    float64 // accelerator-seconds lost by stopping it
+	Left    float64 // seconds until it ends by itself
 	Members []Member
 }
 
@@ -45,7 +67,7 @@
 	Need         model.Resources // of each task
 	Service      model.ServiceID
 	Rank         Rank
-	MaxCost      float64 // lost seconds of a block that may give way; 0 means no bound
+	Drain        bool // nothing is stopped: the room whose blocks end soonest is wanted
 	Gang         bool
 	OneRack      bool
 	Label        string
@@ -53,6 +75,7 @@
 	MaxPerWorker int                   // 0 means no bound
 	Present      map[model.HostID]int  // tasks of the step already on a worker, for MaxPerWorker
 	Avoid        map[model.HostID]bool // workers where a task of the step has failed
+	From         int                   // nodes with a lower index are kept for more urgent work
 	Careful      bool                  // keep off doubtful workers altogether
 	Proven       bool                  // use only workers that have lately done their work
 }
@@ -74,7 +97,7 @@
 
 // admits reports whether the node may run tasks of the request at all.
 func (r *Request) admits(n *Node) bool {
-	if n.Closed || n.Service != r.Service || r.Avoid[n.ID] || r.Careful && n.Doubt > 0 || r.Proven && !n.Proven {
+	if n.Index < r.From || n.Closed || n.Service != r.Service || r.Avoid[n.ID] || r.Careful && n.Doubt > 0 || r.Proven && !n.Proven {
 		return false
 	}
 	return r.Label == "" || slices.Contains(n.Labels, r.Label)
@@ -96,6 +119,12 @@
 		share(int64(rest.MemoryMB), int64(n.Capacity.MemoryMB))
 }
 
+// Footprint returns the part of a worker that a need fills, by the resource of which it takes most.
+func Footprint(need, capacity model.Resources) float64 {
+	return max(share(int64(need.Cores), int64(capacity.Cores)), share(int64(need.MemoryMB), int64(capacity.MemoryMB)),
+		share(int64(need.Accelerators), int64(capacity.Accelerators)))
+}
+
 func share(part, whole int64) float64 {
 	if whole == 0 {
 		return 0
@@ -103,22 +132,18 @@
 	return float64(part) / float64(whole)
 }
 
-// racks groups nodes by rack in their order; it is fastest when the nodes of a rack follow each other.
-func racks(nodes []*Node) [][]*Node {
-	var out [][]*Node
-	at := map[model.RackID]int{}
-	last := -1
-	for _, n := range nodes {
-		if last < 0 || out[last][0].Rack != n.Rack {
-			i, ok := at[n.Rack]
-			if !ok {
-				i = len(out)
-				at[n.Rack] = i
-				out = append(out, nil)
+// racks yields the nodes of each rack, which follow each other.
+func racks(nodes []*Node) iter.Seq[[]*Node] {
+	return func(yield func([]*Node) bool) {
+		for i := 0; i < len(nodes); {
+			j := i + 1
+			for j < len(nodes) && nodes[j].Rack == nodes[i].Rack {
+				j++
+			}
+			if !yield(nodes[i:j]) {
+				return
 			}
-			last = i
+			i = j
 		}
-		out[last] = append(out[last], n)
 	}
-	return out
 }
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -12,7 +12,7 @@
 
 // Place returns a node for each task from free room only.
 //
-// A gang gets all places or none; of other tasks it places as many as fit.
+// A gang gets all places or none; of other tasks it places as many as fit. The nodes of a rack follow each other.
 func Place(nodes []*Node, r *Request) []*Node {
 	if r.OneRack && r.Count > 1 {
 		return placeInRack(nodes, r)
@@ -34,7 +34,7 @@
 func placeInRack(nodes []*Node, r *Request) []*Node {
 	var best []*Node
 	bestScore := 0.0
-	for _, rack := range racks(usable(nodes, r)) {
+	for rack := range racks(usable(nodes, r)) {
 		places := placeOn(rack, r)
 		if len(places) < r.Count {
 			continue
@@ -103,11 +103,11 @@
 	return int(n.Slowness * 2)
 }
 
-// Possible reports whether the nodes could hold the request if they were empty.
+// Possible reports whether the nodes could hold the request if they were empty; the nodes of a rack follow each other.
 func Possible(nodes []*Node, r *Request) bool {
 	groups := [][]*Node{nodes}
 	if r.OneRack && r.Gang {
-		groups = racks(nodes)
+		groups = slices.Collect(racks(nodes))
 	}
 	for _, g := range groups {
 		n := 0
@@ -126,7 +126,7 @@
 // FitsRack reports whether some rack could hold the whole gang if it were empty, workers that are closed at present
 // included.
 func FitsRack(nodes []*Node, r *Request) bool {
-	for _, rack := range racks(nodes) {
+	for rack := range racks(nodes) {
 		n := 0
 		for _, node := range rack {
 			if node.Service == r.Service && (r.Label == "" || slices.Contains(node.Labels, r.Label)) {
