Run the last attempt where a task has succeeded since

With two workers that fail all their tasks at the end of their work, the second and last attempt of a task went to the other bad worker, which counted as proven by the progress of the runs that it was about to fail.

Now the last attempt of a task of its own takes, for the 3 s in which it is careful, only a worker with a success since the failure. Gangs are exempt, since few of them would find such workers in that time.

--- a/internal/dispatcher/health.go
+++ b/internal/dispatcher/health.go
@@ -34,6 +34,7 @@
 	closedUntil time.Time     // gets no tasks before
 	closedFor   time.Duration // of the last closing
 	provenAt    time.Time     // of the last success or progress
+	doneAt      time.Time     // of the last success
 	slowness    float64       // time per work relative to the fastest worker of the same steps; 0 means not known
 }
 
@@ -81,7 +82,7 @@
 func (h *health) prove(now time.Time) {
 	h.doubt, h.strikes, h.closedFor = 0, 0, 0
 	h.closedUntil = time.Time{}
-	h.provenAt = now
+	h.provenAt, h.doneAt = now, now
 }
 
 // proven reports whether the worker has lately shown that it is sound.
--- a/internal/dispatcher/plan.go
+++ b/internal/dispatcher/plan.go
@@ -118,7 +118,7 @@
 		}
 		n := &placer.Node{
 			ID: w.info.ID, Service: w.info.Service, Domain: w.info.FailureDomain, Rack: w.info.Rack, Labels: w.info.Labels,
-			Capacity: w.info.Capacity, Free: p.free(w), Closed: !w.open(now), Doubt: w.doubt, Proven: w.proven(now), Slowness: w.slowness,
+			Capacity: w.info.Capacity, Free: p.free(w), Closed: !w.open(now), Doubt: w.doubt, Proven: w.proven(now), DoneAt: w.doneAt, Slowness: w.slowness,
 		}
 		p.nodes = append(p.nodes, n)
 		p.workers[n], p.node[w] = w, n
@@ -186,13 +186,14 @@
 	oneRack bool
 	careful bool
 	proven  bool
+	since   time.Time
 	from    int
 }
 
 func keyOf(r *placer.Request) requestKey {
 	k := requestKey{
 		need: r.Need, service: r.Service, label: r.Label, rack: r.NearRack, most: r.MaxPerWorker, oneRack: r.OneRack,
-		careful: r.Careful, proven: r.Proven, from: r.From,
+		careful: r.Careful, proven: r.Proven, since: r.DoneSince, from: r.From,
 	}
 	if r.Gang {
 		k.count = r.Count
@@ -217,12 +218,7 @@
 	if r.OneRack && !p.fitsRack(r) {
 		r.OneRack = false
 	}
-	for _, t := range u.tasks {
-		if len(t.failed) > 0 && !s.spec.LongRunning {
-			r.Careful = true
-			r.Proven = r.Proven || p.now.Sub(t.failedAt) < carefulFor
-		}
-	}
+	p.beCareful(u, r)
 	if r.MaxPerWorker > 0 {
 		r.Present = map[model.HostID]int{}
 		for _, t := range s.tasks {
@@ -234,6 +230,28 @@
 	return r
 }
 
+// beCareful keeps tasks that have failed off workers that may be faulty. Progress is no sign against a worker whose tasks
+// fail at their end, so the last attempt of a task takes one that has had a success since.
+func (p *plan) beCareful(u *unit, r *placer.Request) {
+	s, most := u.step, u.step.job.sub.Queue.MaxAttempts
+	if s.spec.LongRunning {
+		return
+	}
+	for _, t := range u.tasks {
+		if len(t.failed) == 0 {
+			continue
+		}
+		r.Careful = true
+		if p.now.Sub(t.failedAt) >= carefulFor {
+			continue
+		}
+		r.Proven = true
+		if !s.spec.Gang && len(t.failed) == most-1 && t.failedAt.After(r.DoneSince) {
+			r.DoneSince = t.failedAt
+		}
+	}
+}
+
 // start sends the start orders of the unit's first tasks.
 func (p *plan) start(u *unit, places []*placer.Node) {
 	s := u.step
--- a/internal/placer/fleet.go
+++ b/internal/placer/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"iter"
 	"slices"
+	"time"
 
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
@@ -22,6 +23,7 @@
 	Closed   bool            // takes no new tasks
 	Doubt    int             // grows with signs that the worker is faulty
 	Proven   bool            // has lately done its work
+	DoneAt   time.Time       // of the last success
 	Slowness float64         // observed run time relative to other workers; 0 means not known
 	Runs     []Part          // what may give way here
 
@@ -78,6 +80,7 @@
 	From         int                   // nodes with a lower index are kept for more urgent work
 	Careful      bool                  // keep off doubtful workers altogether
 	Proven       bool                  // use only workers that have lately done their work
+	DoneSince    time.Time             // use only workers with a success after it; zero means no such bound
 }
 
 // fit returns how many tasks the room holds.
@@ -97,7 +100,8 @@
 
 // admits reports whether the node may run tasks of the request at all.
 func (r *Request) admits(n *Node) bool {
-	if n.Index < r.From || n.Closed || n.Service != r.Service || r.Avoid[n.ID] || r.Careful && n.Doubt > 0 || r.Proven && !n.Proven {
+	if n.Index < r.From || n.Closed || n.Service != r.Service || r.Avoid[n.ID] || r.Careful && n.Doubt > 0 || r.Proven && !n.Proven ||
+		!r.DoneSince.IsZero() && !n.DoneAt.After(r.DoneSince) {
 		return false
 	}
 	return r.Label == "" || slices.Contains(n.Labels, r.Label)
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -81,6 +82,10 @@
 	is.Equal(got, map[model.HostID]int{nodes[1].ID: 2, nodes[3].ID: 1})
 	is.Equal(len(Place(nodes, &Request{Count: 1, Need: need(1), Label: "fast", Avoid: map[model.HostID]bool{nodes[1].ID: true}})), 0)
 	is.Equal(len(Place(nodes, &Request{Count: 1, Need: need(1), Proven: true})), 0)
+	failed := time.Now()
+	nodes[3].DoneAt = failed.Add(time.Second)
+	last := Place(nodes, &Request{Count: 1, Need: need(1), DoneSince: failed})
+	is.Equal(last, []*Node{nodes[3]})
 }
 
 // Guards against victims that need not give way: dearer ones, more urgent ones, or more of them than needed.
