--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -190,9 +190,14 @@
 	return nil
 }
 
-// Waiting returns the number of jobs of a queue for which no task has started.
-func (a *Acceptor) Waiting(q model.QueueID) int {
-	return a.Fold.Waiting(q)
+// Waiting returns the number of jobs of a queue for which no task has started, unless the log can't be reached: a host that
+// has not read it would say that none waits.
+func (a *Acceptor) Waiting(ctx context.Context, q model.QueueID) (int, error) {
+	if !a.View.Await(ctx, shortOutage) {
+		a.Metrics.Reads.Add("unavailable", 1)
+		return 0, unavailable(errors.New("acceptor: the jobs are not up to date"))
+	}
+	return a.Fold.Waiting(q), nil
 }
 
 func unavailable(err error) error {
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -71,7 +71,9 @@
 	is.NoErr(a.Submit(t.Context(), submission("a")))
 	is.NoErr(v.CatchUp(t.Context()))
 	is.NoErr(a.Submit(t.Context(), submission("a"))) // a repeat is the same job
-	is.Equal(a.Waiting("q"), 1)
+	n, err := a.Waiting(t.Context(), "q")
+	is.NoErr(err)
+	is.Equal(n, 1)
 	fault.set(log.DirectDown)
 	kind, outcome := refusal(a.Submit(t.Context(), submission("b")))
 	is.Equal(kind, model.KindLogUnavailable)
@@ -87,7 +89,7 @@
 	is.Equal(outcome, model.OutcomeUnknown)
 	fault.set(log.DirectOK)
 	is.NoErr(v.CatchUp(t.Context()))
-	_, err := a.State(t.Context(), "b", "w")
+	_, err = a.State(t.Context(), "b", "w")
 	kind, _ = refusal(err)
 	is.Equal(kind, model.KindNotFound)
 	st, err := a.State(t.Context(), "c", "w") // it was stored
@@ -135,3 +137,14 @@
 	is.NoErr(err)
 	is.Equal(st, model.JobCancelled)
 }
+
+// Guards against a host that has not read the log yet and says that no job waits.
+func TestWaitingWithoutTheLog(t *testing.T) {
+	is := is.New(t)
+	a, v := newAcceptor(&faults{})
+	v.up = false
+	_, err := a.Waiting(t.Context(), "q")
+	kind, outcome := refusal(err)
+	is.Equal(kind, model.KindLogUnavailable)
+	is.Equal(outcome, model.OutcomeNotRun)
+}
--- a/internal/dispatcher/journal.go
+++ b/internal/dispatcher/journal.go
@@ -16,8 +16,9 @@
 	renewEvery = 350 * time.Millisecond
 	// flushGap spaces appends, so that ends that come together share one.
 	flushGap = 15 * time.Millisecond
-	// lazyGap is how long a change that nobody waits for may stay out of the log.
-	lazyGap = 150 * time.Millisecond
+	// lazyGap is how long a change that nobody waits for may stay out of the log. All hosts read each record of a job, which
+	// holds the state of all its tasks; the starts of its tasks share one.
+	lazyGap = 300 * time.Millisecond
 	// appendTimeout bounds one append; the next attempt opens a new connection.
 	appendTimeout = 1500 * time.Millisecond
 	// appendPause is the pause after a failed append.
@@ -31,16 +32,23 @@
 	d        *Dispatcher
 	name     string
 	seq      int64
-	dirty    map[model.JobID]*job
+	dirty    map[model.JobID]*change
 	urgent   bool
 	busy     bool
-	since    time.Time // of the oldest change that is not written
+	since    time.Time // of the oldest change that is not written; zero means none
 	lastAt   time.Time // of the last append
 	renewAt  time.Time
 	resign   bool
 	removals []removal
 }
 
+// change is a job whose record in the log is out of date.
+type change struct {
+	job    *job
+	since  time.Time
+	urgent bool // a worker or a caller waits for it
+}
+
 // removal is an ended job whose records are dropped in time.
 type removal struct {
 	id model.JobID
@@ -67,16 +75,21 @@
 func (l *journal) init(d *Dispatcher) {
 	l.d = d
 	l.name = LeaderWriter
-	l.dirty = map[model.JobID]*job{}
+	l.dirty = map[model.JobID]*change{}
 	l.seq = d.Term.FirstSeq
 }
 
 // mark notes that a job has changed; urgent changes are written at once.
 func (l *journal) mark(j *job, urgent bool) {
-	if len(l.dirty) == 0 {
-		l.since = time.Now()
+	c := l.dirty[j.sub.ID]
+	if c == nil {
+		c = &change{job: j, since: time.Now()}
+		l.dirty[j.sub.ID] = c
+		if l.since.IsZero() {
+			l.since = c.since
+		}
 	}
-	l.dirty[j.sub.ID] = j
+	c.urgent = c.urgent || urgent
 	l.urgent = l.urgent || urgent
 	if j.state.Final() {
 		l.removals = append(l.removals, removal{id: j.sub.ID, at: time.Now().Add(l.d.Keep)})
@@ -110,7 +123,7 @@
 		return time.Now().Add(tick)
 	case l.urgent || l.resign:
 		at = l.lastAt
-	case len(l.dirty) > 0 && l.since.Add(lazyGap).Before(at):
+	case !l.since.IsZero() && l.since.Add(lazyGap).Before(at):
 		at = l.since.Add(lazyGap)
 	}
 	if soonest := l.lastAt.Add(flushGap); at.Before(soonest) {
@@ -127,14 +140,9 @@
 			b.seen[w] = endMark{incarnation: w.incarnation, number: w.seen}
 		}
 	}
-	for id, j := range l.dirty {
-		r, err := journaler.ProgressRecord(id, j.progress(l.d.Term.Fence))
-		if err != nil {
-			return nil, err
-		}
-		b.records = append(b.records, r)
+	if err := l.progress(b, now); err != nil {
+		return nil, err
 	}
-	clear(l.dirty)
 	l.urgent = false
 	// An append without records would not count as one of the sequence.
 	if now.After(l.renewAt) || l.resign || len(b.records) == 0 {
@@ -151,6 +159,28 @@
 	return b, nil
 }
 
+// progress adds the records of the jobs whose changes are urgent or have waited; before a list of closed workers and at the
+// end of the term, of all, since the next leader relies on the log for what these workers run.
+func (l *journal) progress(b *flush, now time.Time) error {
+	all := l.d.fleetDirty || l.resign
+	l.since = time.Time{}
+	for id, c := range l.dirty {
+		if !all && !c.urgent && now.Before(c.since.Add(lazyGap)) {
+			if l.since.IsZero() || c.since.Before(l.since) {
+				l.since = c.since
+			}
+			continue
+		}
+		r, err := journaler.ProgressRecord(id, c.job.progress(l.d.Term.Fence))
+		if err != nil {
+			return err
+		}
+		b.records = append(b.records, r)
+		delete(l.dirty, id)
+	}
+	return nil
+}
+
 // term adds the sign of life with the load of the queues.
 func (l *journal) term(b *flush, now time.Time) error {
 	t := l.d.Term
--- a/internal/dispatcher/report.go
+++ b/internal/dispatcher/report.go
@@ -183,7 +183,7 @@
 	s, j := t.step, t.step.job
 	if s.spec.LongRunning {
 		t.notBefore = now.Add(attemptPause)
-		d.journal.mark(j, false)
+		d.journal.mark(j, true)
 		return
 	}
 	if s.spec.Gang {
@@ -192,7 +192,7 @@
 		}
 	}
 	t.markDone()
-	d.journal.mark(j, false)
+	d.journal.mark(j, true)
 	if j.left() == 0 && !j.state.Final() {
 		d.finish(j, model.JobFinished, "", now)
 	}
@@ -203,7 +203,7 @@
 	s, j := t.step, t.step.job
 	d.blame(t, w, now)
 	t.failedAt = now
-	d.journal.mark(j, false)
+	d.journal.mark(j, true)
 	if t.done || j.state.Final() {
 		return
 	}
@@ -233,7 +233,7 @@
 			t.step.checkpoint = end.Checkpoint
 		}
 	}
-	d.journal.mark(t.step.job, false)
+	d.journal.mark(t.step.job, true)
 }
 
 // remove takes a run as gone without an end.
