Compress large records, let the records of starts wait

Each flush, up to 30 a second, rewrote the whole state of every job of which a task had started, several kilobytes for a job of 200 tasks.

Now a flush writes the jobs for which a worker or a caller waits; starts and interrupted runs wait up to 300 ms. Before a list that calls workers closed, and at the end of a term, all are written. Records from 512 bytes on are compressed.

--- a/internal/dispatcher/report.go
+++ b/internal/dispatcher/report.go
@@ -225,7 +225,8 @@
 	}
 }
 
-// interrupted puts a task back whose run ended without a result.
+// interrupted puts a task back whose run ended without a result. Its record may wait: a leader that takes over before it is
+// written resumes from an earlier checkpoint.
 func (d *Dispatcher) interrupted(t *task, end model.RunEnd, now time.Time) {
 	if end.Checkpoint != "" {
 		t.checkpoint = end.Checkpoint
@@ -233,7 +234,7 @@
 			t.step.checkpoint = end.Checkpoint
 		}
 	}
-	d.journal.mark(t.step.job, true)
+	d.journal.mark(t.step.job, false)
 }
 
 // remove takes a run as gone without an end.
--- /dev/null
+++ b/internal/journaler/encode_test.go
@@ -0,0 +1,33 @@
+package journaler
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"chestnutmux.example/chestnutmux/pkg/model"
+)
+
+// Guards against records of wide jobs that fill the links between regions, and against values that come back changed.
+func TestLargeRecordsAreCompressed(t *testing.T) {
+	is := is.New(t)
+	p := &Progress{Fence: 2, State: model.JobRunning, Steps: map[string]StepProgress{}}
+	sp := StepProgress{Running: map[model.HostID][]int{}}
+	for n := range 200 {
+		id := model.HostID(fmt.Sprintf("i-%08x", n*2654435761))
+		sp.Running[id] = append(sp.Running[id], n)
+	}
+	p.Steps[StepKey(0, 0)] = sp
+	r, err := ProgressRecord("wide", p)
+	is.NoErr(err)
+	is.True(len(r.Value) < 3000) // about 5 kB as text
+	var back Progress
+	is.NoErr(decode(r.Value, &back))
+	is.Equal(&back, p)
+	small, err := ProgressRecord("small", &Progress{Fence: 2, State: model.JobQueued})
+	is.NoErr(err)
+	is.Equal(small.Value[0], byte('{'))
+	is.NoErr(decode(small.Value, &back))
+	is.True(decode([]byte{compressed, 0xff, 0xff}, &back) != nil)
+}
--- a/internal/journaler/fold.go
+++ b/internal/journaler/fold.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"maps"
 	"slices"
 	"sync"
@@ -161,7 +160,7 @@
 		return false, nil // a repeat of the same job
 	}
 	s := &model.Submission{}
-	if err := json.Unmarshal(r.Value, s); err != nil {
+	if err := decode(r.Value, s); err != nil {
 		return false, err
 	}
 	if j == nil {
@@ -185,7 +184,7 @@
 
 func (f *Fold) cancellation(id model.JobID, r Record) (bool, error) {
 	var c cancellation
-	if err := json.Unmarshal(r.Value, &c); err != nil {
+	if err := decode(r.Value, &c); err != nil {
 		return false, err
 	}
 	f.cancels[id] = cancelMark{ws: c.Workspace, at: r.Offset}
@@ -202,7 +201,7 @@
 
 func (f *Fold) progress(id model.JobID, r Record) (bool, error) {
 	var p Progress
-	if err := json.Unmarshal(r.Value, &p); err != nil {
+	if err := decode(r.Value, &p); err != nil {
 		return false, err
 	}
 	f.seen++
@@ -226,7 +225,7 @@
 
 func (f *Fold) leaderTerm(r Record) (bool, error) {
 	var t Term
-	if err := json.Unmarshal(r.Value, &t); err != nil {
+	if err := decode(r.Value, &t); err != nil {
 		return false, err
 	}
 	f.seen++
@@ -242,7 +241,7 @@
 
 func (f *Fold) fleetRecord(r Record) error {
 	var workers []FleetWorker
-	if err := json.Unmarshal(r.Value, &workers); err != nil {
+	if err := decode(r.Value, &workers); err != nil {
 		return err
 	}
 	f.seen++
@@ -252,7 +251,7 @@
 
 func (f *Fold) hostRecord(id model.HostID, r Record) error {
 	var h HostAddress
-	if err := json.Unmarshal(r.Value, &h); err != nil {
+	if err := decode(r.Value, &h); err != nil {
 		return err
 	}
 	if f.hosts == nil {
--- a/internal/journaler/record.go
+++ b/internal/journaler/record.go
@@ -1,12 +1,9 @@
 package journaler
 
 import (
-	"encoding/json"
 	"strconv"
 	"strings"
 
-	"github.com/cockroachdb/errors"
-
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
@@ -128,14 +125,6 @@
 	Workspace model.WorkspaceID `json:"workspace"`
 }
 
-func encode(key string, v any) (Record, error) {
-	b, err := json.Marshal(v)
-	if err != nil {
-		return Record{}, errors.Wrapf(err, "journaler: encoding record %s", key)
-	}
-	return Record{Key: key, Value: b}, nil
-}
-
 // cutKey splits a key into its kind and job.
 func cutKey(key string) (kind string, id model.JobID) {
 	kind, rest, ok := strings.Cut(key, "/")
