Keep no workers on an idle fleet

Workers were kept for urgent work by a level that falls over 8 s after its need has gone, whatever the fleet's use.

Now nothing is kept while less than half of the fleet is in use, and tasks that last are exempt.

Also a histogram of planning passes (metric planning).

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -127,8 +127,10 @@
 	d.planned = true
 	d.expire(now)
 	d.plan(now)
+	took := time.Since(now)
 	d.lookedAt = now
-	d.lookAt = now.Add(passShare * time.Since(now))
+	d.lookAt = now.Add(passShare * took)
+	d.Metrics.Passes.Record("pass", took)
 }
 
 // nextAt returns when the loop has something to do without an event.
--- a/internal/dispatcher/headroom.go
+++ b/internal/dispatcher/headroom.go
@@ -15,6 +15,8 @@
 	headroomFall = 8 * time.Second
 	// headroomMost bounds the part of the fleet that is kept from any priority, so that the last one is not shut out.
 	headroomMost = 0.7
+	// headroomFrom is the part of the fleet in use from which workers are kept; below it there is room for all.
+	headroomFrom = 0.5
 	// observeEvery is the pause between observations while no work waits.
 	observeEvery = 500 * time.Millisecond
 	// keptFor is how long a gang waits for the same workers before it looks for others that empty sooner.
@@ -68,6 +70,7 @@
 type pool struct {
 	open     int             // workers that take tasks
 	capacity model.Resources // of all of them
+	used     float64         // workers that runs fill
 	need     usage
 }
 
@@ -80,9 +83,11 @@
 	}
 }
 
-// add counts tasks of a priority as needed.
-func (l *pool) add(p model.Priority, need model.Resources, tasks int) {
-	l.need[level(p)] += placer.Footprint(need, l.mean()) * float64(tasks)
+// add counts tasks of a priority as needed, and returns how many workers they fill.
+func (l *pool) add(p model.Priority, need model.Resources, tasks int) float64 {
+	n := placer.Footprint(need, l.mean()) * float64(tasks)
+	l.need[level(p)] += n
+	return n
 }
 
 // reserve numbers the nodes of each service that take tasks, and observes what each priority needs of them.
@@ -98,7 +103,8 @@
 	for _, w := range p.d.workers {
 		for _, r := range w.runs {
 			if r.task != nil && (r.state == runStarting || r.state == runRunning) {
-				p.pool(w.info.Service).add(r.task.step.job.sub.Queue.Priority, r.need, 1)
+				l := p.pool(w.info.Service)
+				l.used += l.add(r.task.step.job.sub.Queue.Priority, r.need, 1)
 			}
 		}
 	}
@@ -126,15 +132,18 @@
 
 // from returns how many of the first workers of its service are kept from the unit.
 //
-// A task of its own with checkpoints loses little when it gives way, and one that is bound to certain workers has no
-// others. A gang always has twice the workers that it needs.
+// A task of its own with checkpoints loses little when it gives way; one that lasts, or is bound to certain workers, does
+// not wait for others. A gang always has twice the workers that it needs.
 func (p *plan) from(u *unit) int {
 	spec, q := u.step.spec, u.step.job.sub.Queue
 	h := p.d.headroom[q.Service]
-	if h == nil || !spec.Gang && spec.Checkpoints || spec.Label != "" || spec.NearRack != "" {
+	if h == nil || !spec.Gang && spec.Checkpoints || spec.LongRunning || spec.Label != "" || spec.NearRack != "" {
 		return 0
 	}
 	l := p.pool(q.Service)
+	if l.used < headroomFrom*float64(l.open) {
+		return 0
+	}
 	n := h.from(q.Priority, l.open)
 	if spec.Gang {
 		n = min(n, l.open-2*int(math.Ceil(placer.Footprint(spec.Need, l.mean())*float64(len(u.tasks)))))
--- a/internal/dispatcher/metrics.go
+++ b/internal/dispatcher/metrics.go
@@ -16,11 +16,12 @@
 	Appends  *expvar.Map
 	Start    *recorder.Histograms // from acceptance to the start of a job's first step, by queue
 	Complete *recorder.Histograms // from acceptance to the end, by queue
+	Passes   *recorder.Histograms // length of planning passes
 }
 
 // NewMetrics returns empty metrics.
 func NewMetrics() *Metrics {
-	m := &Metrics{Start: recorder.NewCoarse(), Complete: recorder.NewCoarse()}
+	m := &Metrics{Start: recorder.NewCoarse(), Complete: recorder.NewCoarse(), Passes: recorder.NewCoarse()}
 	for _, p := range []**expvar.Map{&m.Jobs, &m.Runs, &m.Refusals, &m.Appends} {
 		*p = new(expvar.Map).Init()
 	}
@@ -31,7 +32,7 @@
 func (m *Metrics) Vars() map[string]expvar.Var {
 	return map[string]expvar.Var{
 		"jobs": m.Jobs, "runs": m.Runs, "start-refusals": m.Refusals, "leader-appends": m.Appends,
-		"job-start": m.Start, "job-complete": m.Complete,
+		"job-start": m.Start, "job-complete": m.Complete, "planning": m.Passes,
 	}
 }
 
