--- a/internal/dispatcher/headroom.go
+++ b/internal/dispatcher/headroom.go
@@ -13,8 +13,9 @@
 	// only slowly, since the next such job comes within seconds.
 	headroomRise = 500 * time.Millisecond
 	headroomFall = 8 * time.Second
-	// headroomMost bounds the part of the fleet that is kept from any priority, so that the last one is not shut out.
-	headroomMost = 0.7
+	// headroomMost bounds the part of the fleet that is kept from any priority: while less than half of it is in use, no
+	// work waits.
+	headroomMost = 0.5
 	// headroomFrom is the part of the fleet in use from which workers are kept; below it there is room for all.
 	headroomFrom = 0.5
 	// observeEvery is the pause between observations while no work waits.
