--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -1,11 +1,31 @@
 package dispatcher
 
 import (
+	"context"
 	"testing"
+	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
+
+	"chestnutmux.example/chestnutmux/internal/asserter"
+	"chestnutmux.example/chestnutmux/internal/journaler"
 )
 
+// newDispatcher returns an open dispatcher whose workers answer nothing; a violated invariant fails the test.
+func newDispatcher(t *testing.T) *Dispatcher {
+	t.Helper()
+	d := &Dispatcher{
+		Term: journaler.Term{Fence: 1}, Workers: silent{}, Logger: hclog.NewNullLogger(), Metrics: NewMetrics(), Lease: time.Hour,
+		Violated: func(inv asserter.Invariant, args ...any) { t.Error(inv, args) }, settled: true,
+	}
+	d.Open()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	d.ctx = ctx
+	return d
+}
+
 // Guards against a leader that plans all the time: on a large fleet its calls to workers then time out.
 func TestPauseBetweenPasses(t *testing.T) {
 	is := is.New(t)
--- a/internal/dispatcher/headroom_test.go
+++ b/internal/dispatcher/headroom_test.go
@@ -1,15 +1,12 @@
 package dispatcher
 
 import (
-	"context"
 	"fmt"
 	"testing"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 
-	"chestnutmux.example/chestnutmux/internal/asserter"
 	"chestnutmux.example/chestnutmux/internal/journaler"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
@@ -17,14 +14,7 @@
 // fleetOf returns a dispatcher with racks of 8 workers of 8 accelerators.
 func fleetOf(t *testing.T, racks int) *Dispatcher {
 	t.Helper()
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
-	d := &Dispatcher{
-		Term: journaler.Term{Fence: 1}, Workers: silent{}, Logger: hclog.NewNullLogger(), Metrics: NewMetrics(), Lease: time.Hour,
-		Violated: func(inv asserter.Invariant, args ...any) { t.Error(inv, args) }, settled: true,
-	}
-	d.Open()
-	d.ctx = ctx
+	d := newDispatcher(t)
 	now := time.Now()
 	for i := range 8 * racks {
 		w := d.addWorker(model.Worker{
--- a/internal/dispatcher/report_test.go
+++ b/internal/dispatcher/report_test.go
@@ -1,14 +1,11 @@
 package dispatcher
 
 import (
-	"context"
 	"testing"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 
-	"chestnutmux.example/chestnutmux/internal/asserter"
 	"chestnutmux.example/chestnutmux/internal/journaler"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
@@ -23,14 +20,7 @@
 
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
-	d := &Dispatcher{
-		Term: journaler.Term{Fence: 1}, Workers: silent{}, Logger: hclog.NewNullLogger(), Metrics: NewMetrics(), Lease: time.Hour,
-		Violated: func(inv asserter.Invariant, args ...any) { t.Error(inv, args) }, settled: true,
-	}
-	d.Open()
-	d.ctx = ctx
+	d := newDispatcher(t)
 	f := &fixture{Dispatcher: d, now: time.Now()}
 	f.w = d.addWorker(model.Worker{ID: "w0", State: model.WorkerReady, Capacity: model.Resources{Accelerators: 8}}, f.now)
 	f.w.listed, f.w.settled, f.w.answers, f.w.clockAt, f.w.incarnation = true, true, true, f.now, 1
