--- a/internal/dispatcher/headroom.go
+++ b/internal/dispatcher/headroom.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// headroomRise and headroomFall are the time constants of the level of a priority: it follows a rise at once, and a lull
+	// headroomRise and headroomFall are the time constants of the level of a priority: it follows a rise fast, and a lull
 	// only slowly, since the next such job comes within seconds.
 	headroomRise = 500 * time.Millisecond
 	headroomFall = 8 * time.Second
