--- a/internal/peerlog/fallback.go
+++ b/internal/peerlog/fallback.go
@@ -27,6 +27,8 @@
 	Peers  *Peers
 	Name   string // name of the log in calls to peers
 	Logger hclog.Logger
+	// Metrics counts the reads; nil counts nothing.
+	Metrics *Metrics
 
 	mu         sync.Mutex
 	directDown bool
@@ -109,6 +111,7 @@
 func (f *FallbackLog) Read(ctx context.Context, from model.Offset, wait time.Duration) (journaler.Batch, error) {
 	if !f.DirectDown() {
 		b, err := f.Direct.Read(ctx, from, wait)
+		f.Metrics.countRead(f.Name, sourceDirect, b, err)
 		if isLogResponse(err) {
 			return b, err
 		}
@@ -118,7 +121,9 @@
 		f.markDirectDown(err)
 		return b, err // the caller retries, and the retry goes to a peer
 	}
-	return (&remoteLog{peers: f.Peers, name: f.Name}).read(ctx, from, wait)
+	b, err := (&remoteLog{peers: f.Peers, name: f.Name}).read(ctx, from, wait)
+	f.Metrics.countRead(f.Name, sourcePeer, b, err)
+	return b, err
 }
 
 // ReadNewest implements journaler.Log.
