Read the log through one host of each group

What callers saw: on fleets of 300 hosts, hosts of the far region answered 404 for a route that had been added 6.6 s before, and refused most jobs.

Cause: every host read the whole log of jobs, so each record crossed the link between the regions once for each host of the far one. A trial that counted bytes (304 hosts) showed 4.5 to 6.5 MB/s of jobs on a link of 7.5 MB/s with light load. A burst then fills the link; reads that take longer than 1.3 s are given up and asked again from the same offset, so the link stays full of bytes that nobody uses, and the configuration waits behind them.

Change: the hosts of a failure domain form groups of eight in the order of their ids. Each reads long polls from the tail of the first of its group that responds; that one reads the log itself. A tail that was not read for 1.3 s says so, and the host then reads the log directly at once. The leader, reads without a wait (the end of the log) and appends go to the log as before. Direct readers may read more often, since there are fewer of them.

Why it works: a record crosses the link once for each group, not for each host, so the link carries an eighth of the bytes and does not fill; a relay that fails costs one wait and 0.2 s.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -54,6 +54,7 @@
 	Workers       dispatcher.WorkerClient
 	Registry      Registry
 	DirectLogDown func() bool                    // reports whether the direct connection to the log is down; may be nil
+	LogReaders    func(hosts int) int            // returns how many of the known hosts read the log in the same way as this host; nil means all
 	Entitlements  func() dispatcher.Entitlements // returns the guarantees and quotas of the current configuration
 	Logger        hclog.Logger
 	Asserter      *asserter.Asserter
@@ -186,8 +187,8 @@
 const (
 	// leaderReadInterval is the minimum time between reads by the leader, which acts on new records.
 	leaderReadInterval = 15 * time.Millisecond
-	// readIntervalPerHost is added to leaderReadInterval on all other hosts, once for each known entry host. Each record wakes
-	// all hosts, and the log can serve a limited number of reads for the whole deployment.
+	// readIntervalPerHost is added to leaderReadInterval on all other hosts, once for each host that reads in the same way. Each
+	// record wakes all of them, and the log can serve a limited number of reads for the whole deployment.
 	readIntervalPerHost = 6 * time.Millisecond
 	// maxReadInterval is the longest interval on hosts other than the leader, which bounds the delay until they see a record.
 	maxReadInterval = 300 * time.Millisecond
@@ -198,7 +199,11 @@
 	if c.IsLeader() {
 		return leaderReadInterval
 	}
-	return min(leaderReadInterval+readIntervalPerHost*time.Duration(len(c.replica.HostAddresses())), maxReadInterval)
+	readers := len(c.replica.HostAddresses())
+	if c.cfg.LogReaders != nil {
+		readers = c.cfg.LogReaders(readers)
+	}
+	return min(leaderReadInterval+readIntervalPerHost*time.Duration(readers), maxReadInterval)
 }
 
 // updateElectorLocked passes the state of the newest term in the log to the elector. The caller holds c.mu.
--- a/internal/peerlog/client.go
+++ b/internal/peerlog/client.go
@@ -72,6 +72,13 @@
 	return out
 }
 
+// inBackoff reports whether a peer is in backoff.
+func (p *Peers) inBackoff(addr string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !time.Now().After(p.backoffUntil[addr])
+}
+
 // startBackoff starts the backoff of a peer and closes its connection.
 func (p *Peers) startBackoff(addr string) {
 	p.mu.Lock()
@@ -155,10 +162,7 @@
 	if err != nil {
 		return journaler.Batch{}, err
 	}
-	if resp.Batch == nil {
-		return journaler.Batch{}, errors.New("peerlog: the peer responded to a read without a batch")
-	}
-	return *resp.Batch, nil
+	return resp.batch()
 }
 
 func (l *remoteLog) readNewest(ctx context.Context, after string) (journaler.Page, error) {
--- a/internal/peerlog/fallback.go
+++ b/internal/peerlog/fallback.go
@@ -21,7 +21,8 @@
 	directAppendTimeout = 900 * time.Millisecond
 )
 
-// FallbackLog is a log that is reached directly, or through a peer while the direct connection is down.
+// FallbackLog is a log that is read through a relay and written directly, or reached through a peer while the direct connection
+// is down.
 type FallbackLog struct {
 	Direct journaler.Log
 	Peers  *Peers
@@ -29,9 +30,24 @@
 	Logger hclog.Logger
 	// Metrics counts the reads; nil counts nothing.
 	Metrics *Metrics
+	// Relays returns the addresses of the hosts through which this host can read the log, see RelayCandidates; nil means none.
+	Relays func() []string
+	// ReadsDirectly reports whether this host reads the log itself even if it has relays; nil means false.
+	ReadsDirectly func() bool
 
-	mu         sync.Mutex
-	directDown bool
+	tail tail // newest records that this host has read directly
+
+	mu           sync.Mutex
+	directDown   bool
+	throughRelay bool                 // the last long poll was served by a relay
+	relayRetryAt map[string]time.Time // by address, for relays that could not serve a read
+}
+
+// ThroughRelay reports whether a relay served the last long poll.
+func (f *FallbackLog) ThroughRelay() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.throughRelay
 }
 
 // DirectDown reports whether the direct connection is down.
@@ -107,25 +123,37 @@
 	return off, err
 }
 
-// Read implements journaler.Log.
+// Read implements journaler.Log. A read that waits for records may be served by a relay and may then miss the records of the
+// last second; a read that does not wait returns what is in the log.
 func (f *FallbackLog) Read(ctx context.Context, from model.Offset, wait time.Duration) (journaler.Batch, error) {
-	if !f.DirectDown() {
-		b, err := f.Direct.Read(ctx, from, wait)
-		f.Metrics.countRead(f.Name, sourceDirect, b, err)
-		if isLogResponse(err) {
-			return b, err
+	if wait > 0 {
+		b, ok := f.readThroughRelay(ctx, from, wait)
+		if ok {
+			return b, nil
 		}
-		if ctx.Err() == context.Canceled {
-			return b, err
-		}
-		f.markDirectDown(err)
-		return b, err // the caller retries, and the retry goes to a peer
+		wait = remainingWait(ctx, wait)
+	}
+	if !f.DirectDown() {
+		return f.readDirectly(ctx, from, wait)
 	}
 	b, err := (&remoteLog{peers: f.Peers, name: f.Name}).read(ctx, from, wait)
 	f.Metrics.countRead(f.Name, sourcePeer, b, err)
 	return b, err
 }
 
+// readDirectly reads over the direct connection. After a failure, the caller retries and the retry goes to a peer.
+func (f *FallbackLog) readDirectly(ctx context.Context, from model.Offset, wait time.Duration) (journaler.Batch, error) {
+	b, err := f.Direct.Read(ctx, from, wait)
+	f.Metrics.countRead(f.Name, sourceDirect, b, err)
+	if err == nil {
+		f.tail.add(from, b, time.Now())
+	}
+	if !isLogResponse(err) && ctx.Err() != context.Canceled {
+		f.markDirectDown(err)
+	}
+	return b, err
+}
+
 // ReadNewest implements journaler.Log.
 func (f *FallbackLog) ReadNewest(ctx context.Context, after string) (journaler.Page, error) {
 	if !f.DirectDown() {
--- a/internal/peerlog/metrics.go
+++ b/internal/peerlog/metrics.go
@@ -27,6 +27,7 @@
 
 const (
 	sourceDirect source = "direct" // the log itself
+	sourceRelay  source = "relay"  // the tail of a host of the same group
 	sourcePeer   source = "peer"   // a peer, while the direct connection is down
 )
 
--- a/internal/peerlog/server.go
+++ b/internal/peerlog/server.go
@@ -81,18 +81,19 @@
 		}
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
-		resp.Offset, err = log.Append(ctx, p.Records, p.Condition)
+		direct, err := log.direct()
+		if err != nil {
+			return err
+		}
+		resp.Offset, err = direct.Append(ctx, p.Records, p.Condition)
 		return err
 	case methodRead:
 		var p readParams
-		log, err := s.decodeParams(params, &p, func() string { return p.Log })
+		f, err := s.decodeParams(params, &p, func() string { return p.Log })
 		if err != nil {
 			return err
 		}
-		wait := time.Duration(p.WaitMS) * time.Millisecond
-		ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
-		defer cancel()
-		b, err := log.Read(ctx, p.From, wait)
+		b, err := f.readForPeer(ctx, p)
 		resp.Batch = &b
 		return err
 	case methodNewest:
@@ -103,15 +104,19 @@
 		}
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
-		page, err := log.ReadNewest(ctx, p.After)
+		direct, err := log.direct()
+		if err != nil {
+			return err
+		}
+		page, err := direct.ReadNewest(ctx, p.After)
 		resp.Page = &page
 		return err
 	}
 	return errors.Mark(errors.Newf("peerlog: no method %q", method), errInvalidCall)
 }
 
-// decodeParams decodes the parameters into p and returns the direct connection to the log that they name.
-func (s *Server) decodeParams(params json.RawMessage, p any, name func() string) (journaler.Log, error) {
+// decodeParams decodes the parameters into p and returns the log that they name.
+func (s *Server) decodeParams(params json.RawMessage, p any, name func() string) (*FallbackLog, error) {
 	if err := json.Unmarshal(params, p); err != nil {
 		return nil, errors.Mark(err, errInvalidCall)
 	}
@@ -119,8 +124,32 @@
 	if f == nil {
 		return nil, errors.Mark(errors.Newf("peerlog: no log %q", name()), errInvalidCall)
 	}
+	return f, nil
+}
+
+// direct returns the direct connection to the log, or errLogNotReached while it is down.
+func (f *FallbackLog) direct() (journaler.Log, error) {
 	if f.DirectDown() {
 		return nil, errLogNotReached
 	}
 	return f.Direct, nil
 }
+
+// readForPeer serves a read of a peer from the tail if it has the records, else over the direct connection.
+func (f *FallbackLog) readForPeer(ctx context.Context, p readParams) (journaler.Batch, error) {
+	wait := time.Duration(p.WaitMS) * time.Millisecond
+	if p.TailOnly {
+		b, ok := f.tail.read(ctx, p.From, wait)
+		if !ok {
+			return b, errLogNotReached
+		}
+		return b, nil
+	}
+	direct, err := f.direct()
+	if err != nil {
+		return journaler.Batch{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	return direct.Read(ctx, p.From, wait)
+}
--- a/internal/peerlog/wire.go
+++ b/internal/peerlog/wire.go
@@ -26,6 +26,8 @@
 	Log    string       `json:"log"`
 	From   model.Offset `json:"from"`
 	WaitMS model.Millis `json:"wait-ms"`
+	// TailOnly asks for the records that the peer has itself read from the log; the peer does not call the log for the caller.
+	TailOnly bool `json:"tail-only,omitempty"`
 }
 
 // newestParams are the parameters of methodNewest.
@@ -57,6 +59,14 @@
 	Page        *journaler.Page  `json:"page,omitempty"`     // result of methodNewest
 }
 
+// batch returns the result of methodRead.
+func (r *response) batch() (journaler.Batch, error) {
+	if r.Batch == nil {
+		return journaler.Batch{}, errors.New("peerlog: the peer responded to a read without a batch")
+	}
+	return *r.Batch, nil
+}
+
 // setFailure records the error of a call to the log.
 func (r *response) setFailure(err error) {
 	var mismatch *journaler.OffsetMismatchError
