Pass over peers that do not respond until others have been tried

Cause: a peer that had not responded was tried again after 1 s, always before the hosts of other failure domains, and one that accepted the connection took the whole time of the call. Five dead neighbours take longer than 1 s to try, so hosts further away were never asked.

Change: the backoff of a peer that does not respond starts at 2 s and doubles to 16 s; one that says it can't reach the log is asked again after 1 s as before, and its connection stays open. The first read through a peer does not wait for records and may take 0.3 s; long polls go to the peer that served the last read.

Why it works: all neighbours are in backoff before the first one is due again.

Evidence: TestHostFindsLivePeerBehindUnreachableOnes fails before (no read within 4 s) and passes now.

--- a/internal/peerlog/client.go
+++ b/internal/peerlog/client.go
@@ -18,10 +18,17 @@
 const (
 	// dialTimeout bounds a connection attempt to a peer. It is well above the round-trip time between regions.
 	dialTimeout = 300 * time.Millisecond
+	// probeReadTimeout bounds the first read through a peer, which does not wait for records.
+	probeReadTimeout = 300 * time.Millisecond
 	// maxPeersPerCall is the maximum number of peers that one call tries.
 	maxPeersPerCall = 3
-	// peerBackoff is how long a peer is not called after it has failed.
+	// peerBackoff is how long a peer is not called that can't reach the log.
 	peerBackoff = time.Second
+	// unreachableBackoff is how long a peer is not called that did not respond; it doubles with each failure in a row, up to
+	// maxBackoffDoublings times. It allows to try the other hosts of a failure domain before a peer is tried again, so that
+	// peers without power don't keep a host from those further away.
+	unreachableBackoff  = 2 * time.Second
+	maxBackoffDoublings = 3
 )
 
 // Peers calls the other entry hosts and keeps the connections to them open.
@@ -30,9 +37,16 @@
 	Addresses func() []string
 	Logger    hclog.Logger
 
-	mu           sync.Mutex
-	conns        map[string]*jsonrpc2.Conn // by address
-	backoffUntil map[string]time.Time      // end of the backoff of each peer that has failed, by address
+	mu       sync.Mutex
+	conns    map[string]*jsonrpc2.Conn // by address
+	backoffs map[string]backoff        // of the peers that have failed, by address
+	lastGood string                    // address of the peer that served the last read; empty if it has failed since
+}
+
+// backoff says until when a peer is not called.
+type backoff struct {
+	until    time.Time
+	failures int // number of calls in a row without a response, up to maxBackoffDoublings
 }
 
 // call calls one peer after another until one of them has reached the log.
@@ -40,13 +54,11 @@
 	err := errors.Mark(errors.New("peerlog: no peer is known"), errLogNotReached)
 	for _, addr := range p.pickPeers() {
 		var resp response
-		if resp, err = p.callPeer(ctx, addr, method, params); err == nil {
-			err = resp.asError()
-		}
+		resp, err = p.callPeer(ctx, addr, method, params)
 		if !errors.Is(err, errLogNotReached) {
 			return resp, err
 		}
-		p.startBackoff(addr)
+		p.delayPeer(addr)
 		if ctx.Err() != nil {
 			break
 		}
@@ -61,7 +73,7 @@
 	now := time.Now()
 	var out []string
 	for _, addr := range p.Addresses() {
-		if now.After(p.backoffUntil[addr]) {
+		if now.After(p.backoffs[addr].until) {
 			out = append(out, addr)
 		}
 	}
@@ -76,27 +88,55 @@
 func (p *Peers) inBackoff(addr string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !time.Now().After(p.backoffUntil[addr])
+	return !time.Now().After(p.backoffs[addr].until)
 }
 
-// startBackoff starts the backoff of a peer and closes its connection.
-func (p *Peers) startBackoff(addr string) {
+// delayPeer starts the backoff of a peer that can't reach the log, unless a longer one runs.
+func (p *Peers) delayPeer(addr string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.backoffUntil == nil {
-		p.backoffUntil = map[string]time.Time{}
+	b := p.backoffs[addr]
+	if until := time.Now().Add(peerBackoff); until.After(b.until) {
+		b.until = until
 	}
-	p.backoffUntil[addr] = time.Now().Add(peerBackoff)
+	p.setBackoff(addr, b)
+}
+
+// startBackoff starts the backoff of a peer that did not respond and closes its connection.
+func (p *Peers) startBackoff(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	b := p.backoffs[addr]
+	b.until = time.Now().Add(unreachableBackoff << b.failures)
+	b.failures = min(b.failures+1, maxBackoffDoublings)
+	p.setBackoff(addr, b)
 	if c := p.conns[addr]; c != nil {
 		_ = c.Close() // the connection is discarded in any case
 		delete(p.conns, addr)
 	}
 }
 
-// callPeer calls one peer. Its error is marked as errLogNotReached if no connection to the peer could be opened.
+// setBackoff stores the backoff of a peer. The caller holds p.mu.
+func (p *Peers) setBackoff(addr string, b backoff) {
+	if p.backoffs == nil {
+		p.backoffs = map[string]backoff{}
+	}
+	p.backoffs[addr] = b
+}
+
+// endBackoff records that a peer has responded.
+func (p *Peers) endBackoff(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.backoffs, addr)
+}
+
+// callPeer calls one peer. Its error is marked as errLogNotReached if no connection to the peer could be opened, or if the peer
+// can't reach the log.
 func (p *Peers) callPeer(ctx context.Context, addr, method string, params any) (response, error) {
 	c, err := p.connect(ctx, addr)
 	if err != nil {
+		p.startBackoff(addr)
 		return response{}, errors.Mark(err, errLogNotReached)
 	}
 	var resp response
@@ -104,7 +144,60 @@
 		p.startBackoff(addr)
 		return response{}, errors.Wrapf(err, "peerlog: %s at %s", method, addr)
 	}
-	return resp, nil
+	p.endBackoff(addr)
+	return resp, resp.asError()
+}
+
+// read reads from a log through the peer that served the last read, or through the first other peer that responds. The first
+// read through a peer does not wait for records, so that peers that do not respond are soon passed over.
+func (p *Peers) read(ctx context.Context, params readParams) (journaler.Batch, error) {
+	if addr := p.lastGoodPeer(); addr != "" {
+		readCtx, cancel := context.WithTimeout(ctx, time.Duration(params.WaitMS)*time.Millisecond+probeReadTimeout)
+		b, err := p.readAt(readCtx, addr, params)
+		cancel()
+		if isLogResponse(err) || ctx.Err() != nil {
+			return b, err
+		}
+	}
+	params.WaitMS = 0
+	err := errors.Mark(errors.New("peerlog: no peer is known"), errLogNotReached)
+	for _, addr := range p.pickPeers() {
+		probeCtx, cancel := context.WithTimeout(ctx, probeReadTimeout)
+		var b journaler.Batch
+		b, err = p.readAt(probeCtx, addr, params)
+		cancel()
+		if isLogResponse(err) || ctx.Err() != nil {
+			return b, err
+		}
+	}
+	return journaler.Batch{}, err
+}
+
+// readAt reads from a log through one peer and records whether that peer is good for further reads.
+func (p *Peers) readAt(ctx context.Context, addr string, params readParams) (journaler.Batch, error) {
+	resp, err := p.callPeer(ctx, addr, methodRead, params)
+	var b journaler.Batch
+	if err == nil {
+		b, err = resp.batch()
+	}
+	if errors.Is(err, errLogNotReached) {
+		p.delayPeer(addr)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case isLogResponse(err):
+		p.lastGood = addr
+	case p.lastGood == addr:
+		p.lastGood = ""
+	}
+	return b, err
+}
+
+func (p *Peers) lastGoodPeer() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lastGood
 }
 
 // connect returns the open connection to a peer, or opens a new one.
@@ -158,11 +251,7 @@
 }
 
 func (l *remoteLog) read(ctx context.Context, from model.Offset, wait time.Duration) (journaler.Batch, error) {
-	resp, err := l.peers.call(ctx, methodRead, readParams{Log: l.name, From: from, WaitMS: model.Millis(wait.Milliseconds())})
-	if err != nil {
-		return journaler.Batch{}, err
-	}
-	return resp.batch()
+	return l.peers.read(ctx, readParams{Log: l.name, From: from, WaitMS: model.Millis(wait.Milliseconds())})
 }
 
 func (l *remoteLog) readNewest(ctx context.Context, after string) (journaler.Page, error) {
--- /dev/null
+++ b/internal/peerlog/client_test.go
@@ -0,0 +1,40 @@
+package peerlog
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chestnutmux.example/chestnutmux/internal/fake/log"
+	"chestnutmux.example/chestnutmux/internal/journaler"
+)
+
+// Guards against a host that stays behind because it calls the unreachable peers of its failure domain over and over.
+func TestHostFindsLivePeerBehindUnreachableOnes(t *testing.T) {
+	is := is.New(t)
+	l := log.New(log.Options{})
+	live := newHost(t, l, func() []string { return nil })
+	var addresses []string
+	for range 6 {
+		addresses = append(addresses, newSilentListener(t))
+	}
+	addresses = append(addresses, live.addr)
+	isolated := newHost(t, l, func() []string { return addresses })
+	isolated.fault.Store(log.FaultUnavailable)
+	_, err := l.Append("jobs", recordsWithKey("a"), journaler.AppendCondition{})
+	is.NoErr(err)
+	for deadline := time.Now().Add(4 * time.Second); ; time.Sleep(150 * time.Millisecond) {
+		ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
+		b, err := isolated.log.Read(ctx, 0, 800*time.Millisecond)
+		cancel()
+		if err == nil {
+			is.Equal(b.Records[0].Key, "a")
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("no read has succeeded within 4 s: %v", err)
+		}
+	}
+}
--- a/internal/peerlog/relay.go
+++ b/internal/peerlog/relay.go
@@ -82,9 +82,6 @@
 func (f *FallbackLog) readTailOf(ctx context.Context, addr string, from model.Offset, wait time.Duration) (journaler.Batch, error) {
 	params := readParams{Log: f.Name, From: from, WaitMS: model.Millis(wait.Milliseconds()), TailOnly: true}
 	resp, err := f.Peers.callPeer(ctx, addr, methodRead, params)
-	if err == nil {
-		err = resp.asError()
-	}
 	if err != nil {
 		return journaler.Batch{}, err
 	}
