Keep using a peer after a caller has given up

What callers saw: nothing by itself; found while reading the same code. A caller that leaves ends its call to the log through a peer. That counted as a failure of the peer: its connection was closed, with the long polls of the jobs and the configuration on it, and the peer was avoided.

Change: a cancelled call starts no backoff.

Evidence: TestCallerThatGivesUpLeavesPeerInUse fails before (no peer is known).

--- a/internal/peerlog/client.go
+++ b/internal/peerlog/client.go
@@ -132,16 +132,20 @@
 }
 
 // callPeer calls one peer. Its error is marked as errLogNotReached if no connection to the peer could be opened, or if the peer
-// can't reach the log.
+// can't reach the log. A caller that gives up says nothing about the peer.
 func (p *Peers) callPeer(ctx context.Context, addr, method string, params any) (response, error) {
 	c, err := p.connect(ctx, addr)
 	if err != nil {
-		p.startBackoff(addr)
+		if !errors.Is(ctx.Err(), context.Canceled) {
+			p.startBackoff(addr)
+		}
 		return response{}, errors.Mark(err, errLogNotReached)
 	}
 	var resp response
 	if err := c.Call(ctx, method, params, &resp); err != nil {
-		p.startBackoff(addr)
+		if !errors.Is(ctx.Err(), context.Canceled) {
+			p.startBackoff(addr)
+		}
 		return response{}, errors.Wrapf(err, "peerlog: %s at %s", method, addr)
 	}
 	p.endBackoff(addr)
--- a/internal/peerlog/client_test.go
+++ b/internal/peerlog/client_test.go
@@ -38,3 +38,22 @@
 		}
 	}
 }
+
+// Guards against a peer that is avoided, and whose connection is closed, because a caller has given up.
+func TestCallerThatGivesUpLeavesPeerInUse(t *testing.T) {
+	is := is.New(t)
+	l := log.New(log.Options{})
+	live := newHost(t, l, func() []string { return nil })
+	isolated := newHost(t, l, func() []string { return []string{live.addr} })
+	isolated.fault.Store(log.FaultUnavailable)
+	_, err := isolated.log.Append(t.Context(), recordsWithKey("a"), journaler.AppendCondition{})
+	is.NoErr(err)
+	_, err = isolated.log.Read(t.Context(), 0, time.Second) // the peer is now good for reads that wait
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(100*time.Millisecond, cancel)
+	_, err = isolated.log.Read(ctx, 1, time.Second)
+	is.True(err != nil)
+	_, err = isolated.log.Append(t.Context(), recordsWithKey("b"), journaler.AppendCondition{})
+	is.NoErr(err)
+}
