Send peers what they have missed in parts

Cause: a read through a peer got up to 1 MB at once.

Change: a response to a peer has at most 64 KB of records, and reads that follow a log are served from the tail of the peer if it has them, so that the peer need not fetch them from the store first. A read of the end of the log still goes to the store.

--- a/internal/peerlog/client.go
+++ b/internal/peerlog/client.go
@@ -255,7 +255,11 @@
 }
 
 func (l *remoteLog) read(ctx context.Context, from model.Offset, wait time.Duration) (journaler.Batch, error) {
-	return l.peers.read(ctx, readParams{Log: l.name, From: from, WaitMS: model.Millis(wait.Milliseconds())})
+	params := readParams{Log: l.name, From: from, WaitMS: model.Millis(wait.Milliseconds())}
+	if wait > 0 {
+		params.Tail = tailFirst
+	}
+	return l.peers.read(ctx, params)
 }
 
 func (l *remoteLog) readNewest(ctx context.Context, after string) (journaler.Page, error) {
--- a/internal/peerlog/client_test.go
+++ b/internal/peerlog/client_test.go
@@ -9,6 +9,7 @@
 
 	"chestnutmux.example/chestnutmux/internal/fake/log"
 	"chestnutmux.example/chestnutmux/internal/journaler"
+	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
 // Guards against a host that stays behind because it calls the unreachable peers of its failure domain over and over.
@@ -57,3 +58,32 @@
 	_, err = isolated.log.Append(t.Context(), recordsWithKey("b"), journaler.AppendCondition{})
 	is.NoErr(err)
 }
+
+// Guards against a host that stays behind because what it has missed is more than a peer can send before it gives up.
+func TestPeerSendsLargeBacklogInParts(t *testing.T) {
+	is := is.New(t)
+	l := log.New(log.Options{})
+	live := newHost(t, l, func() []string { return nil })
+	isolated := newHost(t, l, func() []string { return []string{live.addr} })
+	isolated.fault.Store(log.FaultUnavailable)
+	_, err := isolated.log.Append(t.Context(), recordsWithKey("a"), journaler.AppendCondition{})
+	is.NoErr(err)
+	const count, size = 40, 20 << 10
+	for range count {
+		_, err := l.Append("jobs", []journaler.Record{{Key: "b", Value: make([]byte, size)}}, journaler.AppendCondition{})
+		is.NoErr(err)
+	}
+	for _, readTail := range []bool{false, true} {
+		if readTail {
+			_, err := live.log.Read(t.Context(), 0, 0)
+			is.NoErr(err)
+		}
+		for next := 0; next <= count; {
+			b, err := isolated.log.Read(t.Context(), model.Offset(next), time.Second)
+			is.NoErr(err)
+			is.True(len(b.Records) > 0 && batchBytes(b) <= maxResponseBytes)
+			is.Equal(b.Records[0].Offset, model.Offset(next))
+			next += len(b.Records)
+		}
+	}
+}
--- a/internal/peerlog/relay.go
+++ b/internal/peerlog/relay.go
@@ -80,7 +80,7 @@
 }
 
 func (f *FallbackLog) readTailOf(ctx context.Context, addr string, from model.Offset, wait time.Duration) (journaler.Batch, error) {
-	params := readParams{Log: f.Name, From: from, WaitMS: model.Millis(wait.Milliseconds()), TailOnly: true}
+	params := readParams{Log: f.Name, From: from, WaitMS: model.Millis(wait.Milliseconds()), Tail: tailOnly}
 	resp, err := f.Peers.callPeer(ctx, addr, methodRead, params)
 	if err != nil {
 		return journaler.Batch{}, err
--- a/internal/peerlog/server.go
+++ b/internal/peerlog/server.go
@@ -135,21 +135,22 @@
 	return f.Direct, nil
 }
 
-// readForPeer serves a read of a peer from the tail if it has the records, else over the direct connection.
+// readForPeer serves a read of a peer from the tail if the peer allows it and the tail has the records, else over the direct
+// connection. The response is small enough to reach a peer with a slow link before the peer gives up.
 func (f *FallbackLog) readForPeer(ctx context.Context, p readParams) (journaler.Batch, error) {
 	wait := time.Duration(p.WaitMS) * time.Millisecond
-	if p.TailOnly {
-		b, ok := f.tail.read(ctx, p.From, wait)
-		if !ok {
-			return b, errLogNotReached
+	if p.Tail != tailNever {
+		if b, ok := f.tail.read(ctx, p.From, wait); ok {
+			return b, nil
 		}
-		return b, nil
 	}
 	direct, err := f.direct()
-	if err != nil {
-		return journaler.Batch{}, err
+	if err != nil || p.Tail == tailOnly {
+		return journaler.Batch{}, errLogNotReached
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
-	return direct.Read(ctx, p.From, wait)
+	b, err := direct.Read(ctx, p.From, wait)
+	b.Records = limitBytes(b.Records)
+	return b, err
 }
--- a/internal/peerlog/tail.go
+++ b/internal/peerlog/tail.go
@@ -12,8 +12,9 @@
 const (
 	// maxTailBytes bounds the records that a host keeps for its peers, by log.
 	maxTailBytes = 1 << 20
-	// maxTailReadBytes bounds the records of one response to a peer, unless the first record alone is larger.
-	maxTailReadBytes = 256 << 10
+	// maxResponseBytes bounds the records of one response to a peer, unless the first record alone is larger. A link of
+	// 10 Mbit/s carries it in a third of probeReadTimeout.
+	maxResponseBytes = 64 << 10
 	// tailFreshness is how long after a read of the log the tail counts as its end. A long poll and the pause between two
 	// polls take less; a longer time would delay the peers of a host that has lost the log.
 	tailFreshness = 1300 * time.Millisecond
@@ -124,7 +125,7 @@
 // limitBytes returns a copy of the first records that fit into one response.
 func limitBytes(records []journaler.Record) []journaler.Record {
 	n, bytes := 0, 0
-	for n < len(records) && (n == 0 || bytes+recordBytes(records[n]) <= maxTailReadBytes) {
+	for n < len(records) && (n == 0 || bytes+recordBytes(records[n]) <= maxResponseBytes) {
 		bytes += recordBytes(records[n])
 		n++
 	}
--- a/internal/peerlog/wire.go
+++ b/internal/peerlog/wire.go
@@ -26,10 +26,18 @@
 	Log    string       `json:"log"`
 	From   model.Offset `json:"from"`
 	WaitMS model.Millis `json:"wait-ms"`
-	// TailOnly asks for the records that the peer has itself read from the log; the peer does not call the log for the caller.
-	TailOnly bool `json:"tail-only,omitempty"`
+	Tail   tailUse      `json:"tail,omitempty"`
 }
 
+// tailUse says whether a peer may serve a read from its tail, which may miss the records of the last second.
+type tailUse string
+
+const (
+	tailNever tailUse = ""      // the peer calls the log
+	tailFirst tailUse = "first" // the peer calls the log if its tail can't serve the read
+	tailOnly  tailUse = "only"  // the peer does not call the log
+)
+
 // newestParams are the parameters of methodNewest.
 type newestParams struct {
 	Log   string `json:"log"`
