Give the bytes read from a log a name of their own, decode direct calls once

The metric is log-bytes-read: the former name contained a name of the platform, which belongs to platform/ only. Two calls of the peer server decoded their parameters in the same way.

--- a/internal/peerlog/metrics.go
+++ b/internal/peerlog/metrics.go
@@ -19,7 +19,7 @@
 
 // Vars returns the metrics, keyed by their published names.
 func (m *Metrics) Vars() map[string]expvar.Var {
-	return map[string]expvar.Var{"log-reads": m.Reads, "log-read-bytes": m.ReadBytes}
+	return map[string]expvar.Var{"log-reads": m.Reads, "log-bytes-read": m.ReadBytes}
 }
 
 // source says from where records were read.
--- a/internal/peerlog/server.go
+++ b/internal/peerlog/server.go
@@ -75,16 +75,12 @@
 	switch method {
 	case methodAppend:
 		var p appendParams
-		log, err := s.decodeParams(params, &p, func() string { return p.Log })
+		direct, err := s.decodeDirect(params, &p, func() string { return p.Log })
 		if err != nil {
 			return err
 		}
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
-		direct, err := log.direct()
-		if err != nil {
-			return err
-		}
 		resp.Offset, err = direct.Append(ctx, p.Records, p.Condition)
 		return err
 	case methodRead:
@@ -98,16 +94,12 @@
 		return err
 	case methodNewest:
 		var p newestParams
-		log, err := s.decodeParams(params, &p, func() string { return p.Log })
+		direct, err := s.decodeDirect(params, &p, func() string { return p.Log })
 		if err != nil {
 			return err
 		}
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
-		direct, err := log.direct()
-		if err != nil {
-			return err
-		}
 		page, err := direct.ReadNewest(ctx, p.After)
 		resp.Page = &page
 		return err
@@ -127,6 +119,15 @@
 	return f, nil
 }
 
+// decodeDirect decodes the parameters into p and returns the direct connection to the log that they name.
+func (s *Server) decodeDirect(params json.RawMessage, p any, name func() string) (journaler.Log, error) {
+	f, err := s.decodeParams(params, p, name)
+	if err != nil {
+		return nil, err
+	}
+	return f.direct()
+}
+
 // direct returns the direct connection to the log, or errLogNotReached while it is down.
 func (f *FallbackLog) direct() (journaler.Log, error) {
 	if f.DirectDown() {
