--- a/internal/peerlog/client_test.go
+++ b/internal/peerlog/client_test.go
@@ -81,7 +81,7 @@
 		for next := 0; next <= count; {
 			b, err := isolated.log.Read(t.Context(), model.Offset(next), time.Second)
 			is.NoErr(err)
-			is.True(len(b.Records) > 0 && batchBytes(b) <= maxResponseBytes)
+			is.True(len(b.Records) > 0 && totalBytes(b.Records) <= maxResponseBytes)
 			is.Equal(b.Records[0].Offset, model.Offset(next))
 			next += len(b.Records)
 		}
--- a/internal/peerlog/fallback.go
+++ b/internal/peerlog/fallback.go
@@ -136,15 +136,17 @@
 	if !f.DirectDown() {
 		return f.readDirectly(ctx, from, wait)
 	}
+	start := time.Now()
 	b, err := (&remoteLog{peers: f.Peers, name: f.Name}).read(ctx, from, wait)
-	f.Metrics.countRead(f.Name, sourcePeer, b, err)
+	f.Metrics.countRead(f.Name, sourcePeer, b.Records, time.Since(start), err)
 	return b, err
 }
 
 // readDirectly reads over the direct connection. After a failure, the caller retries and the retry goes to a peer.
 func (f *FallbackLog) readDirectly(ctx context.Context, from model.Offset, wait time.Duration) (journaler.Batch, error) {
+	start := time.Now()
 	b, err := f.Direct.Read(ctx, from, wait)
-	f.Metrics.countRead(f.Name, sourceDirect, b, err)
+	f.Metrics.countRead(f.Name, sourceDirect, b.Records, time.Since(start), err)
 	if err == nil {
 		f.tail.add(from, b, time.Now())
 	}
@@ -156,13 +158,17 @@
 
 // ReadNewest implements journaler.Log.
 func (f *FallbackLog) ReadNewest(ctx context.Context, after string) (journaler.Page, error) {
+	start := time.Now()
 	if !f.DirectDown() {
 		p, err := f.Direct.ReadNewest(ctx, after)
+		f.Metrics.countRead(f.Name, sourceDirectNewest, p.Records, time.Since(start), err)
 		if err == nil {
 			return p, nil
 		}
 		f.markDirectDown(err)
 		return p, err
 	}
-	return (&remoteLog{peers: f.Peers, name: f.Name}).readNewest(ctx, after)
+	p, err := (&remoteLog{peers: f.Peers, name: f.Name}).readNewest(ctx, after)
+	f.Metrics.countRead(f.Name, sourcePeerNewest, p.Records, time.Since(start), err)
+	return p, err
 }
--- a/internal/peerlog/relay.go
+++ b/internal/peerlog/relay.go
@@ -70,8 +70,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+relayResponseTimeout)
 	defer cancel()
+	start := time.Now()
 	b, err := f.readTailOf(ctx, addr, from, wait)
-	f.Metrics.countRead(f.Name, sourceRelay, b, err)
+	f.Metrics.countRead(f.Name, sourceRelay, b.Records, time.Since(start), err)
 	if err != nil {
 		f.delayRelay(addr)
 		f.Logger.Debug("relay can't serve a read, reading the log directly", "log", f.Name, "relay", addr, "from", from, "error", err)
--- a/internal/peerlog/server.go
+++ b/internal/peerlog/server.go
@@ -75,7 +75,7 @@
 	switch method {
 	case methodAppend:
 		var p appendParams
-		direct, err := s.decodeDirect(params, &p, func() string { return p.Log })
+		direct, _, err := s.decodeDirect(params, &p, func() string { return p.Log })
 		if err != nil {
 			return err
 		}
@@ -90,17 +90,19 @@
 			return err
 		}
 		b, err := f.readForPeer(ctx, p)
+		f.Metrics.countServed(f.Name, b.Records)
 		resp.Batch = &b
 		return err
 	case methodNewest:
 		var p newestParams
-		direct, err := s.decodeDirect(params, &p, func() string { return p.Log })
+		direct, f, err := s.decodeDirect(params, &p, func() string { return p.Log })
 		if err != nil {
 			return err
 		}
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		page, err := direct.ReadNewest(ctx, p.After)
+		f.Metrics.countServed(f.Name, page.Records)
 		resp.Page = &page
 		return err
 	}
@@ -119,13 +121,14 @@
 	return f, nil
 }
 
-// decodeDirect decodes the parameters into p and returns the direct connection to the log that they name.
-func (s *Server) decodeDirect(params json.RawMessage, p any, name func() string) (journaler.Log, error) {
+// decodeDirect decodes the parameters into p and returns the log that they name and the direct connection to it.
+func (s *Server) decodeDirect(params json.RawMessage, p any, name func() string) (journaler.Log, *FallbackLog, error) {
 	f, err := s.decodeParams(params, p, name)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	return f.direct()
+	direct, err := f.direct()
+	return direct, f, err
 }
 
 // direct returns the direct connection to the log, or errLogNotReached while it is down.
