Give up reads that stall, not reads that are large, and compress what peers send

Callers on hosts of the far region saw calls handled by a configuration that was up to 19 s old, once it had 546 KB (2,500 more routes, a change each 1.5 s).

Cause: each read had a fixed time: 0.2 s after its wait through a relay, 0.7 s from the log. A host with a link of 10 Mbit/s needs 0.44 to 0.58 s for the record. The read was given up, what was under way was lost, and the host asked for the same bytes again, which kept the link between the regions full. All calls to a peer share one connection; one that was late closed it under the others.

Change: package watchdog ends a transfer when it stalls; the bytes of a body or of a peer's connection count as progress.

Why it works: a transfer that was begun ends, so the bytes on the link are bounded by what is new.

--- a/internal/journaler/cursor.go
+++ b/internal/journaler/cursor.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"chestnutmux.example/chestnutmux/internal/watchdog"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
@@ -29,7 +30,7 @@
 	if !c.loaded {
 		return c.loadSnapshot(ctx, log)
 	}
-	readCtx, cancel := context.WithTimeout(ctx, wait+readTimeout)
+	readCtx, cancel := watchdog.WithLimits(ctx, watchdog.Limits{Start: wait + readTimeout, Stall: readTimeout, Total: maxTransferTime})
 	defer cancel()
 	b, err := log.Read(readCtx, c.nextOffset, wait)
 	var trimmed *TrimmedError
@@ -63,7 +64,7 @@
 	var all []Record
 	next, after := model.Offset(-1), ""
 	for {
-		pageCtx, cancel := context.WithTimeout(ctx, loadTimeout)
+		pageCtx, cancel := watchdog.WithLimits(ctx, watchdog.Limits{Start: loadTimeout, Stall: readTimeout, Total: maxTransferTime})
 		p, err := log.ReadNewest(pageCtx, after)
 		cancel()
 		if err != nil {
--- a/internal/journaler/follower.go
+++ b/internal/journaler/follower.go
@@ -11,10 +11,13 @@
 	// readWait bounds how long a read waits for a record. The elector needs to know at least this often whether the log
 	// responds.
 	readWait = 600 * time.Millisecond
-	// readTimeout is the time that a read may take in addition to its wait; it allows for a slow log.
+	// readTimeout is the time until the response to a read begins, in addition to its wait, and the longest pause within the
+	// response; it allows for a slow log.
 	readTimeout = 700 * time.Millisecond
-	// loadTimeout bounds reading one page of a snapshot.
+	// loadTimeout is the time until the response with a page of a snapshot begins.
 	loadTimeout = 1500 * time.Millisecond
+	// maxTransferTime bounds a read whose response arrives all the time.
+	maxTransferTime = 10 * time.Second
 	// retryDelay is the delay before a failed call to the log is retried.
 	retryDelay = 150 * time.Millisecond
 )
--- a/internal/logclient/client.go
+++ b/internal/logclient/client.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"chestnutmux.example/chestnutmux/internal/journaler"
+	"chestnutmux.example/chestnutmux/internal/watchdog"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
@@ -142,6 +143,6 @@
 		return 0, nil, err
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	data, err := io.ReadAll(io.LimitReader(&watchdog.Reader{Ctx: ctx, R: resp.Body}, maxResponseBytes))
 	return resp.StatusCode, data, err
 }
--- a/internal/peerlog/client.go
+++ b/internal/peerlog/client.go
@@ -9,9 +9,9 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
-	"github.com/sourcegraph/jsonrpc2"
 
 	"chestnutmux.example/chestnutmux/internal/journaler"
+	"chestnutmux.example/chestnutmux/internal/watchdog"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
@@ -20,6 +20,10 @@
 	dialTimeout = 300 * time.Millisecond
 	// probeReadTimeout bounds the first read through a peer, which does not wait for records.
 	probeReadTimeout = 300 * time.Millisecond
+	// stallTimeout is how long a connection to a peer may receive nothing while a response is under way.
+	stallTimeout = 300 * time.Millisecond
+	// maxTransferTime bounds a call to a peer whose connection receives data all the time.
+	maxTransferTime = 8 * time.Second
 	// maxPeersPerCall is the maximum number of peers that one call tries.
 	maxPeersPerCall = 3
 	// peerBackoff is how long a peer is not called that can't reach the log.
@@ -38,9 +42,9 @@
 	Logger    hclog.Logger
 
 	mu       sync.Mutex
-	conns    map[string]*jsonrpc2.Conn // by address
-	backoffs map[string]backoff        // of the peers that have failed, by address
-	lastGood string                    // address of the peer that served the last read; empty if it has failed since
+	conns    map[string]*peerConn // by address
+	backoffs map[string]backoff   // of the peers that have failed, by address
+	lastGood string               // address of the peer that served the last read; empty if it has failed since
 }
 
 // backoff says until when a peer is not called.
@@ -131,6 +135,12 @@
 	delete(p.backoffs, addr)
 }
 
+// limitTransfer returns a context for a call to a peer that ends when nothing has arrived after a time, or when the response
+// stalls.
+func limitTransfer(ctx context.Context, start time.Duration) (context.Context, context.CancelFunc) {
+	return watchdog.WithLimits(ctx, watchdog.Limits{Start: start, Stall: stallTimeout, Total: maxTransferTime})
+}
+
 // callPeer calls one peer. Its error is marked as errLogNotReached if no connection to the peer could be opened, or if the peer
 // can't reach the log. A caller that gives up says nothing about the peer.
 func (p *Peers) callPeer(ctx context.Context, addr, method string, params any) (response, error) {
@@ -142,8 +152,8 @@
 		return response{}, errors.Mark(err, errLogNotReached)
 	}
 	var resp response
-	if err := c.Call(ctx, method, params, &resp); err != nil {
-		if !errors.Is(ctx.Err(), context.Canceled) {
+	if err := c.call(ctx, method, params, &resp); err != nil {
+		if !errors.Is(ctx.Err(), context.Canceled) && !c.receiver.isReceiving(stallTimeout) {
 			p.startBackoff(addr)
 		}
 		return response{}, errors.Wrapf(err, "peerlog: %s at %s", method, addr)
@@ -156,7 +166,7 @@
 // read through a peer does not wait for records, so that peers that do not respond are soon passed over.
 func (p *Peers) read(ctx context.Context, params readParams) (journaler.Batch, error) {
 	if addr := p.lastGoodPeer(); addr != "" {
-		readCtx, cancel := context.WithTimeout(ctx, time.Duration(params.WaitMS)*time.Millisecond+probeReadTimeout)
+		readCtx, cancel := limitTransfer(ctx, time.Duration(params.WaitMS)*time.Millisecond+probeReadTimeout)
 		b, err := p.readAt(readCtx, addr, params)
 		cancel()
 		if isLogResponse(err) || ctx.Err() != nil {
@@ -166,7 +176,7 @@
 	params.WaitMS = 0
 	err := errors.Mark(errors.New("peerlog: no peer is known"), errLogNotReached)
 	for _, addr := range p.pickPeers() {
-		probeCtx, cancel := context.WithTimeout(ctx, probeReadTimeout)
+		probeCtx, cancel := limitTransfer(ctx, probeReadTimeout)
 		var b journaler.Batch
 		b, err = p.readAt(probeCtx, addr, params)
 		cancel()
@@ -205,29 +215,23 @@
 }
 
 // connect returns the open connection to a peer, or opens a new one.
-func (p *Peers) connect(ctx context.Context, addr string) (*jsonrpc2.Conn, error) {
+func (p *Peers) connect(ctx context.Context, addr string) (*peerConn, error) {
 	p.mu.Lock()
 	c := p.conns[addr]
 	p.mu.Unlock()
-	if c != nil {
-		select {
-		case <-c.DisconnectNotify():
-		default:
-			return c, nil
-		}
+	if c != nil && !c.isClosed() {
+		return c, nil
 	}
 	d := net.Dialer{Timeout: dialTimeout}
 	nc, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	stream := jsonrpc2.NewBufferedStream(nc, jsonrpc2.VarintObjectCodec{})
-	c = jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.HandlerWithError(
-		func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) { return struct{}{}, nil }), withLogger(p.Logger))
+	c = newPeerConn(nc, p.Logger)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.conns == nil {
-		p.conns = map[string]*jsonrpc2.Conn{}
+		p.conns = map[string]*peerConn{}
 	}
 	p.conns[addr] = c
 	return c, nil
@@ -267,8 +271,5 @@
 	if err != nil {
 		return journaler.Page{}, err
 	}
-	if resp.Page == nil {
-		return journaler.Page{}, errors.New("peerlog: the peer responded to a read of the newest records without a page")
-	}
-	return *resp.Page, nil
+	return resp.page()
 }
--- a/internal/peerlog/relay.go
+++ b/internal/peerlog/relay.go
@@ -68,7 +68,7 @@
 	if !ok {
 		return journaler.Batch{}, errNoRelay
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+relayResponseTimeout)
+	ctx, cancel := limitTransfer(ctx, wait+relayResponseTimeout)
 	defer cancel()
 	start := time.Now()
 	b, err := f.readTailOf(ctx, addr, from, wait)
--- a/internal/peerlog/server.go
+++ b/internal/peerlog/server.go
@@ -91,8 +91,7 @@
 		}
 		b, err := f.readForPeer(ctx, p)
 		f.Metrics.countServed(f.Name, b.Records)
-		resp.Batch = &b
-		return err
+		return errors.CombineErrors(err, resp.setBatch(b))
 	case methodNewest:
 		var p newestParams
 		direct, f, err := s.decodeDirect(params, &p, func() string { return p.Log })
@@ -103,8 +102,7 @@
 		defer cancel()
 		page, err := direct.ReadNewest(ctx, p.After)
 		f.Metrics.countServed(f.Name, page.Records)
-		resp.Page = &page
-		return err
+		return errors.CombineErrors(err, resp.setPage(page))
 	}
 	return errors.Mark(errors.Newf("peerlog: no method %q", method), errInvalidCall)
 }
--- a/internal/peerlog/wire.go
+++ b/internal/peerlog/wire.go
@@ -1,8 +1,12 @@
 package peerlog
 
 import (
+	"encoding/gob"
+	"io"
+
 	"github.com/cockroachdb/errors"
 
+	"chestnutmux.example/chestnutmux/internal/compressor"
 	"chestnutmux.example/chestnutmux/internal/journaler"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
@@ -59,20 +63,75 @@
 
 // response is the result of each method; Failure is empty when the call succeeded.
 type response struct {
-	Failure     failure          `json:"failure,omitempty"`
-	Message     string           `json:"message,omitempty"`  // text of the error
-	Offset      model.Offset     `json:"offset,omitempty"`   // offset of the first appended record, or the offset in the failure
-	ExpectedSeq int64            `json:"expected,omitempty"` // with failureSequence
-	Batch       *journaler.Batch `json:"batch,omitempty"`    // result of methodRead
-	Page        *journaler.Page  `json:"page,omitempty"`     // result of methodNewest
+	Failure     failure      `json:"failure,omitempty"`
+	Message     string       `json:"message,omitempty"`      // text of the error
+	Offset      model.Offset `json:"offset,omitempty"`       // offset of the first appended record, or the offset in the failure
+	ExpectedSeq int64        `json:"expected,omitempty"`     // with failureSequence
+	Batch       *packedBatch `json:"packed-batch,omitempty"` // result of methodRead
+	Page        *packedPage  `json:"packed-page,omitempty"`  // result of methodNewest
+}
+
+// packedBatch is a batch of records in compressed form.
+type packedBatch struct {
+	Records   []byte       `json:"records,omitempty"` // see packRecords
+	EndOffset model.Offset `json:"end"`
+}
+
+// packedPage is a page of newest records in compressed form.
+type packedPage struct {
+	Records   []byte       `json:"records,omitempty"` // see packRecords
+	HasMore   bool         `json:"more,omitempty"`
+	EndOffset model.Offset `json:"end"`
+}
+
+// packRecords compresses records. A configuration takes about a tenth of its size, which counts on hosts with slow links.
+func packRecords(records []journaler.Record) ([]byte, error) {
+	if len(records) == 0 {
+		return nil, nil
+	}
+	return compressor.Compress(nil, func(w io.Writer) error { return gob.NewEncoder(w).Encode(records) })
+}
+
+// unpackRecords returns the records that packRecords has compressed.
+func unpackRecords(data []byte) ([]journaler.Record, error) {
+	var records []journaler.Record
+	if len(data) == 0 {
+		return nil, nil
+	}
+	err := compressor.Decompress(data, func(r io.Reader) error { return gob.NewDecoder(r).Decode(&records) })
+	return records, err
+}
+
+// setBatch stores the result of methodRead.
+func (r *response) setBatch(b journaler.Batch) error {
+	packed, err := packRecords(b.Records)
+	r.Batch = &packedBatch{Records: packed, EndOffset: b.EndOffset}
+	return err
+}
+
+// setPage stores the result of methodNewest.
+func (r *response) setPage(p journaler.Page) error {
+	packed, err := packRecords(p.Records)
+	r.Page = &packedPage{Records: packed, HasMore: p.HasMore, EndOffset: p.EndOffset}
+	return err
 }
 
 // batch returns the result of methodRead.
 func (r *response) batch() (journaler.Batch, error) {
 	if r.Batch == nil {
-		return journaler.Batch{}, errors.New("peerlog: the peer responded to a read without a batch")
+		return journaler.Batch{}, errors.New("peerlog: the peer responded to a read without a batch; it may run another version")
+	}
+	records, err := unpackRecords(r.Batch.Records)
+	return journaler.Batch{Records: records, EndOffset: r.Batch.EndOffset}, err
+}
+
+// page returns the result of methodNewest.
+func (r *response) page() (journaler.Page, error) {
+	if r.Page == nil {
+		return journaler.Page{}, errors.New("peerlog: the peer responded to a read of the newest records without a page; it may run another version")
 	}
-	return *r.Batch, nil
+	records, err := unpackRecords(r.Page.Records)
+	return journaler.Page{Records: records, HasMore: r.Page.HasMore, EndOffset: r.Page.EndOffset}, err
 }
 
 // setFailure records the error of a call to the log.
