Serve neighbours the records that a host got through another host

Callers on a host of the far region got 404 for a route up to 6 s after it had been acknowledged, while hosts of its own failure domain had the route in force.

Cause: only a host that reads the log itself kept records for its peers. Seven of eight follow through a relay; they answered that they can't reach the log.

Change: the tail takes the records of every successful read. A response says how long ago the end of the log was confirmed, so a chain of hosts does not make old news look new; a partial read no longer counts as the end of the log.

Measured: TestHostServesRecordsThatItGotThroughRelay fails without the change (the peer can't reach the log).

--- a/internal/journaler/log.go
+++ b/internal/journaler/log.go
@@ -38,6 +38,8 @@
 type Batch struct {
 	Records   []Record     `json:"records"`
 	EndOffset model.Offset `json:"end"` // end of the log
+	// ConfirmedAt is a time at which the log ended at EndOffset; zero means that it is unknown.
+	ConfirmedAt time.Time `json:"-"`
 }
 
 // Page is one page of the newest records of all keys.
--- a/internal/peerlog/client.go
+++ b/internal/peerlog/client.go
@@ -189,10 +189,11 @@
 
 // readAt reads from a log through one peer and records whether that peer is good for further reads.
 func (p *Peers) readAt(ctx context.Context, addr string, params readParams) (journaler.Batch, error) {
+	sentAt := time.Now()
 	resp, err := p.callPeer(ctx, addr, methodRead, params)
 	var b journaler.Batch
 	if err == nil {
-		b, err = resp.batch()
+		b, err = resp.batch(sentAt)
 	}
 	if errors.Is(err, errLogNotReached) {
 		p.delayPeer(addr)
--- a/internal/peerlog/fallback.go
+++ b/internal/peerlog/fallback.go
@@ -35,7 +35,7 @@
 	// ReadsDirectly reports whether this host reads the log itself even if it has relays; nil means false.
 	ReadsDirectly func() bool
 
-	tail tail // newest records that this host has read directly
+	tail tail // newest records that this host has read
 
 	mu           sync.Mutex
 	directDown   bool
@@ -126,6 +126,14 @@
 // Read implements journaler.Log. A read that waits for records may be served by a relay and may then miss the records of the
 // last second; a read that does not wait returns what is in the log.
 func (f *FallbackLog) Read(ctx context.Context, from model.Offset, wait time.Duration) (journaler.Batch, error) {
+	b, err := f.read(ctx, from, wait)
+	if err == nil {
+		f.tail.add(from, b)
+	}
+	return b, err
+}
+
+func (f *FallbackLog) read(ctx context.Context, from model.Offset, wait time.Duration) (journaler.Batch, error) {
 	if wait > 0 {
 		b, ok := f.readThroughRelay(ctx, from, wait)
 		if ok {
@@ -145,17 +153,28 @@
 // readDirectly reads over the direct connection. After a failure, the caller retries and the retry goes to a peer.
 func (f *FallbackLog) readDirectly(ctx context.Context, from model.Offset, wait time.Duration) (journaler.Batch, error) {
 	start := time.Now()
-	b, err := f.Direct.Read(ctx, from, wait)
+	b, err := readConfirmed(ctx, f.Direct, from, wait)
 	f.Metrics.countRead(f.Name, sourceDirect, b.Records, time.Since(start), err)
-	if err == nil {
-		f.tail.add(from, b, time.Now())
-	}
 	if !isLogResponse(err) && ctx.Err() != context.Canceled {
 		f.markDirectDown(err)
 	}
 	return b, err
 }
 
+// readConfirmed reads from the log itself and sets when the end of the log was confirmed: when the request was sent, or after
+// the wait if no record has arrived.
+func readConfirmed(ctx context.Context, l journaler.Log, from model.Offset, wait time.Duration) (journaler.Batch, error) {
+	start := time.Now()
+	b, err := l.Read(ctx, from, wait)
+	if err == nil {
+		b.ConfirmedAt = start
+	}
+	if now := time.Now(); err == nil && len(b.Records) == 0 && now.Sub(start) >= wait {
+		b.ConfirmedAt = start.Add(wait)
+	}
+	return b, err
+}
+
 // ReadNewest implements journaler.Log.
 func (f *FallbackLog) ReadNewest(ctx context.Context, after string) (journaler.Page, error) {
 	start := time.Now()
--- a/internal/peerlog/relay.go
+++ b/internal/peerlog/relay.go
@@ -82,11 +82,12 @@
 
 func (f *FallbackLog) readTailOf(ctx context.Context, addr string, from model.Offset, wait time.Duration) (journaler.Batch, error) {
 	params := readParams{Log: f.Name, From: from, WaitMS: model.Millis(wait.Milliseconds()), Tail: tailOnly}
+	sentAt := time.Now()
 	resp, err := f.Peers.callPeer(ctx, addr, methodRead, params)
 	if err != nil {
 		return journaler.Batch{}, err
 	}
-	return resp.batch()
+	return resp.batch(sentAt)
 }
 
 // pickRelay returns the first relay that has not failed recently.
--- a/internal/peerlog/relay_test.go
+++ b/internal/peerlog/relay_test.go
@@ -107,6 +107,32 @@
 	}
 }
 
+// Guards against a host that has a record, but keeps it from its neighbours because it did not read it from the log itself.
+func TestHostServesRecordsThatItGotThroughRelay(t *testing.T) {
+	is := is.New(t)
+	l, relay, reader := relayPair(t)
+	third := newHost(t, l, func() []string { return []string{reader.addr} })
+	_, err := l.Append("jobs", recordsWithKey("a"), journaler.AppendCondition{})
+	is.NoErr(err)
+	_, err = relay.log.Read(t.Context(), 0, 0)
+	is.NoErr(err)
+	for _, h := range []*testHost{relay, reader, third} {
+		h.fault.Store(log.FaultUnavailable)
+	}
+	before := time.Now()
+	b, err := reader.log.Read(t.Context(), 0, time.Second)
+	is.NoErr(err)
+	is.True(b.ConfirmedAt.Before(before)) // the end of the log was confirmed when the relay read it
+	_, err = third.log.Append(t.Context(), recordsWithKey("b"), journaler.AppendCondition{})
+	is.True(err != nil)
+	is.True(third.log.DirectDown())
+	time.Sleep(peerBackoff) // the append has failed at the reader
+	b, err = third.log.Read(t.Context(), 0, time.Second)
+	is.NoErr(err)
+	is.Equal(b.Records[0].Key, "a")
+	is.True(time.Since(b.ConfirmedAt) > peerBackoff)
+}
+
 // Guards against a read of the end of the log that misses records because a relay answers it.
 func TestReadWithoutWaitGoesToTheLog(t *testing.T) {
 	is := is.New(t)
@@ -137,7 +163,8 @@
 			for i := range rapid.IntRange(0, 8).Draw(rt, "records") {
 				b.Records = append(b.Records, journaler.Record{Key: "k", Value: value, Offset: from + model.Offset(i)})
 			}
-			tl.add(from, b, time.Now())
+			b.ConfirmedAt = time.Now()
+			tl.add(from, b)
 			at := model.Offset(rapid.IntRange(0, 40).Draw(rt, "at"))
 			got, ok := tl.read(context.Background(), at, 0)
 			if ok && at >= tl.end && len(got.Records) > 0 {
--- a/internal/peerlog/server.go
+++ b/internal/peerlog/server.go
@@ -89,9 +89,10 @@
 		if err != nil {
 			return err
 		}
+		arrivedAt := time.Now()
 		b, err := f.readForPeer(ctx, p)
 		f.Metrics.countServed(f.Name, b.Records)
-		return errors.CombineErrors(err, resp.setBatch(b))
+		return errors.CombineErrors(err, resp.setBatch(b, arrivedAt))
 	case methodNewest:
 		var p newestParams
 		direct, f, err := s.decodeDirect(params, &p, func() string { return p.Log })
@@ -152,7 +153,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
-	b, err := direct.Read(ctx, p.From, wait)
+	b, err := readConfirmed(ctx, direct, p.From, wait)
 	b.Records = limitBytes(b.Records)
 	return b, err
 }
--- a/internal/peerlog/tail.go
+++ b/internal/peerlog/tail.go
@@ -15,35 +15,44 @@
 	// maxResponseBytes bounds the records of one response to a peer, unless the first record alone is larger. A link of
 	// 10 Mbit/s carries it in a third of probeReadTimeout.
 	maxResponseBytes = 64 << 10
-	// tailFreshness is how long after a read of the log the tail counts as its end. A long poll and the pause between two
-	// polls take less; a longer time would delay the peers of a host that has lost the log.
+	// tailFreshness is how long the end of the tail counts as the end of the log after it was confirmed. A long poll and the pause
+	// between two polls take less; a longer time would delay the peers of a host that has lost the log.
 	tailFreshness = 1300 * time.Millisecond
 )
 
-// tail holds the newest records that this host has read from the log itself, to serve the reads of its peers. The zero value
-// is empty.
+// tail holds the newest records that this host has read, from the log or through another host, to serve the reads of its peers.
+// The zero value is empty.
 type tail struct {
-	mu         sync.Mutex
-	records    []journaler.Record // consecutive records, the last of which has the offset end-1
-	bytes      int                // size of records
-	end        model.Offset
-	freshUntil time.Time     // until then, end counts as the end of the log
-	changed    chan struct{} // closed when records are added; nil if no read waits
+	mu          sync.Mutex
+	filled      bool               // add was called
+	records     []journaler.Record // consecutive records, the last of which has the offset end-1
+	bytes       int                // size of records
+	end         model.Offset
+	confirmedAt time.Time     // time at which end was the end of the log; zero means unknown
+	changed     chan struct{} // closed when records are added; nil if no read waits
 }
 
 // add adds the result of a read that started at an offset. Records that do not follow the known ones replace them.
-func (t *tail) add(from model.Offset, b journaler.Batch, now time.Time) {
+func (t *tail) add(from model.Offset, b journaler.Batch) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.freshUntil.IsZero() || from > t.end || from < t.first() {
-		t.records, t.bytes, t.end = nil, 0, from
+	if !t.filled || from > t.end || from < t.first() {
+		t.filled = true
+		t.records, t.bytes, t.end, t.confirmedAt = nil, 0, from, time.Time{}
 	}
-	t.freshUntil = now.Add(tailFreshness)
 	known := min(int(t.end-from), len(b.Records))
-	if known == len(b.Records) {
+	t.append(b.Records[known:])
+	if t.end >= b.EndOffset && b.ConfirmedAt.After(t.confirmedAt) {
+		t.confirmedAt = b.ConfirmedAt
+	}
+}
+
+// append adds records at the end and wakes the reads that wait for them. The caller holds t.mu.
+func (t *tail) append(records []journaler.Record) {
+	if len(records) == 0 {
 		return
 	}
-	for _, r := range b.Records[known:] {
+	for _, r := range records {
 		t.records = append(t.records, r)
 		t.bytes += recordBytes(r)
 		t.end++
@@ -106,20 +115,21 @@
 func (t *tail) tryRead(from model.Offset) (b journaler.Batch, next *tailWait, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	b.EndOffset = t.end
+	b.EndOffset, b.ConfirmedAt = t.end, t.confirmedAt
+	freshUntil := t.confirmedAt.Add(tailFreshness)
 	switch {
-	case t.freshUntil.IsZero() || from < t.first():
+	case !t.filled || from < t.first():
 		return b, nil, false
 	case from < t.end:
 		b.Records = limitBytes(t.records[from-t.first():])
 		return b, nil, true
-	case !time.Now().Before(t.freshUntil):
+	case !time.Now().Before(freshUntil):
 		return b, nil, false
 	}
 	if t.changed == nil {
 		t.changed = make(chan struct{})
 	}
-	return b, &tailWait{changed: t.changed, freshUntil: t.freshUntil}, true
+	return b, &tailWait{changed: t.changed, freshUntil: freshUntil}, true
 }
 
 // limitBytes returns a copy of the first records that fit into one response.
--- a/internal/peerlog/wire.go
+++ b/internal/peerlog/wire.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/gob"
 	"io"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -75,6 +76,10 @@
 type packedBatch struct {
 	Records   []byte       `json:"records,omitempty"` // see packRecords
 	EndOffset model.Offset `json:"end"`
+	// AgeMS is the time since the log was known to end at EndOffset, and HeldMS the time between the request and the response.
+	// The receiver computes from them when that was, without a common clock. AgeMS is negative if it is unknown.
+	AgeMS  model.Millis `json:"age-ms"`
+	HeldMS model.Millis `json:"held-ms,omitempty"`
 }
 
 // packedPage is a page of newest records in compressed form.
@@ -102,10 +107,14 @@
 	return records, err
 }
 
-// setBatch stores the result of methodRead.
-func (r *response) setBatch(b journaler.Batch) error {
+// setBatch stores the result of a call of methodRead that arrived at a time.
+func (r *response) setBatch(b journaler.Batch, arrivedAt time.Time) error {
 	packed, err := packRecords(b.Records)
-	r.Batch = &packedBatch{Records: packed, EndOffset: b.EndOffset}
+	now := time.Now()
+	r.Batch = &packedBatch{Records: packed, EndOffset: b.EndOffset, HeldMS: model.Millis(now.Sub(arrivedAt).Milliseconds()), AgeMS: -1}
+	if !b.ConfirmedAt.IsZero() {
+		r.Batch.AgeMS = model.Millis(now.Sub(b.ConfirmedAt).Milliseconds()) + 1 // rounded up
+	}
 	return err
 }
 
@@ -116,13 +125,17 @@
 	return err
 }
 
-// batch returns the result of methodRead.
-func (r *response) batch() (journaler.Batch, error) {
+// batch returns the result of a call of methodRead that was sent at a time.
+func (r *response) batch(sentAt time.Time) (journaler.Batch, error) {
 	if r.Batch == nil {
 		return journaler.Batch{}, errors.New("peerlog: the peer responded to a read without a batch; it may run another version")
 	}
 	records, err := unpackRecords(r.Batch.Records)
-	return journaler.Batch{Records: records, EndOffset: r.Batch.EndOffset}, err
+	b := journaler.Batch{Records: records, EndOffset: r.Batch.EndOffset}
+	if r.Batch.AgeMS >= 0 {
+		b.ConfirmedAt = sentAt.Add(time.Duration(r.Batch.HeldMS-r.Batch.AgeMS) * time.Millisecond)
+	}
+	return b, err
 }
 
 // page returns the result of methodNewest.
