--- a/internal/watchdog/watchdog.go
+++ b/internal/watchdog/watchdog.go
@@ -35,7 +35,9 @@
 func WithLimits(parent context.Context, l Limits) (context.Context, context.CancelFunc) {
 	now := time.Now()
 	t := &transfer{Context: parent, done: make(chan struct{}), endsAt: now.Add(l.Start), stall: l.Stall, lastAt: now.Add(max(l.Start, l.Total))}
+	t.mu.Lock()
 	t.timer = time.AfterFunc(l.Start, t.check)
+	t.mu.Unlock()
 	stop := context.AfterFunc(parent, func() { t.end(parent.Err()) })
 	return t, func() {
 		stop()
--- a/internal/watchdog/watchdog_test.go
+++ b/internal/watchdog/watchdog_test.go
@@ -62,3 +62,12 @@
 	defer cancelChild()
 	is.Equal(child.Err(), context.Canceled)
 }
+
+// Guards against a data race, and a crash, when the time of a transfer is over at once.
+func TestTransferWithoutTime(t *testing.T) {
+	for range 1000 {
+		ctx, cancel := WithLimits(t.Context(), Limits{})
+		<-ctx.Done()
+		cancel()
+	}
+}
