--- a/internal/coordinator/election.go
+++ b/internal/coordinator/election.go
@@ -12,19 +12,16 @@
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
-// keyAfterAllRecords sorts after the keys of all records, so that a read of the newest records from there on transfers none.
-const keyAfterAllRecords = "~"
-
 // measureLogRoundTrip sets the election delay according to the round-trip time to the log. It measures the second call,
 // because the first one opens the connection. If the first call fails, it measures the time until the failure.
 func (c *Coordinator) measureLogRoundTrip(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
 	start := time.Now()
-	_, err := c.cfg.Log.ReadNewest(ctx, keyAfterAllRecords)
+	_, err := c.cfg.Log.ReadNewest(ctx, journaler.KeyAfterAll)
 	if err == nil {
 		start = time.Now()
-		_, err = c.cfg.Log.ReadNewest(ctx, keyAfterAllRecords)
+		_, err = c.cfg.Log.ReadNewest(ctx, journaler.KeyAfterAll)
 	}
 	rtt := time.Since(start)
 	c.mu.Lock()
--- a/internal/journaler/cursor.go
+++ b/internal/journaler/cursor.go
@@ -15,6 +15,7 @@
 type Cursor struct {
 	nextOffset model.Offset // offset of the next record to read
 	loaded     bool         // whether a snapshot has been read and its records are still followed
+	snapshot   SnapshotLoader
 }
 
 // Update is the result of one Cursor.Read.
@@ -50,33 +51,10 @@
 // loadSnapshot reads the newest record of each key. The next update starts with the first record that was appended after the
 // first page of the snapshot was read.
 func (c *Cursor) loadSnapshot(ctx context.Context, log Log) (Update, error) {
-	records, next, err := readAllNewest(ctx, log)
+	records, next, err := c.snapshot.Load(ctx, log)
 	if err != nil {
 		return Update{}, err
 	}
 	c.nextOffset, c.loaded = next, true
 	return Update{Records: records, NextOffset: next, IsSnapshot: true}, nil
 }
-
-// readAllNewest reads all pages of the newest record of each key and returns them with the end offset of the log at the time
-// of the first page.
-func readAllNewest(ctx context.Context, log Log) ([]Record, model.Offset, error) {
-	var all []Record
-	next, after := model.Offset(-1), ""
-	for {
-		pageCtx, cancel := watchdog.WithLimits(ctx, watchdog.Limits{Start: loadTimeout, Stall: readTimeout, Total: maxTransferTime})
-		p, err := log.ReadNewest(pageCtx, after)
-		cancel()
-		if err != nil {
-			return nil, 0, err
-		}
-		if next < 0 {
-			next = p.EndOffset
-		}
-		all = append(all, p.Records...)
-		if !p.HasMore || len(p.Records) == 0 {
-			return all, next, nil
-		}
-		after = p.Records[len(p.Records)-1].Key
-	}
-}
--- a/internal/journaler/log.go
+++ b/internal/journaler/log.go
@@ -47,6 +47,8 @@
 	Records   []Record     `json:"records"`
 	HasMore   bool         `json:"more"` // whether further pages follow
 	EndOffset model.Offset `json:"end"`  // end of the log when the page was read
+	// ConfirmedAt is a time at which the log ended at EndOffset; zero means that it is unknown.
+	ConfirmedAt time.Time `json:"-"`
 }
 
 // ErrNotAppended reports that an append certainly had no effect, because the log refused it or was not reached. It may be
--- a/internal/journaler/record.go
+++ b/internal/journaler/record.go
@@ -1,9 +1,12 @@
 package journaler
 
 import (
+	"context"
 	"strconv"
 	"strings"
 
+	"github.com/cockroachdb/errors"
+
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
@@ -22,7 +25,8 @@
 	kindProgress     = "progress/"
 	keyTerm          = "term"
 	keyFleet         = "fleet"
-	kindHost         = "host/"
+	// kindHost sorts after all other kinds, so that a starting host can read the addresses alone, before it reads the jobs.
+	kindHost = "zhost/"
 )
 
 // Term is the record with which a host becomes leader. The leader writes it again to renew the term and to resign.
@@ -106,6 +110,27 @@
 	return encode(kindHost+string(h.Host), h)
 }
 
+// ReadHostAddresses reads the addresses of the entry hosts from the log, without the other records.
+func ReadHostAddresses(ctx context.Context, log Log) ([]HostAddress, error) {
+	loader := SnapshotLoader{after: strings.TrimSuffix(kindHost, "/")}
+	records, _, err := loader.Load(ctx, log)
+	if err != nil {
+		return nil, err
+	}
+	var out []HostAddress
+	for _, r := range records {
+		var h HostAddress
+		if kind, _ := splitKey(r.Key); kind != kindHost || len(r.Value) == 0 {
+			continue
+		}
+		if err := decode(r.Value, &h); err != nil {
+			return nil, errors.Wrapf(err, "journaler: decoding record %s", r.Key)
+		}
+		out = append(out, h)
+	}
+	return out, nil
+}
+
 // NewFleetRecord returns the record of the workers that a leader uses.
 //
 // The next leader must reach each of these workers or wait for the worker's lease to expire, even if the platform no longer
--- a/internal/peerlog/client.go
+++ b/internal/peerlog/client.go
@@ -268,9 +268,10 @@
 }
 
 func (l *remoteLog) readNewest(ctx context.Context, after string) (journaler.Page, error) {
-	resp, err := l.peers.call(ctx, methodNewest, newestParams{Log: l.name, After: after})
+	start := time.Now()
+	resp, err := l.peers.call(ctx, methodNewest, newestParams{Log: l.name, After: after, Tail: tailFirst})
 	if err != nil {
 		return journaler.Page{}, err
 	}
-	return resp.page()
+	return resp.page(start)
 }
--- a/internal/peerlog/fallback.go
+++ b/internal/peerlog/fallback.go
@@ -32,10 +32,14 @@
 	Metrics *Metrics
 	// Relays returns the addresses of the hosts through which this host can read the log, see RelayCandidates; nil means none.
 	Relays func() []string
+	// Neighbours returns the addresses of the other hosts of the failure domain, from which this host loads the newest records when
+	// it starts; nil means none.
+	Neighbours func() []string
 	// ReadsDirectly reports whether this host reads the log itself even if it has relays; nil means false.
 	ReadsDirectly func() bool
 
-	tail tail // newest records that this host has read
+	tail     tail     // latest records that this host has read
+	snapshot snapshot // newest record of each key, as far as this host has read
 
 	mu           sync.Mutex
 	directDown   bool
@@ -74,7 +78,7 @@
 	for {
 		time.Sleep(probeInterval)
 		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-		_, err := f.Direct.ReadNewest(ctx, probeKey)
+		_, err := f.Direct.ReadNewest(ctx, journaler.KeyAfterAll)
 		cancel()
 		if err == nil {
 			break
@@ -86,9 +90,6 @@
 	f.Logger.Info("connection restored", "dependency", "direct connection to the log "+f.Name)
 }
 
-// probeKey sorts after all keys in use, so that a probe transfers no records.
-const probeKey = "~"
-
 // isLogResponse reports whether the log was reached: err is nil or an error that only the log itself returns.
 func isLogResponse(err error) bool {
 	var mismatch *journaler.OffsetMismatchError
@@ -129,6 +130,7 @@
 	b, err := f.read(ctx, from, wait)
 	if err == nil {
 		f.tail.add(from, b)
+		f.snapshot.addRecords(from, b)
 	}
 	return b, err
 }
@@ -175,19 +177,38 @@
 	return b, err
 }
 
-// ReadNewest implements journaler.Log.
+// ReadNewest implements journaler.Log. Pages of a load of all newest records come from a neighbour if one has them.
 func (f *FallbackLog) ReadNewest(ctx context.Context, after string) (journaler.Page, error) {
+	waitUntil, isLoad := f.snapshot.startPage(after)
+	if !isLoad {
+		return f.readNewest(ctx, after)
+	}
+	p, err := f.readNewestNearby(ctx, after, waitUntil)
+	if errors.Is(err, errNoNeighbour) {
+		p, err = f.readNewest(ctx, after)
+	}
+	if err == nil {
+		f.snapshot.addPage(after, p)
+	}
+	return p, err
+}
+
+// readNewest reads a page of newest records over the direct connection, or through a peer while that is down.
+func (f *FallbackLog) readNewest(ctx context.Context, after string) (journaler.Page, error) {
 	start := time.Now()
 	if !f.DirectDown() {
 		p, err := f.Direct.ReadNewest(ctx, after)
 		f.Metrics.countRead(f.Name, sourceDirectNewest, p.Records, time.Since(start), err)
-		if err == nil {
-			return p, nil
+		if err != nil {
+			f.markDirectDown(err)
+			return p, err
 		}
-		f.markDirectDown(err)
-		return p, err
+		p.ConfirmedAt = start
+		return p, nil
 	}
 	p, err := (&remoteLog{peers: f.Peers, name: f.Name}).readNewest(ctx, after)
 	f.Metrics.countRead(f.Name, sourcePeerNewest, p.Records, time.Since(start), err)
 	return p, err
 }
+
+func (f *FallbackLog) readsDirectly() bool { return f.ReadsDirectly != nil && f.ReadsDirectly() }
--- a/internal/peerlog/metrics.go
+++ b/internal/peerlog/metrics.go
@@ -40,6 +40,8 @@
 	sourcePeer         source = "peer"          // a peer, while the direct connection is down
 	sourceDirectNewest source = "direct-newest" // a page of the newest records from the log itself
 	sourcePeerNewest   source = "peer-newest"   // a page of the newest records through a peer
+	// sourceNeighbourNewest is a page of the newest records that a host of the same failure domain keeps.
+	sourceNeighbourNewest source = "neighbour-newest"
 )
 
 // countRead records the outcome of a read that took a time and returned records.
--- a/internal/peerlog/relay.go
+++ b/internal/peerlog/relay.go
@@ -92,10 +92,7 @@
 
 // pickRelay returns the first relay that has not failed recently.
 func (f *FallbackLog) pickRelay() (addr string, ok bool) {
-	if f.Relays == nil || f.ReadsDirectly != nil && f.ReadsDirectly() {
-		return "", false
-	}
-	relays := f.Relays()
+	relays := f.relays()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
--- a/internal/peerlog/server.go
+++ b/internal/peerlog/server.go
@@ -75,7 +75,11 @@
 	switch method {
 	case methodAppend:
 		var p appendParams
-		direct, _, err := s.decodeDirect(params, &p, func() string { return p.Log })
+		f, err := s.decodeParams(params, &p, func() string { return p.Log })
+		if err != nil {
+			return err
+		}
+		direct, err := f.direct()
 		if err != nil {
 			return err
 		}
@@ -95,15 +99,14 @@
 		return errors.CombineErrors(err, resp.setBatch(b, arrivedAt))
 	case methodNewest:
 		var p newestParams
-		direct, f, err := s.decodeDirect(params, &p, func() string { return p.Log })
+		f, err := s.decodeParams(params, &p, func() string { return p.Log })
 		if err != nil {
 			return err
 		}
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		page, err := direct.ReadNewest(ctx, p.After)
+		arrivedAt := time.Now()
+		page, err := f.readNewestForPeer(ctx, p)
 		f.Metrics.countServed(f.Name, page.Records)
-		return errors.CombineErrors(err, resp.setPage(page))
+		return errors.CombineErrors(err, resp.setPage(page, arrivedAt))
 	}
 	return errors.Mark(errors.Newf("peerlog: no method %q", method), errInvalidCall)
 }
@@ -120,16 +123,6 @@
 	return f, nil
 }
 
-// decodeDirect decodes the parameters into p and returns the log that they name and the direct connection to it.
-func (s *Server) decodeDirect(params json.RawMessage, p any, name func() string) (journaler.Log, *FallbackLog, error) {
-	f, err := s.decodeParams(params, p, name)
-	if err != nil {
-		return nil, nil, err
-	}
-	direct, err := f.direct()
-	return direct, f, err
-}
-
 // direct returns the direct connection to the log, or errLogNotReached while it is down.
 func (f *FallbackLog) direct() (journaler.Log, error) {
 	if f.DirectDown() {
@@ -157,3 +150,24 @@
 	b.Records = limitBytes(b.Records)
 	return b, err
 }
+
+// readNewestForPeer serves a page of newest records from the snapshot if the peer allows it and the snapshot is recent, else over
+// the direct connection.
+func (f *FallbackLog) readNewestForPeer(ctx context.Context, p newestParams) (journaler.Page, error) {
+	if p.Tail != tailNever {
+		page, err := f.snapshot.page(p.After)
+		if err == nil || p.Tail == tailOnly {
+			return page, err
+		}
+	}
+	direct, err := f.direct()
+	if err != nil {
+		return journaler.Page{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	start := time.Now()
+	page, err := direct.ReadNewest(ctx, p.After)
+	page.ConfirmedAt = start
+	return page, err
+}
--- /dev/null
+++ b/internal/peerlog/snapshot.go
@@ -0,0 +1,189 @@
+package peerlog
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"chestnutmux.example/chestnutmux/internal/journaler"
+	"chestnutmux.example/chestnutmux/pkg/model"
+)
+
+const (
+	// maxSnapshotAge is the maximum age of a snapshot that a host serves to its neighbours. They read on from its end.
+	maxSnapshotAge = 5 * time.Second
+	// loadWait bounds how long a host waits for a host of its group that loads a snapshot, before it loads one itself.
+	loadWait = 3 * time.Second
+	// neighbourTimeout is the time until the response of a neighbour to a read of newest records begins.
+	neighbourTimeout = 300 * time.Millisecond
+	// maxNeighboursPerRead is the maximum number of neighbours that one read of newest records tries.
+	maxNeighboursPerRead = 4
+)
+
+// snapshot holds the newest record of each key, as far as this host has read the log, to serve its neighbours when they start.
+// The zero value is empty.
+type snapshot struct {
+	mu sync.Mutex
+	snapshotState
+}
+
+type snapshotState struct {
+	newest      map[string]journaler.Record
+	end         model.Offset // newest takes all records before end into account
+	confirmedAt time.Time    // time at which end was the end of the log
+	complete    bool         // all pages were added
+	loading     bool         // pages are being read
+	lastKey     string       // last key of the pages added so far, while loading
+	waitUntil   time.Time    // until then, a load waits for a host of its group that loads
+}
+
+// startPage records that the page after a key is about to be read. It reports whether the page belongs to a load of all
+// newest records, and until when the load may wait for other hosts.
+func (s *snapshot) startPage(after string) (waitUntil time.Time, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if after == "" {
+		waitUntil = s.waitUntil
+		if !s.loading {
+			waitUntil = time.Now().Add(loadWait)
+		}
+		s.snapshotState = snapshotState{loading: true, waitUntil: waitUntil}
+	}
+	return s.waitUntil, s.loading && after == s.lastKey
+}
+
+// addPage adds a page that was read after a key.
+func (s *snapshot) addPage(after string, p journaler.Page) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.loading || after != s.lastKey {
+		return
+	}
+	if s.newest == nil {
+		s.newest, s.end, s.confirmedAt = map[string]journaler.Record{}, p.EndOffset, p.ConfirmedAt
+	}
+	for _, r := range p.Records {
+		s.newest[r.Key] = r
+		s.lastKey = r.Key
+	}
+	s.end = min(s.end, p.EndOffset)
+	if p.ConfirmedAt.Before(s.confirmedAt) {
+		s.confirmedAt = p.ConfirmedAt
+	}
+	if !p.HasMore || len(p.Records) == 0 {
+		s.complete, s.loading, s.lastKey = true, false, ""
+	}
+}
+
+// addRecords adds the result of a read that started at an offset. A gap makes the snapshot useless.
+func (s *snapshot) addRecords(from model.Offset, b journaler.Batch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.complete {
+		return
+	}
+	if from > s.end {
+		s.snapshotState = snapshotState{}
+		return
+	}
+	for _, r := range b.Records {
+		if r.Offset < s.end {
+			continue
+		}
+		s.newest[r.Key] = r
+		if len(r.Value) == 0 {
+			delete(s.newest, r.Key)
+		}
+		s.end = r.Offset + 1
+	}
+	if s.end >= b.EndOffset && b.ConfirmedAt.After(s.confirmedAt) {
+		s.confirmedAt = b.ConfirmedAt
+	}
+}
+
+// page returns the newest records of the keys after a key, as many as fit into one response.
+func (s *snapshot) page(after string) (journaler.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.loading:
+		return journaler.Page{}, errLoading
+	case !s.complete || time.Since(s.confirmedAt) > maxSnapshotAge:
+		return journaler.Page{}, errLogNotReached
+	}
+	var records []journaler.Record
+	for _, k := range slices.Sorted(maps.Keys(s.newest)) {
+		if k > after {
+			records = append(records, s.newest[k])
+		}
+	}
+	p := journaler.Page{Records: limitBytes(records), EndOffset: s.end, ConfirmedAt: s.confirmedAt}
+	p.HasMore = len(p.Records) < len(records)
+	return p, nil
+}
+
+// errLoading reports that a host is loading a snapshot and will soon serve it.
+var errLoading = errors.New("peerlog: the host is loading a snapshot; retry soon")
+
+// readNewestNearby reads a page of newest records from a neighbour, so that it does not cross a link between regions. It returns
+// errNoNeighbour if no neighbour serves it.
+//
+// While a host of the group in front of this one loads a snapshot, it returns errLoading until waitUntil. When all hosts of a failure
+// domain start at once, one of each group loads from the log.
+func (f *FallbackLog) readNewestNearby(ctx context.Context, after string, waitUntil time.Time) (journaler.Page, error) {
+	relays := f.relays()
+	err := errNoNeighbour
+	for i, addr := range f.neighbours(relays) {
+		p, readErr := f.readNewestOf(ctx, addr, after)
+		if readErr == nil {
+			return p, nil
+		}
+		if slices.Contains(relays, addr) && errors.Is(readErr, errLoading) && time.Now().Before(waitUntil) {
+			err = errLoading
+		}
+		if i+1 == maxNeighboursPerRead {
+			break
+		}
+	}
+	return journaler.Page{}, err
+}
+
+// errNoNeighbour reports that no neighbour serves the newest records.
+var errNoNeighbour = errors.New("peerlog: no neighbour has the newest records")
+
+// relays returns the addresses of the hosts of the group in front of this one, or nil if this host reads the log itself.
+func (f *FallbackLog) relays() []string {
+	if f.Relays == nil || f.readsDirectly() {
+		return nil
+	}
+	return f.Relays()
+}
+
+// neighbours returns the addresses of the responding hosts to ask for newest records: the relays, then the others in random
+// order to spread the load.
+func (f *FallbackLog) neighbours(relays []string) []string {
+	if f.Neighbours == nil || f.readsDirectly() {
+		return nil
+	}
+	others := slices.DeleteFunc(slices.Clone(f.Neighbours()), func(addr string) bool { return slices.Contains(relays, addr) })
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return slices.DeleteFunc(slices.Concat(relays, others), f.Peers.inBackoff)
+}
+
+func (f *FallbackLog) readNewestOf(ctx context.Context, addr, after string) (journaler.Page, error) {
+	ctx, cancel := limitTransfer(ctx, neighbourTimeout)
+	defer cancel()
+	start := time.Now()
+	resp, err := f.Peers.callPeer(ctx, addr, methodNewest, newestParams{Log: f.Name, After: after, Tail: tailOnly})
+	var p journaler.Page
+	if err == nil {
+		p, err = resp.page(start)
+	}
+	f.Metrics.countRead(f.Name, sourceNeighbourNewest, p.Records, time.Since(start), err)
+	return p, err
+}
--- a/internal/peerlog/wire.go
+++ b/internal/peerlog/wire.go
@@ -34,19 +34,20 @@
 	Tail   tailUse      `json:"tail,omitempty"`
 }
 
-// tailUse says whether a peer may serve a read from its tail, which may miss the records of the last second.
+// tailUse says whether a peer may serve a read from the records that it keeps, which may miss those of the last seconds.
 type tailUse string
 
 const (
 	tailNever tailUse = ""      // the peer calls the log
-	tailFirst tailUse = "first" // the peer calls the log if its tail can't serve the read
+	tailFirst tailUse = "first" // the peer calls the log if the records that it keeps can't serve the read
 	tailOnly  tailUse = "only"  // the peer does not call the log
 )
 
 // newestParams are the parameters of methodNewest.
 type newestParams struct {
-	Log   string `json:"log"`
-	After string `json:"after"`
+	Log   string  `json:"log"`
+	After string  `json:"after"`
+	Tail  tailUse `json:"tail,omitempty"`
 }
 
 // failure identifies an error of the log in a response.
@@ -59,7 +60,8 @@
 	failureOffsetMismatch failure = "moved"
 	failureSequence       failure = "sequence"
 	failureTrimmed        failure = "trimmed"
-	failureLogNotReached  failure = "no-log" // the peer can't reach the log
+	failureLogNotReached  failure = "no-log"  // the peer can't reach the log
+	failureLoading        failure = "loading" // the peer is loading the records that it will keep
 )
 
 // response is the result of each method; Failure is empty when the call succeeded.
@@ -76,10 +78,7 @@
 type packedBatch struct {
 	Records   []byte       `json:"records,omitempty"` // see packRecords
 	EndOffset model.Offset `json:"end"`
-	// AgeMS is the time since the log was known to end at EndOffset, and HeldMS the time between the request and the response.
-	// The receiver computes from them when that was, without a common clock. AgeMS is negative if it is unknown.
-	AgeMS  model.Millis `json:"age-ms"`
-	HeldMS model.Millis `json:"held-ms,omitempty"`
+	confirmation
 }
 
 // packedPage is a page of newest records in compressed form.
@@ -87,6 +86,31 @@
 	Records   []byte       `json:"records,omitempty"` // see packRecords
 	HasMore   bool         `json:"more,omitempty"`
 	EndOffset model.Offset `json:"end"`
+	confirmation
+}
+
+// confirmation tells when the log was known to end at the end offset of a response, without a common clock of the hosts.
+type confirmation struct {
+	AgeMS  model.Millis `json:"age-ms"`            // time since the end was confirmed; negative if unknown
+	HeldMS model.Millis `json:"held-ms,omitempty"` // time between the arrival of the request and the response
+}
+
+// newConfirmation returns the confirmation for the response to a request that has arrived at a time.
+func newConfirmation(confirmedAt, arrivedAt time.Time) confirmation {
+	now := time.Now()
+	c := confirmation{AgeMS: -1, HeldMS: model.Millis(now.Sub(arrivedAt).Milliseconds())}
+	if !confirmedAt.IsZero() {
+		c.AgeMS = model.Millis(now.Sub(confirmedAt).Milliseconds()) + 1 // rounded up
+	}
+	return c
+}
+
+// confirmedAt returns when the end was confirmed, for the response to a request that was sent at a time; zero if unknown.
+func (c confirmation) confirmedAt(sentAt time.Time) time.Time {
+	if c.AgeMS < 0 {
+		return time.Time{}
+	}
+	return sentAt.Add(time.Duration(c.HeldMS-c.AgeMS) * time.Millisecond)
 }
 
 // packRecords compresses records. A configuration takes about a tenth of its size, which counts on hosts with slow links.
@@ -107,21 +131,17 @@
 	return records, err
 }
 
-// setBatch stores the result of a call of methodRead that arrived at a time.
+// setBatch stores the result of a call of methodRead that has arrived at a time.
 func (r *response) setBatch(b journaler.Batch, arrivedAt time.Time) error {
 	packed, err := packRecords(b.Records)
-	now := time.Now()
-	r.Batch = &packedBatch{Records: packed, EndOffset: b.EndOffset, HeldMS: model.Millis(now.Sub(arrivedAt).Milliseconds()), AgeMS: -1}
-	if !b.ConfirmedAt.IsZero() {
-		r.Batch.AgeMS = model.Millis(now.Sub(b.ConfirmedAt).Milliseconds()) + 1 // rounded up
-	}
+	r.Batch = &packedBatch{Records: packed, EndOffset: b.EndOffset, confirmation: newConfirmation(b.ConfirmedAt, arrivedAt)}
 	return err
 }
 
-// setPage stores the result of methodNewest.
-func (r *response) setPage(p journaler.Page) error {
+// setPage stores the result of a call of methodNewest that has arrived at a time.
+func (r *response) setPage(p journaler.Page, arrivedAt time.Time) error {
 	packed, err := packRecords(p.Records)
-	r.Page = &packedPage{Records: packed, HasMore: p.HasMore, EndOffset: p.EndOffset}
+	r.Page = &packedPage{Records: packed, HasMore: p.HasMore, EndOffset: p.EndOffset, confirmation: newConfirmation(p.ConfirmedAt, arrivedAt)}
 	return err
 }
 
@@ -131,20 +151,17 @@
 		return journaler.Batch{}, errors.New("peerlog: the peer responded to a read without a batch; it may run another version")
 	}
 	records, err := unpackRecords(r.Batch.Records)
-	b := journaler.Batch{Records: records, EndOffset: r.Batch.EndOffset}
-	if r.Batch.AgeMS >= 0 {
-		b.ConfirmedAt = sentAt.Add(time.Duration(r.Batch.HeldMS-r.Batch.AgeMS) * time.Millisecond)
-	}
-	return b, err
+	return journaler.Batch{Records: records, EndOffset: r.Batch.EndOffset, ConfirmedAt: r.Batch.confirmedAt(sentAt)}, err
 }
 
-// page returns the result of methodNewest.
-func (r *response) page() (journaler.Page, error) {
+// page returns the result of a call of methodNewest that was sent at a time.
+func (r *response) page(sentAt time.Time) (journaler.Page, error) {
 	if r.Page == nil {
 		return journaler.Page{}, errors.New("peerlog: the peer responded to a read of the newest records without a page; it may run another version")
 	}
 	records, err := unpackRecords(r.Page.Records)
-	return journaler.Page{Records: records, HasMore: r.Page.HasMore, EndOffset: r.Page.EndOffset}, err
+	p := journaler.Page{Records: records, HasMore: r.Page.HasMore, EndOffset: r.Page.EndOffset, ConfirmedAt: r.Page.confirmedAt(sentAt)}
+	return p, err
 }
 
 // setFailure records the error of a call to the log.
@@ -166,6 +183,8 @@
 		r.Failure = failureNotAppended
 	case errors.Is(err, journaler.ErrOutcomeUnknown):
 		r.Failure = failureOutcomeUnknown
+	case errors.Is(err, errLoading):
+		r.Failure = failureLoading
 	default:
 		r.Failure = failureLogNotReached
 	}
@@ -184,6 +203,8 @@
 		return &journaler.TrimmedError{FirstOffset: r.Offset}
 	case failureFenced:
 		return journaler.ErrFenced
+	case failureLoading:
+		return errLoading
 	case failureNotAppended:
 		return errors.Mark(errors.Newf("peerlog: the log refused the append of the peer: %s", r.Message), journaler.ErrNotAppended)
 	case failureOutcomeUnknown:
