--- a/internal/peerlog/snapshot.go
+++ b/internal/peerlog/snapshot.go
@@ -26,83 +26,101 @@
 )
 
 // snapshot holds the newest record of each key, as far as this host has read the log, to serve its neighbours when they start.
-// The zero value is empty.
+// While the host loads again, it serves what it had. The zero value is empty.
 type snapshot struct {
-	mu sync.Mutex
-	snapshotState
+	mu        sync.Mutex
+	content   *snapshotContent // nil before the first load has ended, and after a gap
+	load      *snapshotLoad    // nil while no load is under way
+	hasLoaded bool             // a load has ended
 }
 
-type snapshotState struct {
+type snapshotContent struct {
 	newest      map[string]journaler.Record
 	end         model.Offset // newest takes all records before end into account
 	confirmedAt time.Time    // time at which end was the end of the log
-	complete    bool         // all pages were added
-	loading     bool         // pages are being read
-	lastKey     string       // last key of the pages added so far, while loading
-	waitUntil   time.Time    // until then, a load waits for a host of its group that loads
+}
+
+// snapshotLoad is a load of all newest records, page by page.
+type snapshotLoad struct {
+	content   snapshotContent // of the pages added so far
+	lastKey   string          // last key of these pages
+	waitUntil time.Time       // until then, the load waits for a host of its group that loads
 }
 
 // startPage records that the page after a key is about to be read. It reports whether the page belongs to a load of all
-// newest records, and until when the load may wait for other hosts.
+// newest records, and until when the load may wait for other hosts. Only the first load of a process may wait.
 func (s *snapshot) startPage(after string) (waitUntil time.Time, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if after == "" {
-		waitUntil = s.waitUntil
-		if !s.loading {
+		switch {
+		case s.hasLoaded:
+		case s.load != nil:
+			waitUntil = s.load.waitUntil
+		default:
 			waitUntil = time.Now().Add(loadWait)
 		}
-		s.snapshotState = snapshotState{loading: true, waitUntil: waitUntil}
+		s.load = &snapshotLoad{waitUntil: waitUntil}
+	}
+	if s.load == nil || after != s.load.lastKey {
+		return time.Time{}, false
 	}
-	return s.waitUntil, s.loading && after == s.lastKey
+	return s.load.waitUntil, true
 }
 
 // addPage adds a page that was read after a key.
 func (s *snapshot) addPage(after string, p journaler.Page) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.loading || after != s.lastKey {
+	l := s.load
+	if l == nil || after != l.lastKey {
 		return
 	}
-	if s.newest == nil {
-		s.newest, s.end, s.confirmedAt = map[string]journaler.Record{}, p.EndOffset, p.ConfirmedAt
+	l.add(p)
+	if !p.HasMore || len(p.Records) == 0 {
+		s.content, s.load, s.hasLoaded = &l.content, nil, true
 	}
-	for _, r := range p.Records {
-		s.newest[r.Key] = r
-		s.lastKey = r.Key
+}
+
+func (l *snapshotLoad) add(p journaler.Page) {
+	c := &l.content
+	if c.newest == nil {
+		*c = snapshotContent{newest: map[string]journaler.Record{}, end: p.EndOffset, confirmedAt: p.ConfirmedAt}
 	}
-	s.end = min(s.end, p.EndOffset)
-	if p.ConfirmedAt.Before(s.confirmedAt) {
-		s.confirmedAt = p.ConfirmedAt
+	for _, r := range p.Records {
+		c.newest[r.Key] = r
+		l.lastKey = r.Key
 	}
-	if !p.HasMore || len(p.Records) == 0 {
-		s.complete, s.loading, s.lastKey = true, false, ""
+	c.end = min(c.end, p.EndOffset)
+	if p.ConfirmedAt.Before(c.confirmedAt) {
+		c.confirmedAt = p.ConfirmedAt
 	}
 }
 
-// addRecords adds the result of a read that started at an offset. A gap makes the snapshot useless.
+// addRecords adds the result of a read that started at an offset. After a gap, the newest record of a key is no longer known.
 func (s *snapshot) addRecords(from model.Offset, b journaler.Batch) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.complete {
+	c := s.content
+	if c == nil {
 		return
 	}
-	if from > s.end {
-		s.snapshotState = snapshotState{}
+	if from > c.end {
+		s.content = nil
 		return
 	}
 	for _, r := range b.Records {
-		if r.Offset < s.end {
+		if r.Offset < c.end {
 			continue
 		}
-		s.newest[r.Key] = r
+		c.newest[r.Key] = r
 		if len(r.Value) == 0 {
-			delete(s.newest, r.Key)
+			delete(c.newest, r.Key)
 		}
-		s.end = r.Offset + 1
+		c.end = r.Offset + 1
 	}
-	if s.end >= b.EndOffset && b.ConfirmedAt.After(s.confirmedAt) {
-		s.confirmedAt = b.ConfirmedAt
+	if c.end >= b.EndOffset && b.ConfirmedAt.After(c.confirmedAt) {
+		c.confirmedAt = b.ConfirmedAt
 	}
 }
 
@@ -110,19 +128,20 @@
 func (s *snapshot) page(after string) (journaler.Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	c := s.content
 	switch {
-	case s.loading:
+	case c == nil && s.load != nil:
 		return journaler.Page{}, errLoading
-	case !s.complete || time.Since(s.confirmedAt) > maxSnapshotAge:
+	case c == nil || time.Since(c.confirmedAt) > maxSnapshotAge:
 		return journaler.Page{}, errLogNotReached
 	}
 	var records []journaler.Record
-	for _, k := range slices.Sorted(maps.Keys(s.newest)) {
+	for _, k := range slices.Sorted(maps.Keys(c.newest)) {
 		if k > after {
-			records = append(records, s.newest[k])
+			records = append(records, c.newest[k])
 		}
 	}
-	p := journaler.Page{Records: limitBytes(records), EndOffset: s.end, ConfirmedAt: s.confirmedAt}
+	p := journaler.Page{Records: limitBytes(records), EndOffset: c.end, ConfirmedAt: c.confirmedAt}
 	p.HasMore = len(p.Records) < len(records)
 	return p, nil
 }
--- a/internal/peerlog/snapshot_test.go
+++ b/internal/peerlog/snapshot_test.go
@@ -87,6 +87,24 @@
 	is.Equal(reader.log.Metrics.Reads.Get("jobs/direct-newest/ok"), nil)
 }
 
+// Guards against hosts that wait for each other, or have nothing to serve, because they load again after a failed read.
+func TestReloadNeitherWaitsNorHidesSnapshot(t *testing.T) {
+	is := is.New(t)
+	l, relay, reader := relayPair(t)
+	reader.log.Neighbours = func() []string { return []string{relay.addr} }
+	_, err := l.Append("jobs", recordsWithKey("a"), journaler.AppendCondition{})
+	is.NoErr(err)
+	relay.loadAll(t, &journaler.SnapshotLoader{})
+	relay.log.snapshot.startPage("") // the relay loads again
+	p, err := reader.log.ReadNewest(t.Context(), "")
+	is.NoErr(err)
+	is.Equal(len(p.Records), 1)
+	relay.log.snapshot.addRecords(9, journaler.Batch{}) // a gap
+	_, err = reader.log.ReadNewest(t.Context(), "")
+	is.NoErr(err)
+	is.Equal(reader.log.Metrics.Reads.Get("jobs/direct-newest/ok").String(), "1")
+}
+
 // Guards against a host that never starts because the host in front of it does not end its load, or is too old.
 func TestHostLoadsDirectlyWithoutFreshNeighbour(t *testing.T) {
 	is := is.New(t)
