Let hosts wait for a relay that is receiving a large record

A configuration reached hosts with slow links 4.5 s late in TestLargeConfigurationIsInForceInTime, in 5 of 8 runs with four at a time.

Cause: a relay counts as up to date for 1.3 s after its last read. A record of 500 KB takes longer over a slow link, so its seven readers called the log as well; eight copies on one link took 1.7 s each instead of 0.4, and every later version went the same way.

Evidence: the log of a failing run shows 'the log was not reached' from the relay before each direct read, and direct reads of 1.7 s on relay and readers alike.

Change: while parts of a response arrive, the relay counts as up to date, for 3 s at most.

TestHostWaitsForRelayThatReceivesLargeRecord fails without the change.

--- a/internal/peerlog/fallback.go
+++ b/internal/peerlog/fallback.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"chestnutmux.example/chestnutmux/internal/journaler"
+	"chestnutmux.example/chestnutmux/internal/watchdog"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
@@ -155,7 +156,7 @@
 // readDirectly reads over the direct connection. After a failure, the caller retries and the retry goes to a peer.
 func (f *FallbackLog) readDirectly(ctx context.Context, from model.Offset, wait time.Duration) (journaler.Batch, error) {
 	start := time.Now()
-	b, err := readConfirmed(ctx, f.Direct, from, wait)
+	b, err := readConfirmed(watchdog.Observe(ctx, f.tail.markReceiving), f.Direct, from, wait)
 	f.Metrics.countRead(f.Name, sourceDirect, b.Records, time.Since(start), err)
 	if !isLogResponse(err) && ctx.Err() != context.Canceled {
 		f.markDirectDown(err)
--- a/internal/peerlog/relay_test.go
+++ b/internal/peerlog/relay_test.go
@@ -12,6 +12,7 @@
 
 	"chestnutmux.example/chestnutmux/internal/fake/log"
 	"chestnutmux.example/chestnutmux/internal/journaler"
+	"chestnutmux.example/chestnutmux/internal/watchdog"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
@@ -133,6 +134,30 @@
 	is.True(time.Since(b.ConfirmedAt) > peerBackoff)
 }
 
+// Guards against hosts that all read a large record over one link, because their relay takes longer than usual to receive it.
+func TestHostWaitsForRelayThatReceivesLargeRecord(t *testing.T) {
+	is := is.New(t)
+	_, relay, reader := relayPair(t)
+	relay.log.tail.add(0, journaler.Batch{ConfirmedAt: time.Now().Add(-2 * time.Second)})
+	ctx := watchdog.Observe(t.Context(), relay.log.tail.markReceiving)
+	watchdog.Progress(ctx)
+	go func() {
+		for range 10 {
+			time.Sleep(receivingFreshness / 5)
+			watchdog.Progress(ctx)
+		}
+		relay.log.tail.add(0, journaler.Batch{Records: []journaler.Record{{Key: "large"}}, EndOffset: 1, ConfirmedAt: time.Now()})
+	}()
+	b, err := reader.log.Read(t.Context(), 0, 2*time.Second)
+	is.NoErr(err)
+	is.Equal(b.Records[0].Key, "large")
+	is.Equal(reader.readCount(sourceDirect), "0")
+	relay.log.tail.add(1, journaler.Batch{})
+	_, err = reader.log.Read(t.Context(), 1, tailFreshness+maxReceivingTime)
+	is.NoErr(err)
+	is.Equal(reader.readCount(sourceDirect), "1") // the relay has stopped receiving
+}
+
 // Guards against a read of the end of the log that misses records because a relay answers it.
 func TestReadWithoutWaitGoesToTheLog(t *testing.T) {
 	is := is.New(t)
--- a/internal/peerlog/tail.go
+++ b/internal/peerlog/tail.go
@@ -18,6 +18,11 @@
 	// tailFreshness is how long the end of the tail counts as the end of the log after it was confirmed. A long poll and the pause
 	// between two polls take less; a longer time would delay the peers of a host that has lost the log.
 	tailFreshness = 1300 * time.Millisecond
+	// receivingFreshness is how long the end of the tail counts as the end of the log after the response to a read was seen to
+	// arrive. A large record takes longer than tailFreshness over a slow link; peers that read it as well would slow it down.
+	receivingFreshness = 500 * time.Millisecond
+	// maxReceivingTime limits by how much receivingFreshness extends tailFreshness.
+	maxReceivingTime = 3 * time.Second
 )
 
 // tail holds the newest records that this host has read, from the log or through another host, to serve the reads of its peers.
@@ -29,6 +34,7 @@
 	bytes       int                // size of records
 	end         model.Offset
 	confirmedAt time.Time     // time at which end was the end of the log; zero means unknown
+	receivedAt  time.Time     // time at which a part of a response has arrived last
 	changed     chan struct{} // closed when records are added; nil if no read waits
 }
 
@@ -47,6 +53,25 @@
 	}
 }
 
+// markReceiving records that a part of the response to a read has arrived.
+func (t *tail) markReceiving(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.receivedAt = now
+}
+
+// freshUntil returns until when the end of the tail counts as the end of the log. The caller holds t.mu.
+func (t *tail) freshUntil() time.Time {
+	at, latest := t.confirmedAt.Add(tailFreshness), t.confirmedAt.Add(tailFreshness+maxReceivingTime)
+	if receiving := t.receivedAt.Add(receivingFreshness); receiving.After(at) {
+		at = receiving
+	}
+	if at.After(latest) {
+		return latest
+	}
+	return at
+}
+
 // append adds records at the end and wakes the reads that wait for them. The caller holds t.mu.
 func (t *tail) append(records []journaler.Record) {
 	if len(records) == 0 {
@@ -116,7 +141,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	b.EndOffset, b.ConfirmedAt = t.end, t.confirmedAt
-	freshUntil := t.confirmedAt.Add(tailFreshness)
+	freshUntil := t.freshUntil()
 	switch {
 	case !t.filled || from < t.first():
 		return b, nil, false
--- a/internal/watchdog/watchdog.go
+++ b/internal/watchdog/watchdog.go
@@ -14,13 +14,20 @@
 	Total time.Duration // longest time of the whole transfer
 }
 
-// transferKey is the key under which a context holds its innermost transfer.
-type transferKey struct{}
+// observerKey is the key under which a context holds its innermost observer.
+type observerKey struct{}
+
+// observer is told about the progress of a transfer.
+type observer struct {
+	notify func(now time.Time)
+	parent context.Context // holds the next observer
+}
 
 // transfer is a context that ends when a transfer stalls. It implements context.Context.
 type transfer struct {
 	context.Context // the parent
 	done            chan struct{}
+	observer        observer
 
 	mu     sync.Mutex
 	err    error // why done is closed
@@ -35,6 +42,7 @@
 func WithLimits(parent context.Context, l Limits) (context.Context, context.CancelFunc) {
 	now := time.Now()
 	t := &transfer{Context: parent, done: make(chan struct{}), endsAt: now.Add(l.Start), stall: l.Stall, lastAt: now.Add(max(l.Start, l.Total))}
+	t.observer = observer{notify: t.progress, parent: parent}
 	t.mu.Lock()
 	t.timer = time.AfterFunc(l.Start, t.check)
 	t.mu.Unlock()
@@ -48,11 +56,16 @@
 // Progress reports that data has arrived for the transfers that use ctx.
 func Progress(ctx context.Context) {
 	now := time.Now()
-	for t, ok := ctx.Value(transferKey{}).(*transfer); ok; t, ok = t.Context.Value(transferKey{}).(*transfer) {
-		t.progress(now)
+	for o, ok := ctx.Value(observerKey{}).(*observer); ok; o, ok = o.parent.Value(observerKey{}).(*observer) {
+		o.notify(now)
 	}
 }
 
+// Observe returns a context whose transfers also report their progress to notify.
+func Observe(parent context.Context, notify func(now time.Time)) context.Context {
+	return context.WithValue(parent, observerKey{}, &observer{notify: notify, parent: parent})
+}
+
 func (t *transfer) progress(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -112,8 +125,8 @@
 
 // Value implements context.Context.
 func (t *transfer) Value(key any) any {
-	if _, ok := key.(transferKey); ok {
-		return t
+	if _, ok := key.(observerKey); ok {
+		return &t.observer
 	}
 	return t.Context.Value(key)
 }
--- a/internal/watchdog/watchdog_test.go
+++ b/internal/watchdog/watchdog_test.go
@@ -13,7 +13,9 @@
 func TestTransferEndsWhenItStalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		outer, cancelOuter := WithLimits(t.Context(), Limits{Start: 300 * time.Millisecond, Stall: 200 * time.Millisecond, Total: time.Minute})
+		observed := 0
+		ctx := Observe(t.Context(), func(time.Time) { observed++ })
+		outer, cancelOuter := WithLimits(ctx, Limits{Start: 300 * time.Millisecond, Stall: 200 * time.Millisecond, Total: time.Minute})
 		defer cancelOuter()
 		inner, cancel := WithLimits(outer, Limits{Start: 100 * time.Millisecond, Stall: 150 * time.Millisecond, Total: time.Minute})
 		defer cancel()
@@ -24,6 +26,7 @@
 		synctest.Wait()
 		is.NoErr(inner.Err())
 		is.NoErr(outer.Err())
+		is.Equal(observed, 50)
 		start := time.Now()
 		<-inner.Done()
 		is.Equal(time.Since(start), 150*time.Millisecond)
