--- a/internal/journaler/cursor.go
+++ b/internal/journaler/cursor.go
@@ -51,10 +51,10 @@
 // loadSnapshot reads the newest record of each key. The next update starts with the first record that was appended after the
 // first page of the snapshot was read.
 func (c *Cursor) loadSnapshot(ctx context.Context, log Log) (Update, error) {
-	records, next, err := c.snapshot.Load(ctx, log)
+	s, err := c.snapshot.Load(ctx, log)
 	if err != nil {
 		return Update{}, err
 	}
-	c.nextOffset, c.loaded = next, true
-	return Update{Records: records, NextOffset: next, IsSnapshot: true}, nil
+	c.nextOffset, c.loaded = s.NextOffset, true
+	return Update{Records: s.Records, NextOffset: s.NextOffset, IsSnapshot: true}, nil
 }
--- a/internal/journaler/record.go
+++ b/internal/journaler/record.go
@@ -113,12 +113,12 @@
 // ReadHostAddresses reads the addresses of the entry hosts from the log, without the other records.
 func ReadHostAddresses(ctx context.Context, log Log) ([]HostAddress, error) {
 	loader := SnapshotLoader{after: strings.TrimSuffix(kindHost, "/")}
-	records, _, err := loader.Load(ctx, log)
+	s, err := loader.Load(ctx, log)
 	if err != nil {
 		return nil, err
 	}
 	var out []HostAddress
-	for _, r := range records {
+	for _, r := range s.Records {
 		var h HostAddress
 		if kind, _ := splitKey(r.Key); kind != kindHost || len(r.Value) == 0 {
 			continue
--- a/internal/journaler/snapshot.go
+++ b/internal/journaler/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"chestnutmux.example/chestnutmux/internal/watchdog"
 	"chestnutmux.example/chestnutmux/pkg/model"
@@ -10,33 +11,40 @@
 // KeyAfterAll sorts after the keys of all records, so that a read of the newest records from there on transfers none.
 const KeyAfterAll = "~"
 
+// Snapshot is the newest record of each key of a log.
+type Snapshot struct {
+	Records     []Record
+	NextOffset  model.Offset // offset at which to continue reading
+	ConfirmedAt time.Time    // time at which the log ended at NextOffset; zero means that it is unknown
+}
+
 // SnapshotLoader reads the newest record of each key of a log, page by page. After a failure it continues with the page that has
 // failed, so that a slow link carries each page once. The zero value starts with the first page.
 type SnapshotLoader struct {
-	records []Record
-	next    model.Offset // lowest end of the log of the pages in records
-	after   string       // key after which the next page starts; empty before the first page
+	snapshot Snapshot // from the pages read so far
+	after    string   // key after which the next page starts; empty before the first page
 }
 
-// Load returns the newest record of each key and the offset at which to continue reading. This is the lowest end of the log of
-// all pages, because a later page may come from a host that knows less of the log.
-func (l *SnapshotLoader) Load(ctx context.Context, log Log) ([]Record, model.Offset, error) {
+// Load returns the newest record of each key. The reader continues at the lowest end of the log of all pages, because a later page
+// may come from a host that knows less of the log.
+func (l *SnapshotLoader) Load(ctx context.Context, log Log) (Snapshot, error) {
 	for {
 		p, err := l.readPage(ctx, log)
 		if err != nil {
-			return nil, 0, err
+			return Snapshot{}, err
 		}
-		if l.after == "" || p.EndOffset < l.next {
-			l.next = p.EndOffset
+		s := &l.snapshot
+		if isFirst := l.after == ""; isFirst || p.EndOffset < s.NextOffset {
+			s.NextOffset, s.ConfirmedAt = p.EndOffset, p.ConfirmedAt
 		}
-		l.records = append(l.records, p.Records...)
+		s.Records = append(s.Records, p.Records...)
 		if p.HasMore && len(p.Records) > 0 {
 			l.after = p.Records[len(p.Records)-1].Key
 			continue
 		}
-		records, next := l.records, l.next
+		out := *s
 		*l = SnapshotLoader{}
-		return records, next, nil
+		return out, nil
 	}
 }
 
--- a/internal/peerlog/snapshot_test.go
+++ b/internal/peerlog/snapshot_test.go
@@ -58,8 +58,8 @@
 // loadAll loads the newest record of each key with retries, as a follower does.
 func (h *testHost) loadAll(t *testing.T, loader *journaler.SnapshotLoader) (n int, next model.Offset) {
 	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
-		if records, next, err := loader.Load(t.Context(), h.log); err == nil {
-			return len(records), next
+		if s, err := loader.Load(t.Context(), h.log); err == nil {
+			return len(s.Records), s.NextOffset
 		}
 	}
 	t.Fatal("the snapshot was not loaded within 10 s")
@@ -149,12 +149,12 @@
 	is := is.New(t)
 	l, loader := &pageLog{keys: []string{"a", "b", "c"}}, journaler.SnapshotLoader{}
 	for range 2 {
-		_, _, err := loader.Load(t.Context(), l)
+		_, err := loader.Load(t.Context(), l)
 		is.True(err != nil)
 	}
-	records, next, err := loader.Load(t.Context(), l)
+	s, err := loader.Load(t.Context(), l)
 	is.NoErr(err)
-	is.Equal(len(records), 3)
-	is.Equal(next, model.Offset(18))
+	is.Equal(len(s.Records), 3)
+	is.Equal(s.NextOffset, model.Offset(18))
 	is.Equal(l.calls, []string{"", "a", "a", "b", "b"})
 }
--- a/internal/resolver/table.go
+++ b/internal/resolver/table.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
@@ -54,9 +55,41 @@
 	return ws, ok
 }
 
-// Resolver holds the current table; the zero value has none.
+// Resolver holds the current table and knows how old it can be; the zero value has none.
 type Resolver struct {
-	table atomic.Pointer[Table]
+	// MaxAge is the time for which the table counts as current after it was last confirmed; 0 means forever.
+	MaxAge time.Duration
+
+	table       atomic.Pointer[Table]
+	confirmedAt atomic.Pointer[time.Time] // nil before the first confirmation
+}
+
+// Confirm records that no newer table had been published at a time. It ignores earlier times than before, and the zero time.
+func (r *Resolver) Confirm(at time.Time) {
+	for {
+		old := r.confirmedAt.Load()
+		if at.IsZero() || old != nil && !at.After(*old) {
+			return
+		}
+		if r.confirmedAt.CompareAndSwap(old, &at) {
+			return
+		}
+	}
+}
+
+// Age returns how long ago the table was last confirmed as current; ok is false if it never was.
+func (r *Resolver) Age(now time.Time) (age time.Duration, ok bool) {
+	if at := r.confirmedAt.Load(); at != nil {
+		return now.Sub(*at), true
+	}
+	return 0, false
+}
+
+// IsCurrent reports whether the table was confirmed within MaxAge and a grace. A host whose table is not current does not know
+// whether a route or a key exists.
+func (r *Resolver) IsCurrent(now time.Time, grace time.Duration) bool {
+	age, ok := r.Age(now)
+	return r.MaxAge == 0 || ok && age < r.MaxAge+grace
 }
 
 // Table returns the current table, or nil if none was published.
