--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -269,10 +269,17 @@
 	w.raiseSuspicion(now, 1)
 	for _, r := range w.runs {
 		d.Metrics.Runs.Add("lapsed", 1)
+		d.logLostRun(r, "the lease of the worker has expired")
 		d.removeRun(r, now)
 	}
 }
 
+// logLostRun logs that a run has ended without a report of its worker, and how the last call to the worker failed.
+func (d *Dispatcher) logLostRun(r *run, reason string) {
+	d.Logger.Warn("run lost", "worker", r.worker.info.ID, "task", r.id.Task.String(), "run", r.id.Number, "state", r.state,
+		"percent", r.percentDone, "reason", reason, "last-error", r.worker.lastError, "incarnation", r.worker.incarnation)
+}
+
 // Resign announces the end of the term to the other hosts through the log, and then ends the term.
 func (d *Dispatcher) Resign() { d.post(&resignEvent{}) }
 
--- a/internal/dispatcher/report.go
+++ b/internal/dispatcher/report.go
@@ -23,7 +23,7 @@
 		d.Logger.Debug("worker responding", "worker", w.info.ID)
 		d.scheduleUpToDate = false
 	}
-	w.isResponding = true
+	w.isResponding, w.lastError = true, nil
 	w.clock, w.clockAt, w.lastReportAt = e.report.Clock, e.respondedAt, e.respondedAt
 	d.updateIncarnation(w, e.report.Incarnation)
 	if !w.hasReported {
@@ -57,7 +57,7 @@
 		w.raiseSuspicion(now, 1)
 		d.scheduleUpToDate = false
 	}
-	w.isResponding = false
+	w.isResponding, w.lastError = false, e.err
 	var refused *RefusedError
 	if errors.As(e.err, &refused) && refused.Reason == RefusedStaleFence {
 		d.endTerm("worker has seen a higher fencing token", "worker", w.info.ID)
@@ -116,8 +116,7 @@
 		started := !r.startConfirmedAt.IsZero() && r.startConfirmedAt.Before(e.sentAt)
 		stopped := !r.stopConfirmedAt.IsZero() && r.stopConfirmedAt.Before(e.sentAt)
 		if started || stopped {
-			d.Logger.Info("worker no longer reports a run, removing it", "worker", w.info.ID, "task", id.Task.String(), "run", id.Number,
-				"state", r.state)
+			d.logLostRun(r, "the worker no longer reports it")
 			d.Metrics.Runs.Add("vanished", 1)
 			d.removeRun(r, now)
 		}
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -14,6 +14,7 @@
 	hasReported       bool      // the worker has reported in this term, and so refuses requests of former leaders
 	formerLeaseEndsAt time.Time // time at which any lease granted by a former leader has certainly ended
 	isResponding      bool      // the worker responded to the last call
+	lastError         error     // error of the last renewal of the lease; nil after a success
 	runsRecorded      bool      // a former leader gave the worker no new tasks, and the log lists all its runs
 
 	clock            WorkerTime // clock of the worker at clockAt
