Give up a task under which three workers have crashed

One task crashed worker after worker for as long as its job was accepted; all other work on these workers was lost with them.

Cause: only ends that a worker reports as failed count as attempts. A run that ends with its worker made its task startable again once the lease had ended, without limit and without a line that names the task.

Change: a worker whose connections are closed or refused until its leases end, or that comes back as another process, has crashed; one that is only silent has not. The crash counts against runs there that had not worked for 1.5 s yet, or against all if there are none. A task with a crash starts alone on a worker, and nothing joins it until it has worked for 1.5 s, so that it takes no other work with it and the next crash is attributed without doubt; after 2 s it may share one. At the third crash the job fails. The count is part of the job's record, and the record of the fleet holds the incarnation of each worker, so that the next leader recognises a crash that it has not seen. Tasks that last are only counted for crashes at their start. Why it works: a fourth start needs a leader that has lost a count, a sixth two more.

--- /dev/null
+++ b/internal/dispatcher/crash.go
@@ -0,0 +1,103 @@
+package dispatcher
+
+import (
+	"io"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"chestnutmux.example/chestnutmux/pkg/model"
+)
+
+const (
+	// maxCrashes is the number of workers that may crash under a task before its job fails. The platform allows to give up after
+	// two; the third rules out a coincidence.
+	maxCrashes = 3
+	// provenTime is how long a run works before a crash of its worker is attributed to newer runs there, if there are any.
+	provenTime = 1500 * time.Millisecond
+	// isolationWait is how long a task under which a worker has crashed waits for a worker without other runs.
+	isolationWait = 2 * time.Second
+)
+
+// recordCallError notes whether a failed call shows that the process of a worker has ended: its connection was closed or refused,
+// or another worker uses its address. A worker that is cut off gives no such sign.
+func (w *worker) recordCallError(err error) {
+	w.lastError = err
+	var refused *RefusedError
+	switch {
+	case errors.As(err, &refused):
+		w.hasCrashed = refused.Reason == RefusedWrongWorker
+	case errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.ECONNREFUSED, syscall.EPIPE):
+		w.hasCrashed = true
+	}
+}
+
+// recordResponse notes that a worker has responded, so that it has not crashed.
+func (w *worker) recordResponse() { w.lastError, w.hasCrashed = nil, false }
+
+// attributeCrash counts the crash of a worker against the tasks that may have caused it: those of the runs that had not worked
+// for provenTime, or of all if there is no such run. A job whose task has crashed maxCrashes workers fails.
+func (d *Dispatcher) attributeCrash(lost []*run, now time.Time) {
+	var suspects []*run
+	for _, r := range lost {
+		if !r.isProven() {
+			suspects = append(suspects, r)
+		}
+	}
+	if len(suspects) == 0 {
+		suspects = lost
+	}
+	for _, r := range suspects {
+		if r.task == nil || r.crashCounted {
+			continue
+		}
+		r.crashCounted = true
+		if r.task.step.spec.LongRunning && r.isProven() {
+			r.task.crashes = 0 // such a task is started as often as its workers end, unless it ends them itself
+			continue
+		}
+		d.countCrash(r.task, r.worker, len(lost), now)
+	}
+}
+
+// isProven reports whether the worker has responded while the run had worked for provenTime.
+func (r *run) isProven() bool {
+	return r.state != runStarting && r.state != runUnconfirmed && !r.startConfirmedAt.IsZero() && r.worker.clockAt.Sub(r.startConfirmedAt) >= provenTime
+}
+
+// countCrash counts a crash of a worker against a task, and fails the job after the last one.
+func (d *Dispatcher) countCrash(t *task, w *worker, runs int, now time.Time) {
+	j := t.step.job
+	if t.done || j.state.IsFinal() {
+		return
+	}
+	t.crashes++
+	t.lastCrashAt = now
+	d.Metrics.Runs.Add("crashed", 1)
+	d.Logger.Warn("worker crashed under a task", "worker", w.info.ID, "job", j.submission.ID, "task", t.ref().String(), "crashes", t.crashes,
+		"most", maxCrashes, "runs", runs)
+	d.journal.markDirty(j, true)
+	if t.crashes >= maxCrashes {
+		d.endJob(j, model.JobFailed, "task "+t.ref().String()+" has crashed each worker that started it", now)
+	}
+}
+
+// isSuspect reports whether a worker has crashed under the task. It runs alone until its run is proven, so that it takes no other
+// work with it and a further crash can be attributed. Members of a gang are exempt, because they start together.
+func (t *task) isSuspect() bool { return t.crashes > 0 && !t.step.spec.Gang }
+
+// needsIsolation reports whether the task may only start on a worker without other runs.
+func (t *task) needsIsolation(now time.Time) bool {
+	return t.isSuspect() && now.Sub(t.lastCrashAt) < isolationWait
+}
+
+// hostsSuspect reports whether the worker runs a task that may crash it, so that it should get no other tasks.
+func (w *worker) hostsSuspect() bool {
+	for _, r := range w.runs {
+		if r.task != nil && r.task.isSuspect() && !r.isProven() {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -267,6 +269,9 @@
 	d.Logger.Warn("worker lease expired, dropping its runs", "worker", w.info.ID, "runs", len(w.runs),
 		"last-answer-ms", now.Sub(w.clockAt).Milliseconds())
 	w.raiseSuspicion(now, 1)
+	if w.hasCrashed {
+		d.attributeCrash(slices.Collect(maps.Values(w.runs)), now)
+	}
 	for _, r := range w.runs {
 		d.Metrics.Runs.Add("lapsed", 1)
 		d.logLostRun(r, "the lease of the worker has expired")
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -52,6 +52,8 @@
 	done          bool
 	attempts      int                      // number of starts in this term
 	failedRuns    map[model.RunNumber]bool // numbers of the failed runs, including those of former terms
+	crashes       int                      // number of workers that have crashed under the task, in all terms
+	lastCrashAt   time.Time                // time at which the last crash was noticed in this term
 	checkpoint    model.Checkpoint         // last checkpoint; empty if there is none
 	activeRun     *run                     // nil if the task has no run
 	lastWorker    *worker                  // worker of the last run that was started in this term
@@ -69,12 +71,13 @@
 	worker           *worker
 	need             model.Resources
 	state            runState
-	startSentAt      time.Time // time at which the start request was sent; not used
+	startSentAt      time.Time // time at which the start request was sent, or at which the run was adopted
 	startConfirmedAt time.Time // time at which a response or report confirmed the start; counts as the start time of the run
 	stopConfirmedAt  time.Time // time at which the worker confirmed the stop request
 	stopAttempts     int       // number of stop requests sent
 	percentDone      int       // progress of the run in percent
 	lastProgressAt   time.Time // time at which percentDone last increased, or the run started
+	crashCounted     bool      // the crash of the worker was counted against the task
 	fromCheckpoint   bool      // the run resumes from a checkpoint
 	stopReason       string    // why the run is being stopped
 }
@@ -114,7 +117,7 @@
 		failedRuns: map[model.RunNumber]bool{},
 	}
 	for n := range s.spec.Count {
-		t := &task{step: s, index: n, done: p.DoneTasks.Has(n), failedRuns: map[model.RunNumber]bool{}, checkpoint: p.Checkpoints[n]}
+		t := &task{step: s, index: n, done: p.DoneTasks.Has(n), failedRuns: map[model.RunNumber]bool{}, checkpoint: p.Checkpoints[n], crashes: p.Crashes[n]}
 		for _, r := range p.FailedRuns[n] {
 			t.failedRuns[r] = true
 			s.failedRuns[r] = true
@@ -254,7 +257,7 @@
 	p.Steps = map[string]journaler.StepProgress{}
 	for _, s := range j.steps {
 		rec := s.progressRecord()
-		if len(rec.DoneTasks) > 0 || len(rec.FailedRuns) > 0 || len(rec.Checkpoints) > 0 || len(rec.RunningTasks) > 0 {
+		if len(rec.DoneTasks) > 0 || len(rec.FailedRuns) > 0 || len(rec.Crashes) > 0 || len(rec.Checkpoints) > 0 || len(rec.RunningTasks) > 0 {
 			p.Steps[journaler.StepKey(s.ref.Occurrence, s.ref.Step)] = rec
 		}
 	}
@@ -282,6 +285,12 @@
 			}
 			p.FailedRuns[t.index] = append(p.FailedRuns[t.index], r)
 		}
+		if t.crashes > 0 {
+			if p.Crashes == nil {
+				p.Crashes = map[int]int{}
+			}
+			p.Crashes[t.index] = t.crashes
+		}
 		if c := t.resumeCheckpoint(); c != "" && (!s.spec.Gang || t.index == 0) {
 			if p.Checkpoints == nil {
 				p.Checkpoints = map[int]model.Checkpoint{}
--- a/internal/dispatcher/journal.go
+++ b/internal/dispatcher/journal.go
@@ -208,7 +208,7 @@
 	var workers []journaler.FleetWorker
 	for _, w := range l.d.workers {
 		workers = append(workers, journaler.FleetWorker{
-			ID: w.info.ID, Address: w.info.Address, RunsRecorded: !w.listed || w.info.State != model.WorkerReady,
+			ID: w.info.ID, Address: w.info.Address, Incarnation: w.knownIncarnation(), RunsRecorded: !w.listed || w.info.State != model.WorkerReady,
 		})
 	}
 	r, err := journaler.NewFleetRecord(workers)
--- a/internal/dispatcher/plan.go
+++ b/internal/dispatcher/plan.go
@@ -14,6 +14,7 @@
 	step            *step
 	tasks           []*task
 	rank            placer.Rank // rank of the job; see jobRanks
+	isolated        bool        // each task needs a worker without other runs
 	awaitingRestart bool        // the gang was interrupted and cannot start yet; its released resources are held
 }
 
@@ -46,27 +47,38 @@
 			if !s.isReady(now) || s.spec.Gang && !s.isIdle() {
 				continue
 			}
-			if tasks := d.waitingTasks(s, now); len(tasks) > 0 && (!s.spec.Gang || len(tasks) == len(s.tasks)) {
+			tasks, isolated := d.waitingTasks(s, now)
+			if j.state.IsFinal() {
+				break // a task has crashed its last worker under a former leader
+			}
+			if len(tasks) > 0 && (!s.spec.Gang || len(tasks) == len(s.tasks)) {
 				out = append(out, &placementUnit{step: s, tasks: tasks, rank: ranks[j]})
 			}
+			if len(isolated) > 0 {
+				out = append(out, &placementUnit{step: s, tasks: isolated, rank: ranks[j], isolated: true})
+			}
 		}
 	}
 	slices.SortFunc(out, func(a, b *placementUnit) int {
 		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.step.job.arrival, b.step.job.arrival),
-			cmp.Compare(a.step.ref.Occurrence, b.step.ref.Occurrence), cmp.Compare(a.step.ref.Step, b.step.ref.Step))
+			cmp.Compare(a.step.ref.Occurrence, b.step.ref.Occurrence), cmp.Compare(a.step.ref.Step, b.step.ref.Step),
+			cmp.Compare(len(a.tasks), len(b.tasks)))
 	})
 	return out
 }
 
-// waitingTasks returns the tasks of a step that can start now.
-func (d *Dispatcher) waitingTasks(s *step, now time.Time) []*task {
-	var out []*task
+// waitingTasks returns the tasks of a step that can start now, those that need a worker without other runs separately.
+func (d *Dispatcher) waitingTasks(s *step, now time.Time) (tasks, isolated []*task) {
 	for _, t := range s.tasks {
-		if !t.done && t.activeRun == nil && !t.notBefore.After(now) && !d.mayRunOnFormerWorker(t, now) {
-			out = append(out, t)
+		switch {
+		case t.done || t.activeRun != nil || t.notBefore.After(now) || d.mayRunOnFormerWorker(t, now):
+		case t.needsIsolation(now):
+			isolated = append(isolated, t)
+		default:
+			tasks = append(tasks, t)
 		}
 	}
-	return out
+	return tasks, isolated
 }
 
 // jobRanks ranks jobs by priority. Jobs of priority 0 within the guarantee of their workspace rank before all others: their rank is
@@ -124,7 +136,7 @@
 		}
 		n := &placer.Node{
 			ID: w.info.ID, Service: w.info.Service, Domain: w.info.FailureDomain, Rack: w.info.Rack, Labels: w.info.Labels,
-			Capacity: w.info.Capacity, Free: p.freeResources(w), Unschedulable: !w.isSchedulable(now), Suspicion: w.suspicion,
+			Capacity: w.info.Capacity, Free: p.freeResources(w), Unschedulable: !w.isSchedulable(now) || w.hostsSuspect(), Occupied: len(w.runs) > 0, Suspicion: w.suspicion,
 			KnownHealthy: w.isKnownHealthy(now), LastSuccessAt: w.lastSuccessAt, Slowness: w.slowness,
 		}
 		p.nodes = append(p.nodes, n)
@@ -160,6 +172,9 @@
 		u.tasks = u.tasks[len(places):]
 		r = p.placementRequest(u)
 	}
+	if u.isolated {
+		return // a worker becomes empty soon, or the tasks share one after isolationWait
+	}
 	if u.rank >= p.leastUrgentRunning() {
 		p.infeasible[key] = len(r.RunningPerWorker)+len(r.Excluded) == 0
 		return // no running work is less urgent
@@ -197,12 +212,13 @@
 	requireKnownHealthy bool
 	successAfter        time.Time
 	withheldNodes       int
+	isolated            bool
 }
 
 // keyOf returns the key of a request.
 func keyOf(r *placer.Request) requestKey {
 	key := requestKey{
-		need: r.Need, service: r.Service, label: r.Label, nearRack: r.NearRack, maxPerWorker: r.MaxPerWorker, oneRack: r.OneRack,
+		isolated: r.Isolated, need: r.Need, service: r.Service, label: r.Label, nearRack: r.NearRack, maxPerWorker: r.MaxPerWorker, oneRack: r.OneRack,
 		excludeSuspected: r.ExcludeSuspected, requireKnownHealthy: r.RequireKnownHealthy, successAfter: r.SuccessAfter, withheldNodes: r.WithheldNodes,
 	}
 	if r.Gang {
@@ -223,7 +239,7 @@
 	r := &placer.Request{
 		Count: len(u.tasks), Need: s.spec.Need, Service: s.job.submission.Queue.Service, Rank: u.rank, Gang: s.spec.Gang,
 		OneRack: s.spec.OneRack && s.spec.Gang, Label: s.spec.Label, NearRack: s.spec.NearRack, MaxPerWorker: s.spec.MaxPerWorker, Excluded: s.excluded,
-		WithheldNodes: p.withheldNodes(u),
+		WithheldNodes: p.withheldNodes(u), Isolated: u.isolated,
 	}
 	// A gang that fits in no rack may use several racks, on which it runs more slowly, because it could never start otherwise.
 	if r.OneRack && !p.fitsRack(r) {
@@ -275,6 +291,7 @@
 	for i, n := range places {
 		p.startTask(u.tasks[i], p.workerOf[n])
 		placer.TakeResources(n, s.spec.Need)
+		n.Occupied, n.Unschedulable = true, n.Unschedulable || u.isolated
 	}
 	p.d.Logger.Debug("tasks started", "job", s.ref.Job, "step", s.ref.Step, "tasks", len(places), "of", len(u.tasks), "rank", u.rank)
 }
--- a/internal/dispatcher/report.go
+++ b/internal/dispatcher/report.go
@@ -23,15 +23,19 @@
 		d.Logger.Debug("worker responding", "worker", w.info.ID)
 		d.scheduleUpToDate = false
 	}
-	w.isResponding, w.lastError = true, nil
+	w.isResponding = true
+	w.recordResponse()
 	w.clock, w.clockAt, w.lastReportAt = e.report.Clock, e.respondedAt, e.respondedAt
-	d.updateIncarnation(w, e.report.Incarnation)
+	restarted := d.updateIncarnation(w, e.report.Incarnation)
 	if !w.hasReported {
 		// This leader has not renewed the worker lease yet, but a former leader may have.
 		w.recordStartLease(e.respondedAt, d.LeaseDuration)
 		w.hasReported = true
 		d.scheduleUpToDate = false
 	}
+	if restarted {
+		d.attributeCrash(w.runsLostIn(e), now)
+	}
 	for _, progress := range e.report.Running {
 		d.updateRun(w, progress, now)
 	}
@@ -57,23 +61,46 @@
 		w.raiseSuspicion(now, 1)
 		d.scheduleUpToDate = false
 	}
-	w.isResponding, w.lastError = false, e.err
+	w.isResponding = false
+	w.recordCallError(e.err)
 	var refused *RefusedError
 	if errors.As(e.err, &refused) && refused.Reason == RefusedStaleFence {
 		d.endTerm("worker has seen a higher fencing token", "worker", w.info.ID)
 	}
 }
 
-// updateIncarnation detects a restart of the worker, which loses all its runs and restarts the sequence numbers of its run ends at 1.
-func (d *Dispatcher) updateIncarnation(w *worker, n int64) {
+// runsLostIn returns the runs that were started before a report was requested and that it does not list.
+func (w *worker) runsLostIn(e *reportEvent) []*run {
+	listed := map[model.RunRef]bool{}
+	for _, progress := range e.report.Running {
+		listed[progress.Run] = true
+	}
+	for _, end := range e.report.Ended {
+		listed[end.Run] = true
+	}
+	var out []*run
+	for id, r := range w.runs {
+		if !listed[id] && r.startSentAt.Before(e.sentAt) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// updateIncarnation detects a restart of the worker, which loses all its runs and restarts the sequence numbers of its run ends at
+// 1. It reports whether the worker has restarted.
+func (d *Dispatcher) updateIncarnation(w *worker, n int64) bool {
 	if n == w.incarnation {
-		return
+		return false
 	}
-	if w.incarnation != 0 {
+	known := w.incarnation != 0
+	if known {
 		d.Logger.Info("worker restarted", "worker", w.info.ID, "incarnation", n, "before", w.incarnation, "runs", len(w.runs))
 		w.processedSeq, w.durableSeq, w.ackedSeq = 0, 0, 0
 	}
 	w.incarnation = n
+	d.fleetDirty = d.fleetDirty || known
+	return known
 }
 
 // updateRun updates a run that a worker reports as running, or adopts it if it is unknown.
--- a/internal/dispatcher/requests.go
+++ b/internal/dispatcher/requests.go
@@ -88,6 +88,7 @@
 	r := w.runs[e.run]
 	if e.err == nil {
 		w.clock, w.clockAt, w.isResponding = e.response.Clock, e.respondedAt, true
+		w.recordResponse()
 		if r != nil {
 			if r.state == runStarting {
 				d.markRunStarted(r, now)
@@ -98,6 +99,7 @@
 		d.updateSession(w)
 		return
 	}
+	w.recordCallError(e.err)
 	if r == nil {
 		return
 	}
@@ -179,6 +181,7 @@
 	switch {
 	case e.err == nil:
 		w.clock, w.clockAt, w.isResponding = e.response.Clock, e.respondedAt, true
+		w.recordResponse()
 		r.stopConfirmedAt = e.respondedAt
 		d.updateSession(w)
 		w.session.updateRenewalState(func(state *renewalState) { state.reportNow = r.startConfirmedAt.IsZero() })
@@ -187,6 +190,7 @@
 		d.endTerm("worker has seen a higher fencing token", "worker", w.info.ID)
 		return
 	}
+	w.recordCallError(e.err)
 	d.Logger.Warn("stop request failed, retrying", "worker", w.info.ID, "task", e.run.Task.String(), "run", e.run.Number, "error", e.err)
 	d.sendStop(r, stopRetryDelay)
 }
--- a/internal/dispatcher/takeover.go
+++ b/internal/dispatcher/takeover.go
@@ -22,7 +22,8 @@
 		}
 	}
 	for _, w := range fleet {
-		d.addWorker(model.Worker{ID: w.ID, Address: w.Address, State: model.WorkerDraining}, now).runsRecorded = w.RunsRecorded
+		added := d.addWorker(model.Worker{ID: w.ID, Address: w.Address, State: model.WorkerDraining}, now)
+		added.runsRecorded, added.formerIncarnation = w.RunsRecorded, w.Incarnation
 	}
 	d.updateWorkerList(list, now)
 	for _, j := range d.jobs {
@@ -96,6 +97,7 @@
 	}
 	d.formerRunsKnown = true
 	d.scheduleUpToDate = false
+	d.fleetDirty = true // the incarnations of the workers are known now
 	d.Logger.Info("runs of former leaders known, scheduling their jobs", "fence", d.Term.Fence)
 	for _, j := range d.jobs {
 		for _, s := range j.steps {
@@ -126,11 +128,14 @@
 		return false
 	}
 	w := d.workers[t.formerWorker]
-	if w == nil || w.hasReported || now.After(w.formerLeaseEndsAt) {
-		t.formerWorker = ""
-		return false
+	if w != nil && !w.hasReported && !now.After(w.formerLeaseEndsAt) {
+		return true
+	}
+	t.formerWorker = ""
+	if w != nil && t.activeRun == nil && (!w.hasReported && w.hasCrashed || w.hasRestartedSinceFormerLeader()) {
+		d.countCrash(t, w, 1, now)
 	}
-	return true
+	return false
 }
 
 // stopIfIncomplete stops an adopted gang if only some of its members have a run with the latest run number.
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -14,7 +14,8 @@
 	hasReported       bool      // the worker has reported in this term, and so refuses requests of former leaders
 	formerLeaseEndsAt time.Time // time at which any lease granted by a former leader has certainly ended
 	isResponding      bool      // the worker responded to the last call
-	lastError         error     // error of the last renewal of the lease; nil after a success
+	lastError         error     // error of the last call; nil after a response
+	hasCrashed        bool      // the last calls show that the process of the worker has ended
 	runsRecorded      bool      // a former leader gave the worker no new tasks, and the log lists all its runs
 
 	clock            WorkerTime // clock of the worker at clockAt
@@ -22,6 +23,8 @@
 	lastReportAt     time.Time  // time of the last report
 	startLeaseEndsAt time.Time  // like grantedUntil of the session, for leases granted by start requests and by former leaders
 
+	formerIncarnation int64 // incarnation that a former leader has recorded; 0 if unknown
+
 	incarnation  int64 // incarnation in the last report; 0 before the first report
 	processedSeq int64 // sequence number of the last run end that was processed
 	durableSeq   int64 // sequence number of the last run end whose effect is in the log
@@ -91,3 +94,16 @@
 	active, stopping := w.usedResources()
 	return w.info.Capacity.Sub(active).Sub(stopping)
 }
+
+// knownIncarnation returns the incarnation of the worker in its last report, or in the list before that; 0 if unknown.
+func (w *worker) knownIncarnation() int64 {
+	if w.incarnation != 0 {
+		return w.incarnation
+	}
+	return w.info.Incarnation
+}
+
+// hasRestartedSinceFormerLeader reports whether the worker is known to have restarted since a former leader recorded it.
+func (w *worker) hasRestartedSinceFormerLeader() bool {
+	return w.formerIncarnation != 0 && w.incarnation != 0 && w.incarnation != w.formerIncarnation
+}
--- a/internal/fake/worker/direct.go
+++ b/internal/fake/worker/direct.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -54,6 +55,9 @@
 	if d.InjectFault != nil {
 		fault = d.InjectFault(id)
 	}
+	if fault == NoFault && d.Fleet.IsDown(id, time.Now()) {
+		return zero, errors.Mark(syscall.ECONNREFUSED, dispatcher.ErrNotSent)
+	}
 	switch fault {
 	case FaultConnectionRefused:
 		return zero, dispatcher.ErrNotSent
--- a/internal/fake/worker/fleet.go
+++ b/internal/fake/worker/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"strconv"
 	"strings"
 	"sync"
@@ -71,8 +72,9 @@
 	pendingEnds     []model.RunEnd                    // unacknowledged run ends, by ascending sequence number
 	// The ledger ignores acknowledgements up to this sequence number, because the lease had expired before they arrived.
 	ignoredAcksThrough int64
-	lastEndSequence    int64 // sequence number of the latest run end
-	failRuns           bool  // each run that starts fails
+	lastEndSequence    int64     // sequence number of the latest run end
+	failRuns           bool      // each run that starts fails
+	downUntil          time.Time // the worker has crashed and refuses connections until then
 }
 
 // run is a run of a task on a worker.
@@ -189,6 +191,11 @@
 		return resp, &dispatcher.RefusedError{Reason: dispatcher.RefusedLeaseExpired}
 	}
 	f.extendLease(s, req.LeaseUntil, now)
+	if f.crashesWorker(req) {
+		f.ledger.startsByTask[req.Run.Task.String()]++
+		f.crash(s, now)
+		return dispatcher.Response{}, errCrashed
+	}
 	totalWork, resumedProgress := f.runDurations(req)
 	r := &run{ref: req.Run, resources: req.Need, startedAt: now, totalWork: totalWork, resumedProgress: resumedProgress, willFail: s.failRuns}
 	s.runs[req.Run] = r
@@ -197,6 +204,37 @@
 	return resp, nil
 }
 
+// crashDownTime is how long a worker is down after it has crashed.
+const crashDownTime = 3 * time.Second
+
+// errCrashed is returned for a call to a worker that has crashed.
+var errCrashed = errors.Wrap(io.EOF, "worker: crashed")
+
+// crashesWorker reports whether the task of a start request crashes each worker that starts it.
+func (f *Fleet) crashesWorker(req dispatcher.StartRequest) bool {
+	var payload struct {
+		Crash bool `json:"crash"`
+	}
+	return json.Unmarshal([]byte(req.Payload), &payload) == nil && payload.Crash
+}
+
+// crash ends the process of a worker. It is back after crashDownTime. The caller holds f.mu.
+func (f *Fleet) crash(s *workerState, now time.Time) {
+	for _, r := range s.runs {
+		f.removeRun(s, r)
+		f.endOtherGangMembers(r, model.EndGangMemberEnded, now)
+	}
+	s.reset(now)
+	s.downUntil = now.Add(crashDownTime)
+}
+
+// IsDown reports whether a worker has crashed and is not back yet.
+func (f *Fleet) IsDown(id model.HostID, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return now.Before(f.workers[id].downUntil)
+}
+
 // runDurations returns the total work of the task and the progress at the checkpoint that the run resumes from.
 func (f *Fleet) runDurations(req dispatcher.StartRequest) (totalWork, resumedProgress time.Duration) {
 	var payload struct {
--- a/internal/journaler/record.go
+++ b/internal/journaler/record.go
@@ -52,6 +52,8 @@
 type FleetWorker struct {
 	ID      model.HostID `json:"id"`
 	Address string       `json:"address"`
+	// Incarnation identifies the process of the worker; 0 means that it is unknown.
+	Incarnation int64 `json:"incarnation,omitempty"`
 	// RunsRecorded says that the worker gets no new tasks and that the progress records of the jobs list all its runs.
 	RunsRecorded bool `json:"closed,omitempty"`
 }
@@ -69,6 +71,7 @@
 type StepProgress struct {
 	DoneTasks    BitSet                    `json:"done,omitempty"`        // finished tasks
 	FailedRuns   map[int][]model.RunNumber `json:"failed,omitempty"`      // failed runs of each task
+	Crashes      map[int]int               `json:"crashes,omitempty"`     // number of workers that have crashed under each task
 	Checkpoints  map[int]model.Checkpoint  `json:"checkpoints,omitempty"` // newest checkpoint of each task
 	RunningTasks map[model.HostID][]int    `json:"running,omitempty"`     // tasks that have a run, by worker
 }
--- a/internal/placer/node.go
+++ b/internal/placer/node.go
@@ -22,6 +22,7 @@
 	Capacity      model.Resources
 	Free          model.Resources // resources available for the request, as computed by the caller
 	Unschedulable bool            // the worker accepts no new tasks
+	Occupied      bool            // the worker has runs
 	Suspicion     int             // number that grows with each sign of a fault; 0 means no suspicion
 	KnownHealthy  bool            // the worker has recently completed a task or made progress, without a failure since
 	LastSuccessAt time.Time       // time at which a task last succeeded on the worker; zero means never
@@ -79,6 +80,7 @@
 	RunningPerWorker    map[model.HostID]int  // number of running tasks of the step on each worker; counts towards MaxPerWorker
 	Excluded            map[model.HostID]bool // workers that must not be used, such as those on which a task of the step has failed
 	WithheldNodes       int                   // nodes with a ServiceIndex below this are withheld for more urgent work
+	Isolated            bool                  // use only nodes without runs, each for one task
 	ExcludeSuspected    bool                  // use only nodes without suspicion
 	RequireKnownHealthy bool                  // use only nodes that are known to be healthy
 	SuccessAfter        time.Time             // use only nodes with a success after this time; zero means no such restriction
@@ -101,7 +103,7 @@
 
 // admits reports whether the node may run tasks of the request, regardless of its free resources.
 func (r *Request) admits(n *Node) bool {
-	if n.ServiceIndex < r.WithheldNodes || n.Unschedulable || n.Service != r.Service || r.Excluded[n.ID] ||
+	if n.ServiceIndex < r.WithheldNodes || n.Unschedulable || r.Isolated && n.Occupied || n.Service != r.Service || r.Excluded[n.ID] ||
 		r.ExcludeSuspected && n.Suspicion > 0 || r.RequireKnownHealthy && !n.KnownHealthy ||
 		!r.SuccessAfter.IsZero() && !n.LastSuccessAt.After(r.SuccessAfter) {
 		return false
@@ -111,10 +113,14 @@
 
 // taskLimit returns how many more tasks of the request the node may run, regardless of its free resources.
 func (r *Request) taskLimit(n *Node) int {
+	limit := r.Count
+	if r.Isolated {
+		limit = min(limit, 1)
+	}
 	if r.MaxPerWorker == 0 {
-		return r.Count
+		return limit
 	}
-	return min(r.Count, max(0, r.MaxPerWorker-r.RunningPerWorker[n.ID]))
+	return min(limit, max(0, r.MaxPerWorker-r.RunningPerWorker[n.ID]))
 }
 
 // leftover returns the resources that remain free after one more task, as a weighted sum of fractions of the capacity.
