Drop a reservation on a worker that has shrunk below it

A job that has preempted runs of a worker waits for the resources that it has reserved there. If the worker's capacity shrinks meanwhile they never become free, and the job waited as long as the worker was small, though others had room.

Change: a reservation is valid only if the capacity without the runs that go on can take it. Measured: TestReservationEndsWhenWorkerShrinks fails without the check.

--- a/internal/dispatcher/reservation.go
+++ b/internal/dispatcher/reservation.go
@@ -28,7 +28,7 @@
 			if s.reservation == nil {
 				continue
 			}
-			if !s.isReady(now) || !s.reservation.isValid(now) {
+			if !s.isReady(now) || !s.reservation.isValid(s.spec.Need, now) {
 				s.reservation = nil
 				continue
 			}
@@ -40,10 +40,17 @@
 	return out
 }
 
-// isValid reports whether all tasks of the reservation still wait for a run and all its workers are schedulable.
-func (r *reservation) isValid(now time.Time) bool {
+// isValid reports whether all tasks of the reservation still wait for a run, and whether all its workers are schedulable and will
+// have room for them once the preempted runs have ended. A worker whose capacity has shrunk may not.
+func (r *reservation) isValid(need model.Resources, now time.Time) bool {
+	reserved := map[*worker]model.Resources{}
 	for i, t := range r.tasks {
-		if t.done || t.activeRun != nil || !r.workers[i].isSchedulable(now) {
+		w := r.workers[i]
+		if t.done || t.activeRun != nil || !w.isSchedulable(now) {
+			return false
+		}
+		reserved[w] = reserved[w].Add(need)
+		if active, _ := w.usedResources(); !w.info.Capacity.Sub(active).CanFit(reserved[w]) {
 			return false
 		}
 	}
--- a/internal/fake/worker/fleet.go
+++ b/internal/fake/worker/fleet.go
@@ -64,6 +64,8 @@
 type workerState struct {
 	id              model.HostID
 	capacity        model.Resources
+	formerCapacity  model.Resources // also allowed until shrinkCountsAt
+	shrinkCountsAt  time.Time
 	startedAt       time.Time // also the origin of its clock and, in Unix milliseconds, its incarnation
 	highestFence    model.FencingToken
 	leaseEnd        time.Time
@@ -135,6 +137,35 @@
 	s.highestEndedRun = map[model.TaskRef]model.RunNumber{}
 }
 
+// shrinkGrace is the time after which starts have to respect a capacity that has shrunk.
+const shrinkGrace = 5500 * time.Millisecond
+
+// SetCapacity changes the capacity of a worker. Its runs continue.
+func (f *Fleet) SetCapacity(id model.HostID, capacity model.Resources, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.workers[id]
+	if now.After(s.shrinkCountsAt) {
+		s.formerCapacity = s.capacity
+	}
+	s.formerCapacity = maxResources(s.formerCapacity, s.capacity)
+	s.capacity, s.shrinkCountsAt = capacity, now.Add(shrinkGrace)
+}
+
+// capacityForStarts returns the capacity that starts have to respect.
+func (s *workerState) capacityForStarts(now time.Time) model.Resources {
+	if now.Before(s.shrinkCountsAt) {
+		return maxResources(s.capacity, s.formerCapacity)
+	}
+	return s.capacity
+}
+
+func maxResources(a, b model.Resources) model.Resources {
+	return model.Resources{
+		Cores: max(a.Cores, b.Cores), MemoryMB: max(a.MemoryMB, b.MemoryMB), Accelerators: max(a.Accelerators, b.Accelerators),
+	}
+}
+
 // SetFailRuns sets whether the worker fails each run that starts from now on.
 func (f *Fleet) SetFailRuns(id model.HostID, fail bool) {
 	f.mu.Lock()
