Start nothing beside a run whose need is unknown

A new leader that finds a run of a job it does not know stops it and counts it as using the whole worker until then.

Change: such a worker gets no tasks until the run has ended. A line and a scheduling pass follow each change of a capacity. Measured: TestWorkerWithUnknownRunGetsNoTasks fails without the change.

--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -70,6 +70,7 @@
 	task             *task
 	worker           *worker
 	need             model.Resources
+	needUnknown      bool // the job is unknown, so the worker may have no room beside the run however its capacity grows
 	state            runState
 	startSentAt      time.Time // time at which the start request was sent, or at which the run was adopted
 	startConfirmedAt time.Time // time at which a response or report confirmed the start; counts as the start time of the run
--- a/internal/dispatcher/reservation_test.go
+++ b/internal/dispatcher/reservation_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/matryer/is"
 
+	"chestnutmux.example/chestnutmux/internal/journaler"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
@@ -20,3 +21,15 @@
 	f.worker.info.Capacity.Accelerators = 4
 	is.True(!r.isValid(need, f.now))
 }
+
+// Guards against starts beside a run of an unknown job, whose need was taken from a capacity that had shrunk, once the capacity has
+// grown again.
+func TestWorkerWithUnknownRunGetsNoTasks(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.worker.info.Capacity.Accelerators = 2
+	f.LookupJob = func(model.JobID) (journaler.Job, bool) { return journaler.Job{}, false }
+	f.adoptRun(f.worker, model.RunProgress{Run: model.RunRef{Task: model.TaskRef{StepRef: model.StepRef{Job: "unknown"}}, Number: 1}}, f.now)
+	f.worker.info.Capacity.Accelerators = 8
+	is.True(!f.worker.isSchedulable(f.now))
+}
--- a/internal/dispatcher/takeover.go
+++ b/internal/dispatcher/takeover.go
@@ -64,6 +64,10 @@
 			d.scheduleUpToDate = false
 			d.fleetDirty = true
 		}
+		if w.listed && w.info.Capacity != info.Capacity {
+			d.scheduleUpToDate = false
+			d.Logger.Info("worker capacity changed", "worker", info.ID, "capacity", info.Capacity, "before", w.info.Capacity, "runs", len(w.runs))
+		}
 		if w.listed && w.info.State != info.State {
 			d.Logger.Info("worker state changed", "worker", info.ID, "state", info.State, "remaining-ms", info.MinRemainingMS)
 		}
@@ -170,7 +174,7 @@
 	if j != nil {
 		t = j.findTask(progress.Run.Task)
 	}
-	r.need = d.resourcesOf(w, progress.Run.Task, t)
+	r.need, r.needUnknown = d.resourcesOf(w, progress.Run.Task, t)
 	if t == nil {
 		d.Logger.Info("stopping unknown run", "worker", w.info.ID, "task", progress.Run.Task.String(), "run", progress.Run.Number)
 		d.stopRun(r, "job unknown or ended", now)
@@ -192,13 +196,14 @@
 	}
 }
 
-// resourcesOf returns the resources that a run uses. A run of an unknown job counts as using the whole worker.
-func (d *Dispatcher) resourcesOf(w *worker, ref model.TaskRef, t *task) model.Resources {
+// resourcesOf returns the resources that a run uses. Those of a run of an unknown job are unknown; it counts as using the whole
+// worker.
+func (d *Dispatcher) resourcesOf(w *worker, ref model.TaskRef, t *task) (need model.Resources, unknown bool) {
 	if t != nil {
-		return t.step.spec.Need
+		return t.step.spec.Need, false
 	}
 	if j, ok := d.LookupJob(ref.Job); ok && ref.Step >= 0 && ref.Step < len(j.Submission.Steps) {
-		return j.Submission.Steps[ref.Step].Need
+		return j.Submission.Steps[ref.Step].Need, false
 	}
-	return w.info.Capacity
+	return w.info.Capacity, true
 }
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -86,6 +86,11 @@
 
 // isSchedulable reports whether the worker accepts new tasks.
 func (w *worker) isSchedulable(now time.Time) bool {
+	for _, r := range w.runs {
+		if r.needUnknown {
+			return false
+		}
+	}
 	return w.listed && w.hasReported && w.isResponding && w.info.State == model.WorkerReady && !now.Before(w.quarantinedUntil)
 }
 
