--- a/internal/peerlog/fallback.go
+++ b/internal/peerlog/fallback.go
@@ -46,6 +46,8 @@
 	directDown   bool
 	throughRelay bool                 // the last long poll was served by a relay
 	relayRetryAt map[string]time.Time // by address, for relays that could not serve a read
+	// goodNeighbour is the address of the neighbour that served the last page of newest records; empty if none did.
+	goodNeighbour string
 }
 
 // ThroughRelay reports whether a relay served the last long poll.
--- a/internal/peerlog/snapshot.go
+++ b/internal/peerlog/snapshot.go
@@ -21,8 +21,10 @@
 	loadWait = 3 * time.Second
 	// neighbourTimeout is the time until the response of a neighbour to a read of newest records begins.
 	neighbourTimeout = 300 * time.Millisecond
-	// maxNeighboursPerRead is the maximum number of neighbours that one read of newest records tries.
+	// maxNeighboursPerRead is the maximum number of neighbours that one read of newest records tries, and maxRelaysPerRead how many of
+	// them may be relays. When a whole group restarts, its relays are loading and only the others have the records.
 	maxNeighboursPerRead = 4
+	maxRelaysPerRead     = 2
 )
 
 // snapshot holds the newest record of each key, as far as this host has read the log, to serve its neighbours when they start.
@@ -157,18 +159,17 @@
 func (f *FallbackLog) readNewestNearby(ctx context.Context, after string, waitUntil time.Time) (journaler.Page, error) {
 	relays := f.relays()
 	err := errNoNeighbour
-	for i, addr := range f.neighbours(relays) {
+	for _, addr := range f.neighbours(relays) {
 		p, readErr := f.readNewestOf(ctx, addr, after)
 		if readErr == nil {
+			f.setGoodNeighbour(addr)
 			return p, nil
 		}
 		if slices.Contains(relays, addr) && errors.Is(readErr, errLoading) && time.Now().Before(waitUntil) {
 			err = errLoading
 		}
-		if i+1 == maxNeighboursPerRead {
-			break
-		}
 	}
+	f.setGoodNeighbour("")
 	return journaler.Page{}, err
 }
 
@@ -183,15 +184,32 @@
 	return f.Relays()
 }
 
-// neighbours returns the addresses of the responding hosts to ask for newest records: the relays, then the others in random
-// order to spread the load.
+// neighbours returns the addresses of the hosts to ask for newest records, without those that have not responded: the one that has
+// served the last page, then the first relays, then others in random order to spread the load.
 func (f *FallbackLog) neighbours(relays []string) []string {
 	if f.Neighbours == nil || f.readsDirectly() {
 		return nil
 	}
-	others := slices.DeleteFunc(slices.Clone(f.Neighbours()), func(addr string) bool { return slices.Contains(relays, addr) })
+	f.mu.Lock()
+	good := f.goodNeighbour
+	f.mu.Unlock()
+	relays = slices.DeleteFunc(slices.Clone(relays), f.Peers.inBackoff)
+	relays = relays[:min(len(relays), maxRelaysPerRead)]
+	others := slices.DeleteFunc(slices.Clone(f.Neighbours()), func(addr string) bool {
+		return addr == good || slices.Contains(relays, addr) || f.Peers.inBackoff(addr)
+	})
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	return slices.DeleteFunc(slices.Concat(relays, others), f.Peers.inBackoff)
+	out := slices.Concat(relays, others)
+	if good != "" {
+		out = slices.Insert(slices.DeleteFunc(out, func(addr string) bool { return addr == good }), 0, good)
+	}
+	return out[:min(len(out), maxNeighboursPerRead)]
+}
+
+func (f *FallbackLog) setGoodNeighbour(addr string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.goodNeighbour = addr
 }
 
 func (f *FallbackLog) readNewestOf(ctx context.Context, addr, after string) (journaler.Page, error) {
--- a/internal/peerlog/snapshot_test.go
+++ b/internal/peerlog/snapshot_test.go
@@ -158,3 +158,26 @@
 	is.Equal(s.NextOffset, model.Offset(18))
 	is.Equal(l.calls, []string{"", "a", "a", "b", "b"})
 }
+
+// Guards against a host that waits for its group while hosts of another group have the records.
+func TestHostLoadsFromOtherGroupWhileItsOwnLoads(t *testing.T) {
+	is := is.New(t)
+	l, relay, reader := relayPair(t)
+	loaded := newHost(t, l, func() []string { return nil })
+	_, err := l.Append("jobs", recordsWithKey("a"), journaler.AppendCondition{})
+	is.NoErr(err)
+	loaded.loadAll(t, &journaler.SnapshotLoader{})
+	relays := []string{relay.addr}
+	relay.log.snapshot.startPage("")
+	for range maxNeighboursPerRead {
+		loading := newHost(t, l, func() []string { return nil })
+		loading.log.snapshot.startPage("")
+		relays = append(relays, loading.addr)
+	}
+	reader.log.Relays = func() []string { return relays }
+	reader.log.Neighbours = func() []string { return append(relays[:1:1], loaded.addr) }
+	reader.fault.Store(log.FaultUnavailable)
+	p, err := reader.log.ReadNewest(t.Context(), "")
+	is.NoErr(err)
+	is.Equal(len(p.Records), 1)
+}
