--- a/internal/peerlog/metrics.go
+++ b/internal/peerlog/metrics.go
@@ -27,7 +27,7 @@
 // Vars returns the metrics, keyed by their published names.
 func (m *Metrics) Vars() map[string]expvar.Var {
 	return map[string]expvar.Var{
-		"log-reads": m.Reads, "log-bytes-read": m.ReadBytes, "log-read-time": m.ReadTime, "log-bytes-served": m.ServedBytes,
+		"log-reads": m.Reads, "log-bytes-read": m.ReadBytes, "log-transfer-time": m.ReadTime, "log-bytes-served": m.ServedBytes,
 	}
 }
 
--- a/internal/peerlog/snapshot_test.go
+++ b/internal/peerlog/snapshot_test.go
@@ -143,8 +143,7 @@
 	return journaler.Page{}, nil
 }
 
-// Guards against a snapshot that is read from its start again after each failure, and against records that are skipped because a
-// later page is older.
+// Guards against loads that begin again after each failure, and against records skipped because a later page is older.
 func TestSnapshotLoaderContinuesAfterFailure(t *testing.T) {
 	is := is.New(t)
 	l, loader := &pageLog{keys: []string{"a", "b", "c"}}, journaler.SnapshotLoader{}
