--- a/internal/dispatcher/reservation_test.go
+++ b/internal/dispatcher/reservation_test.go
@@ -22,8 +22,7 @@
 	is.True(!r.isValid(need, f.now))
 }
 
-// Guards against starts beside a run of an unknown job, whose need was taken from a capacity that had shrunk, once the capacity has
-// grown again.
+// Guards against starts beside a run whose need was taken from a capacity that had shrunk.
 func TestWorkerWithUnknownRunGetsNoTasks(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t)
--- /dev/null
+++ b/internal/fake/worker/capacity.go
@@ -0,0 +1,36 @@
+package worker
+
+import (
+	"time"
+
+	"chestnutmux.example/chestnutmux/pkg/model"
+)
+
+// shrinkGrace is the time after which starts have to respect a capacity that has shrunk.
+const shrinkGrace = 5500 * time.Millisecond
+
+// SetCapacity changes the capacity of a worker. Its runs continue.
+func (f *Fleet) SetCapacity(id model.HostID, capacity model.Resources, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.workers[id]
+	if now.After(s.shrinkCountsAt) {
+		s.formerCapacity = s.capacity
+	}
+	s.formerCapacity = maxResources(s.formerCapacity, s.capacity)
+	s.capacity, s.shrinkCountsAt = capacity, now.Add(shrinkGrace)
+}
+
+// capacityForStarts returns the capacity that starts have to respect.
+func (s *workerState) capacityForStarts(now time.Time) model.Resources {
+	if now.Before(s.shrinkCountsAt) {
+		return maxResources(s.capacity, s.formerCapacity)
+	}
+	return s.capacity
+}
+
+func maxResources(a, b model.Resources) model.Resources {
+	return model.Resources{
+		Cores: max(a.Cores, b.Cores), MemoryMB: max(a.MemoryMB, b.MemoryMB), Accelerators: max(a.Accelerators, b.Accelerators),
+	}
+}
--- a/internal/fake/worker/fleet.go
+++ b/internal/fake/worker/fleet.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"strconv"
 	"strings"
 	"sync"
@@ -137,35 +136,6 @@
 	s.highestEndedRun = map[model.TaskRef]model.RunNumber{}
 }
 
-// shrinkGrace is the time after which starts have to respect a capacity that has shrunk.
-const shrinkGrace = 5500 * time.Millisecond
-
-// SetCapacity changes the capacity of a worker. Its runs continue.
-func (f *Fleet) SetCapacity(id model.HostID, capacity model.Resources, now time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	s := f.workers[id]
-	if now.After(s.shrinkCountsAt) {
-		s.formerCapacity = s.capacity
-	}
-	s.formerCapacity = maxResources(s.formerCapacity, s.capacity)
-	s.capacity, s.shrinkCountsAt = capacity, now.Add(shrinkGrace)
-}
-
-// capacityForStarts returns the capacity that starts have to respect.
-func (s *workerState) capacityForStarts(now time.Time) model.Resources {
-	if now.Before(s.shrinkCountsAt) {
-		return maxResources(s.capacity, s.formerCapacity)
-	}
-	return s.capacity
-}
-
-func maxResources(a, b model.Resources) model.Resources {
-	return model.Resources{
-		Cores: max(a.Cores, b.Cores), MemoryMB: max(a.MemoryMB, b.MemoryMB), Accelerators: max(a.Accelerators, b.Accelerators),
-	}
-}
-
 // SetFailRuns sets whether the worker fails each run that starts from now on.
 func (f *Fleet) SetFailRuns(id model.HostID, fail bool) {
 	f.mu.Lock()
@@ -235,37 +205,6 @@
 	return resp, nil
 }
 
-// crashDownTime is how long a worker is down after it has crashed.
-const crashDownTime = 3 * time.Second
-
-// errCrashed is returned for a call to a worker that has crashed.
-var errCrashed = errors.Wrap(io.EOF, "worker: crashed")
-
-// crashesWorker reports whether the task of a start request crashes each worker that starts it.
-func (f *Fleet) crashesWorker(req dispatcher.StartRequest) bool {
-	var payload struct {
-		Crash bool `json:"crash"`
-	}
-	return json.Unmarshal([]byte(req.Payload), &payload) == nil && payload.Crash
-}
-
-// crash ends the process of a worker. It is back after crashDownTime. The caller holds f.mu.
-func (f *Fleet) crash(s *workerState, now time.Time) {
-	for _, r := range s.runs {
-		f.removeRun(s, r)
-		f.endOtherGangMembers(r, model.EndGangMemberEnded, now)
-	}
-	s.reset(now)
-	s.downUntil = now.Add(crashDownTime)
-}
-
-// IsDown reports whether a worker has crashed and is not back yet.
-func (f *Fleet) IsDown(id model.HostID, now time.Time) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return now.Before(f.workers[id].downUntil)
-}
-
 // runDurations returns the total work of the task and the progress at the checkpoint that the run resumes from.
 func (f *Fleet) runDurations(req dispatcher.StartRequest) (totalWork, resumedProgress time.Duration) {
 	var payload struct {
