Review case 3: a job is shown as failed although it has never run

A start that gets no answer counts as a crash of its worker, also if the run was never seen there; the third one fails the job.

run.sh: three runners of 16 are cut off one after the other for 5.5 s and crash behind the cut. The job of one task is shown as failed after 26 s with no run begun and no end `failed`, while a fourth runner that may run it is sound and empty.

The case on excluded runners moves from 3 to 4.

--- a/review/1/main.go
+++ b/review/1/main.go
@@ -21,10 +21,10 @@
 func check(d *standin.Deployment) (string, error) {
 	room := standin.Room{CPU: 32000, MemMB: 131072, GPU: 8}
 	d.Configure(1, 3, 0)
-	if _, err := d.AddRunners(11, "a", room, 4); err != nil {
+	if _, err := d.AddRunners(11, "kartli-a", "a", room, 4); err != nil {
 		return "", err
 	}
-	special, err := d.AddRunners(1, "b", room, 4)
+	special, err := d.AddRunners(1, "kartli-a", "b", room, 4)
 	if err != nil {
 		return "", err
 	}
--- a/review/2/main.go
+++ b/review/2/main.go
@@ -25,11 +25,11 @@
 func check(d *standin.Deployment) (string, error) {
 	room := standin.Room{CPU: 32000, MemMB: 131072, GPU: 8}
 	d.Configure(1, 3, 0)
-	near, err := d.AddRunners(4, "a", room, 4)
+	near, err := d.AddRunners(4, "kartli-a", "a", room, 4)
 	if err != nil {
 		return "", err
 	}
-	farRunners, err := d.AddRunners(1, "b", room, 4)
+	farRunners, err := d.AddRunners(1, "imereti-a", "b", room, 4)
 	if err != nil {
 		return "", err
 	}
--- a/review/4/main.go
+++ b/review/4/main.go
@@ -1,4 +1,4 @@
-// Command 4 shows that a job with long tasks is never done, and that other jobs wait beside it on sound and empty runners.
+// Command 4 shows that a task that has failed once on the only runner that it may use is never started again.
 package main
 
 import (
@@ -8,46 +8,45 @@
 )
 
 const (
-	runners     = 6
-	normalWork  = 9500 * time.Millisecond // the site's work of a task
-	longFactor  = 60                      // a long job takes this many times as long
-	normalJobs  = 19                      // beside one long job: a share of 0.05
+	greyTime    = 6500 * time.Millisecond // how long runners fail what they start on the site
+	taskTime    = 2500 * time.Millisecond
+	maxAttempts = 4
 	contactTime = 4 * time.Second
 	finishTime  = 14 * time.Second // the bound finish_s
 	idleLimit   = 3 * time.Second  // time of the rule LOST
-	watchTime   = 95 * time.Second
+	watchTime   = 70 * time.Second
 )
 
 func main() { standin.Main(check) }
 
 func check(d *standin.Deployment) (string, error) {
-	d.Configure(2, 4, 0)
-	if _, err := d.AddRunners(runners, "a", standin.Room{CPU: 32000, MemMB: 131072, GPU: 8}, 3); err != nil {
+	room := standin.Room{CPU: 32000, MemMB: 131072, GPU: 8}
+	d.Configure(2, maxAttempts, 0)
+	if _, err := d.AddRunners(11, "kartli-a", "a", room, 4); err != nil {
+		return "", err
+	}
+	special, err := d.AddRunners(1, "kartli-a", "b", room, 4)
+	if err != nil {
 		return "", err
 	}
 	if err := d.AddEntries(2); err != nil {
 		return "", err
 	}
 	time.Sleep(contactTime)
-	work := normalWork
 	if d.Trouble {
-		work *= longFactor
+		special[0].SetGrey(true)
 	}
-	id, err := submit(d, work, 16)
+	need := standin.Room{CPU: 2800, MemMB: 15000, GPU: 1}
+	id, err := d.Submit(standin.Work{Duration: taskTime, Need: need}, map[string]any{
+		"count": 1, "cpu": need.CPU, "mem_mb": need.MemMB, "gpu": need.GPU, "est_runtime_ms": taskTime.Milliseconds(), "constraints": "b",
+	})
 	if err != nil {
 		return "", err
 	}
-	for range normalJobs {
-		if _, err := submit(d, normalWork/10, 1); err != nil {
-			return "", err
-		}
+	sentAt := time.Now()
+	time.Sleep(greyTime)
+	if d.Trouble {
+		special[0].SetGrey(false)
 	}
-	return d.WatchIdle(id, time.Now().Add(finishTime), watchTime, idleLimit)
-}
-
-func submit(d *standin.Deployment, work time.Duration, count int) (string, error) {
-	need := standin.Room{CPU: 2800, MemMB: 15000, GPU: 1}
-	return d.Submit(standin.Work{Duration: work, Need: need}, map[string]any{
-		"count": count, "cpu": need.CPU, "mem_mb": need.MemMB, "gpu": need.GPU, "est_runtime_ms": normalWork.Milliseconds(),
-	})
+	return d.WatchIdle(id, sentAt.Add(finishTime), watchTime, idleLimit)
 }
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -138,13 +138,13 @@
 	d.Record.Printf("operator: configuration 7 is stored")
 }
 
-// AddRunners starts runners of one kind; their ids begin with the kind. perRack is the number of runners of a rack.
-func (d *Deployment) AddRunners(n int, kind string, room Room, perRack int) ([]*Runner, error) {
+// AddRunners starts runners of one kind in a zone; their ids begin with the kind. perRack is the number of runners of a rack.
+func (d *Deployment) AddRunners(n int, zone, kind string, room Room, perRack int) ([]*Runner, error) {
 	var out []*Runner
 	for i := range n {
 		d.nextIP++
 		id := fmt.Sprintf("i-%s%02d", kind, i)
-		r, err := d.Fleet.Add(id, d.Network.IP(100+d.nextIP)+":8080", "kartli-a", room, []string{kind, fmt.Sprintf("r%s-%d", kind, i/perRack)})
+		r, err := d.Fleet.Add(id, d.Network.IP(100+d.nextIP)+":8080", zone, room, []string{kind, fmt.Sprintf("r%s-%d", kind, i/perRack)})
 		if err != nil {
 			return nil, err
 		}
--- a/review/standin/entry.go
+++ b/review/standin/entry.go
@@ -53,7 +53,7 @@
 	}
 	lines := []string{
 		"node=" + name, "role=entry", "machine_class=front", "serves=front", "ip=" + ip, "zone=" + zone, "region=kartli",
-		"zones.kartli-a=kartli", "zones.kartli-b=kartli", "listen.front=" + e.Front, "listen.ready_addr=" + e.Ready, "port_range=7000,7015",
+		"zones.kartli-a=kartli", "zones.imereti-a=imereti", "zones.kartli-b=kartli", "listen.front=" + e.Front, "listen.ready_addr=" + e.Ready, "port_range=7000,7015",
 		"seeds=", "bootstrap=true", "loss_counts=false", "limits.cpu_share=0.4", "limits.cores=1", "limits.memory_mb=284", "limits.max_fds=4100",
 		"limits.link_mbps=1000.0", "limits.disk_mb=0", "discovery=platform", "entry=vip", "heartbeat_ms=1500",
 		"contracts=base,drain,config,cost,recover,sched,tenants,platform", "bounds.contact_ms=4000", "bounds.ack_ms=5000",
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -67,24 +67,22 @@
 	Labels   []string
 	Zone     string
 
-	fleet     *Fleet
-	server    *http.Server
-	up        bool
-	quiet     bool          // writes no entry to the store
-	distance  time.Duration // one-way delay of the network to the entry hosts
-	cut       bool          // nothing from entry hosts arrives and nothing is answered
-	grey      bool          // all that starts here fails
-	slowness  float64
-	state     string
-	born      time.Time
-	seq       int64
-	fence     int64
-	until     time.Time // end of the lease
-	runs      map[string]*activeRun
-	highest   map[string]int64 // highest run ended or stopped here, by task
-	ends      [][]any
-	nextEnd   int64
-	intercept func(path string, body map[string]any) (deliver bool)
+	fleet    *Fleet
+	server   *http.Server
+	up       bool
+	quiet    bool          // writes no entry to the store
+	silent   bool          // cut off: calls from entry hosts get no response
+	distance time.Duration // one-way delay of the network to the entry hosts
+	grey     bool          // all that starts here fails
+	state    string
+	born     time.Time
+	seq      int64
+	fence    int64
+	until    time.Time // end of the lease
+	runs     map[string]*activeRun
+	highest  map[string]int64 // highest run ended or stopped here, by task
+	ends     [][]any
+	nextEnd  int64
 }
 
 type activeRun struct {
@@ -101,7 +99,7 @@
 
 // Add starts a runner at an address.
 func (f *Fleet) Add(id, addr, zone string, room Room, labels []string) (*Runner, error) {
-	r := &Runner{ID: id, Addr: addr, Zone: zone, Room: room, Labels: labels, fleet: f, state: "ready", slowness: 1}
+	r := &Runner{ID: id, Addr: addr, Zone: zone, Room: room, Labels: labels, fleet: f, state: "ready"}
 	f.mu.Lock()
 	f.Runners = append(f.Runners, r)
 	f.mu.Unlock()
@@ -141,22 +139,6 @@
 	return nil
 }
 
-// Crash kills the process of a runner: all that runs on it ends, and its connections are reset.
-func (r *Runner) Crash() {
-	f := r.fleet
-	f.mu.Lock()
-	r.up = false
-	srv := r.server
-	for _, a := range r.runs {
-		a.EndAt, a.How = time.Now(), "crashed"
-	}
-	n := len(r.runs)
-	r.runs = map[string]*activeRun{}
-	f.mu.Unlock()
-	_ = srv.Close()
-	f.Record.Printf("runner %s crashes with %d runs", r.ID, n)
-}
-
 // CutWithReset cuts a runner off from the entry hosts: its connections are reset and new ones refused. The runner works on.
 func (r *Runner) CutWithReset() {
 	f := r.fleet
@@ -176,6 +158,36 @@
 	return nil
 }
 
+// CutSilently cuts a runner off from the entry hosts: calls to it get no response.
+func (r *Runner) CutSilently() {
+	r.Set(func(r *Runner) { r.silent = true })
+	r.fleet.Record.Printf("runner %s is cut off silently", r.ID)
+}
+
+// CrashBehindCut ends the process of a runner that is cut off: all that runs on it ends, and it writes no entry. Callers learn nothing
+// before the cut ends.
+func (r *Runner) CrashBehindCut() {
+	f := r.fleet
+	f.mu.Lock()
+	r.up = false
+	n := len(r.runs)
+	for _, a := range r.runs {
+		a.EndAt, a.How = time.Now(), "crashed"
+	}
+	r.runs = map[string]*activeRun{}
+	f.mu.Unlock()
+	f.Record.Printf("runner %s crashes with %d runs", r.ID, n)
+}
+
+// Succeed ends the cut of a runner that has crashed: another one serves its address.
+func (f *Fleet) Succeed(old *Runner, id string) (*Runner, error) {
+	f.mu.Lock()
+	srv := old.server
+	f.mu.Unlock()
+	_ = srv.Close()
+	return f.Add(id, old.Addr, old.Zone, old.Room, old.Labels)
+}
+
 // Remove deletes the entry of a runner that is down.
 func (r *Runner) Remove() { r.fleet.Store.Put("keyed.servers", r.ID, nil) }
 
@@ -209,17 +221,6 @@
 	r.fleet.Record.Printf("the entry of runner %s is back", r.ID)
 }
 
-// SetCut cuts a runner off from the entry hosts, or ends that.
-func (r *Runner) SetCut(on bool) {
-	r.Set(func(r *Runner) { r.cut = on })
-	r.fleet.Record.Printf("runner %s is cut off: %v", r.ID, on)
-}
-
-// Intercept lets check decide for each call whether it is carried out and answered; others are neither.
-func (r *Runner) Intercept(check func(path string, body map[string]any) bool) {
-	r.Set(func(r *Runner) { r.intercept = check })
-}
-
 func (r *Runner) beat() {
 	f := r.fleet
 	f.mu.Lock()
@@ -297,7 +298,7 @@
 		return
 	}
 	if a.working && passed > 0 {
-		a.done += time.Duration(float64(passed) / r.slowness)
+		a.done += passed
 	}
 	if a.working && a.done >= a.work.Duration && !a.work.Lasts {
 		r.end(a, "done", now)
@@ -348,26 +349,21 @@
 		}
 		f := r.fleet
 		f.mu.Lock()
-		cut, check, distance := r.cut, r.intercept, r.distance
+		silent, distance := r.silent, r.distance
 		f.mu.Unlock()
-		time.Sleep(distance)
-		if cut || check != nil && !check(req.URL.Path, body) {
+		if silent {
 			<-req.Context().Done()
 			return
 		}
+		time.Sleep(distance)
 		if want := req.Header.Get("Target-Instance"); want != "" && want != r.ID {
 			writeJSON(w, http.StatusMisdirectedRequest, struct{}{})
 			return
 		}
 		status, resp := serve(req, body)
 		f.mu.Lock()
-		cut = r.cut
 		resp["clock_ms"], resp["born"] = r.clock(time.Now()), r.born.UnixMilli()
 		f.mu.Unlock()
-		if cut {
-			<-req.Context().Done()
-			return
-		}
 		time.Sleep(distance)
 		writeJSON(w, status, resp)
 	}
@@ -407,9 +403,6 @@
 	return http.StatusConflict, map[string]any{"reason": reason}
 }
 
-// RunStart carries out an order, also one that arrives late.
-func (r *Runner) RunStart(body map[string]any) (int, map[string]any) { return r.runStart(nil, body) }
-
 func (r *Runner) runStart(_ *http.Request, body map[string]any) (int, map[string]any) {
 	f, now := r.fleet, time.Now()
 	f.mu.Lock()
@@ -542,7 +535,7 @@
 	defer f.mu.Unlock()
 	for _, r := range f.Runners {
 		runs += len(r.runs)
-		if r.up && !r.cut && !r.grey {
+		if r.up && !r.grey && !r.silent {
 			sound++
 		}
 	}
