Log why work waits and which workers a new leader did not hear

Callers of jobs that wait for good, and hosts that take over, left no trace that told the possible causes apart: a worker that is not polled, suspected, excluded or withheld looked alike, and so did a takeover that waited for a report and one that relied on the record of the fleet. A step that has found no place for 3 s is logged with the number of workers by what keeps it from them, at most once a second. The line on the runs of former leaders names the workers that had not reported.

No decision changes.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -66,10 +66,11 @@
 	demandUpdatedAt   time.Time                           // time of the last update of demand
 	preemptionPlanner placer.PreemptionPlanner
 	pacer             pacer.Pacer
-	startsDeferred    bool    // the last pass has left work waiting because of the rate limit of start requests
-	adoptedGangs      []*step // gangs that may have runs of former leaders, not yet checked for missing members
-	lastArrival       int64   // job.arrival of the newest job
-	err               error   // makes Run return when it is set
+	startsDeferred    bool      // the last pass has left work waiting because of the rate limit of start requests
+	adoptedGangs      []*step   // gangs that may have runs of former leaders, not yet checked for missing members
+	lastArrival       int64     // job.arrival of the newest job
+	waitLoggedAt      time.Time // time of the last log line on a waiting step
+	err               error     // makes Run return when it is set
 }
 
 // Init prepares the dispatcher. It must be called once, before any other method.
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -42,7 +42,8 @@
 	notBefore    time.Time                // earliest start time of the next attempt
 	excluded     map[model.HostID]bool    // workers that get no tasks of the step
 	allStartedAt time.Time                // time at which all tasks were first seen started; zero before that
-	bestPace     float64                  // pace of the fastest worker, in seconds per percent of progress; 0 means unknown
+	waitLog      waitLog
+	bestPace     float64 // pace of the fastest worker, in seconds per percent of progress; 0 means unknown
 }
 
 // task is one task of a step.
--- a/internal/dispatcher/plan.go
+++ b/internal/dispatcher/plan.go
@@ -162,16 +162,19 @@
 	r := p.placementRequest(u)
 	key := keyOf(r)
 	if p.infeasible[key] {
+		p.noteWaiting(u, r)
 		return // an equivalent request has found no place in this pass
 	}
 	if places := placer.Place(p.nodes, r); len(places) > 0 {
 		p.startTasks(u, places)
+		u.step.waitLog.waitingSince = time.Time{}
 		if len(places) == len(u.tasks) {
 			return
 		}
 		u.tasks = u.tasks[len(places):]
 		r = p.placementRequest(u)
 	}
+	p.noteWaiting(u, r)
 	if u.isolated {
 		return // a worker becomes empty soon, or the tasks share one after isolationWait
 	}
--- a/internal/dispatcher/takeover.go
+++ b/internal/dispatcher/takeover.go
@@ -9,6 +9,9 @@
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
+// maxLoggedWorkers is the maximum number of workers that a log line lists.
+const maxLoggedWorkers = 8
+
 // takeOver builds the state of a new term, and starts sessions that request a report from every worker with the new fencing token.
 //
 // A worker that responds refuses all further requests of former leaders. On a worker that does not respond, any lease that a
@@ -94,15 +97,21 @@
 // each worker has reported or its lease from a former leader has ended. Workers whose RunsRecorded is set are exempt, because the
 // log lists all their runs.
 func (d *Dispatcher) checkFormerRuns(now time.Time) {
+	var exempt []model.HostID
 	for _, w := range d.workers {
-		if !w.hasReported && !w.runsRecorded && now.Before(w.formerLeaseEndsAt) {
+		if w.hasReported || !now.Before(w.formerLeaseEndsAt) {
+			continue
+		}
+		if !w.runsRecorded {
 			return
 		}
+		exempt = append(exempt, w.info.ID)
 	}
 	d.formerRunsKnown = true
 	d.scheduleUpToDate = false
 	d.fleetDirty = true // the incarnations of the workers are known now
-	d.Logger.Info("runs of former leaders known, scheduling their jobs", "fence", d.Term.Fence)
+	d.Logger.Info("runs of former leaders known, scheduling their jobs", "fence", d.Term.Fence,
+		"without-report", len(exempt), "such-as", exempt[:min(len(exempt), maxLoggedWorkers)])
 	for _, j := range d.jobs {
 		for _, s := range j.steps {
 			if s.spec.Gang && s.tasksLeft > 0 {
--- a/internal/placer/node.go
+++ b/internal/placer/node.go
@@ -102,14 +102,7 @@
 }
 
 // admits reports whether the node may run tasks of the request, regardless of its free resources.
-func (r *Request) admits(n *Node) bool {
-	if n.ServiceIndex < r.WithheldNodes || n.Unschedulable || r.Isolated && n.Occupied || n.Service != r.Service || r.Excluded[n.ID] ||
-		r.ExcludeSuspected && n.Suspicion > 0 || r.RequireKnownHealthy && !n.KnownHealthy ||
-		!r.SuccessAfter.IsZero() && !n.LastSuccessAt.After(r.SuccessAfter) {
-		return false
-	}
-	return r.Label == "" || slices.Contains(n.Labels, r.Label)
-}
+func (r *Request) admits(n *Node) bool { return r.obstacle(n) == noObstacle }
 
 // taskLimit returns how many more tasks of the request the node may run, regardless of its free resources.
 func (r *Request) taskLimit(n *Node) int {
--- /dev/null
+++ b/internal/placer/obstacle.go
@@ -0,0 +1,59 @@
+package placer
+
+import "slices"
+
+// Obstacle is the reason why a node cannot take a task of a request.
+type Obstacle string
+
+const (
+	noObstacle            Obstacle = ""
+	obstacleService       Obstacle = "other-service"
+	obstacleLabel         Obstacle = "label"
+	obstacleUnschedulable Obstacle = "unschedulable"
+	obstacleExcluded      Obstacle = "excluded"
+	obstacleSuspected     Obstacle = "suspected"
+	obstacleNotHealthy    Obstacle = "not-known-healthy"
+	obstacleOccupied      Obstacle = "occupied"
+	obstacleWithheld      Obstacle = "withheld"
+	obstacleFull          Obstacle = "full"
+)
+
+// obstacle returns why the node may not run tasks of the request, regardless of its free resources. The node's own state comes
+// last, so that the reason tells about the nodes that the request is for.
+func (r *Request) obstacle(n *Node) Obstacle {
+	switch {
+	case n.Service != r.Service:
+		return obstacleService
+	case r.Label != "" && !slices.Contains(n.Labels, r.Label):
+		return obstacleLabel
+	case n.Unschedulable:
+		return obstacleUnschedulable
+	case r.Excluded[n.ID]:
+		return obstacleExcluded
+	case r.ExcludeSuspected && n.Suspicion > 0:
+		return obstacleSuspected
+	case r.RequireKnownHealthy && !n.KnownHealthy, !r.SuccessAfter.IsZero() && !n.LastSuccessAt.After(r.SuccessAfter):
+		return obstacleNotHealthy
+	case r.Isolated && n.Occupied:
+		return obstacleOccupied
+	case n.ServiceIndex < r.WithheldNodes:
+		return obstacleWithheld
+	}
+	return noObstacle
+}
+
+// CountObstacles returns the number of nodes of the request's service and label by the reason why they can take no task of the
+// request. A node that could take a task counts under an empty reason.
+func CountObstacles(nodes []*Node, r *Request) map[Obstacle]int {
+	out := map[Obstacle]int{}
+	for _, n := range nodes {
+		o := r.obstacle(n)
+		if o == noObstacle && (!n.Free.CanFit(r.Need) || r.taskLimit(n) == 0) {
+			o = obstacleFull
+		}
+		if o != obstacleService && o != obstacleLabel {
+			out[o]++
+		}
+	}
+	return out
+}
