Record that a worker gets tasks before it gets any

What callers saw: a task ran twice. After an outage of the store in which the entries of workers lapsed, a leader started a task on the first worker that was listed again and died some milliseconds later; its successor started the task again while the first run was at work.

Cause: the record of the fleet says of a worker that is not listed that it gets no new tasks and that all its runs are in the log. A leader started tasks on a worker that was listed again at once, and wrote the record with its next append, up to 350 ms later. A successor that reads the former record does not wait for the report of that worker. The same holds for a new worker, which no record names: a successor to which the platform does not list it never asks it.

Change: a worker gets tasks only while the newest fleet record in the log says so. It counts as closed from the moment at which a record that closes it is sent, and as open once one that opens it was appended. Opening is appended without delay. A worker that was open under the former leader stays so, so a takeover waits for nothing more.

--- /dev/null
+++ b/internal/coordinator/fleet_test.go
@@ -0,0 +1,74 @@
+package coordinator
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chestnutmux.example/chestnutmux/internal/fake/worker"
+	"chestnutmux.example/chestnutmux/pkg/model"
+)
+
+// setListed replaces the platform's list of workers.
+func (c *cluster) setListed(workers ...model.Worker) {
+	c.mu.Lock()
+	c.workers = workers
+	c.mu.Unlock()
+}
+
+// awaitStart waits until a worker has started a run of the only task of a job, and returns at once.
+func (c *cluster) awaitStart(job model.JobID) {
+	c.t.Helper()
+	for range 20_000 {
+		if c.fleet.LedgerReport().StartsByTask[string(job)+"/0/0/0"] > 0 {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	c.t.Fatalf("job %s has not started", job)
+}
+
+// crash ends the process of the host, which is not started again.
+func (h *testHost) crash() { h.cancel() }
+
+// Guards against a task that runs twice because a leader died before it recorded that a worker which is listed again gets tasks.
+func TestWorkerListedAgainIsRecordedBeforeItsTasks(t *testing.T) {
+	runInCluster(t, 1, 3, 1, 3, func(c *cluster, is *is.I) {
+		all := c.workers
+		c.setListed(all[0])
+		c.submit(job("long", 1, 20*time.Second, model.Step{Count: 1, Need: accelerators(1)}))
+		time.Sleep(2 * time.Second)
+		c.setListed()
+		time.Sleep(2 * time.Second) // the worker stays in the fleet because of its run
+		c.submit(job("j", 1, 4*time.Second, model.Step{Count: 1, Need: accelerators(7)}))
+		c.setListed(all[0])
+		c.awaitStart("j")
+		c.setWorkerFault(all[0].ID, worker.FaultRequestLost)
+		c.leader().crash()
+		c.setListed(all...)
+		time.Sleep(testLease)
+		c.setWorkerFault(all[0].ID, worker.NoFault)
+		c.awaitEnd(time.Minute, "j")
+		is.Equal(c.state("j"), model.JobFinished)
+	})
+}
+
+// Guards against a task that runs twice because a leader died before it recorded a new worker, which its successor does not see.
+func TestNewWorkerIsRecordedBeforeItsTasks(t *testing.T) {
+	runInCluster(t, 1, 3, 1, 3, func(c *cluster, is *is.I) {
+		all := c.workers
+		c.setListed()
+		time.Sleep(time.Second) // the workers are removed from the fleet
+		c.submit(job("j", 1, 4*time.Second, model.Step{Count: 1, Need: accelerators(8)}))
+		c.setListed(all[0])
+		c.awaitStart("j")
+		c.setWorkerFault(all[0].ID, worker.FaultRequestLost)
+		c.leader().crash()
+		c.setListed(all[1:]...)
+		time.Sleep(testLease)
+		c.setWorkerFault(all[0].ID, worker.NoFault)
+		c.awaitEnd(time.Minute, "j")
+		is.Equal(c.state("j"), model.JobFinished)
+	})
+}
--- a/internal/dispatcher/bench_test.go
+++ b/internal/dispatcher/bench_test.go
@@ -47,7 +47,7 @@
 			ID: model.HostID(fmt.Sprint("w", i)), Rack: model.RackID(fmt.Sprint("r", i/8)), State: model.WorkerReady,
 			Capacity: model.Resources{Cores: 32000, MemoryMB: 131072, Accelerators: 8},
 		}, now)
-		w.listed, w.hasReported, w.isResponding, w.clockAt = true, true, true, now
+		w.listed, w.openInLog, w.hasReported, w.isResponding, w.clockAt = true, true, true, true, now
 		j := d.addJob(journaler.Job{Submission: newSubmission(fmt.Sprint("run", i), 2, 8)}, now)
 		for n, t := range j.steps[0].tasks {
 			r := &run{
--- a/internal/dispatcher/headroom_test.go
+++ b/internal/dispatcher/headroom_test.go
@@ -22,7 +22,7 @@
 			ID: model.HostID(fmt.Sprintf("w%03d", i)), Rack: model.RackID(fmt.Sprintf("r%02d", i/8)), State: model.WorkerReady,
 			Capacity: model.Resources{Cores: 32000, MemoryMB: 131072, Accelerators: 8},
 		}, now)
-		w.listed, w.hasReported, w.isResponding, w.clockAt = true, true, true, now
+		w.listed, w.openInLog, w.hasReported, w.isResponding, w.clockAt = true, true, true, true, now
 	}
 	return d
 }
--- a/internal/dispatcher/journal.go
+++ b/internal/dispatcher/journal.go
@@ -61,6 +61,7 @@
 	records  []journaler.Record
 	seq      int64               // sequence number of the append
 	lastEnds map[*worker]endMark // newest run end of each worker whose effect the batch contains
+	opened   []*worker           // workers that may get new tasks once the batch is in the log
 	resigns  bool                // the batch announces the resignation of the leader
 }
 
@@ -202,13 +203,19 @@
 	return nil
 }
 
-// addFleet adds a fleet record, which lists all workers of the dispatcher.
+// addFleet adds a fleet record, which lists all workers of the dispatcher. A worker that gets no new tasks according to the record
+// gets none from the moment at which the record may be in the log, until a later record that says otherwise is.
 func (l *journal) addFleet(b *batch) error {
 	l.d.fleetDirty = false
 	var workers []journaler.FleetWorker
 	for _, w := range l.d.workers {
+		if w.mayGetTasks() {
+			b.opened = append(b.opened, w)
+		} else {
+			w.openInLog = false
+		}
 		workers = append(workers, journaler.FleetWorker{
-			ID: w.info.ID, Address: w.info.Address, Incarnation: w.knownIncarnation(), RunsRecorded: !w.listed || w.info.State != model.WorkerReady,
+			ID: w.info.ID, Address: w.info.Address, Incarnation: w.knownIncarnation(), RunsRecorded: !w.mayGetTasks(),
 		})
 	}
 	r, err := journaler.NewFleetRecord(workers)
@@ -274,6 +281,10 @@
 		d.endTerm("resigned")
 		return
 	}
+	for _, w := range e.batch.opened {
+		d.scheduleUpToDate = d.scheduleUpToDate && w.openInLog
+		w.openInLog = true
+	}
 	for w, m := range e.batch.lastEnds {
 		if w.incarnation == m.incarnation {
 			w.durableSeq = max(w.durableSeq, m.seq)
--- a/internal/dispatcher/report_test.go
+++ b/internal/dispatcher/report_test.go
@@ -24,7 +24,8 @@
 	d := newDispatcher(t)
 	f := &fixture{Dispatcher: d, now: time.Now()}
 	f.worker = d.addWorker(model.Worker{ID: "w0", State: model.WorkerReady, Capacity: model.Resources{Accelerators: 8}}, f.now)
-	f.worker.listed, f.worker.hasReported, f.worker.isResponding, f.worker.clockAt, f.worker.incarnation = true, true, true, f.now, 1
+	f.worker.listed, f.worker.openInLog, f.worker.hasReported, f.worker.isResponding = true, true, true, true
+	f.worker.clockAt, f.worker.incarnation = f.now, 1
 	s := newSubmission("job", 1, 1)
 	s.Queue.MaxAttempts = 3
 	f.task = d.addJob(journaler.Job{Submission: s}, f.now).steps[0].tasks[0]
--- a/internal/dispatcher/takeover.go
+++ b/internal/dispatcher/takeover.go
@@ -27,6 +27,7 @@
 	for _, w := range fleet {
 		added := d.addWorker(model.Worker{ID: w.ID, Address: w.Address, State: model.WorkerDraining}, now)
 		added.runsRecorded, added.formerIncarnation = w.RunsRecorded, w.Incarnation
+		added.openInLog = !w.RunsRecorded
 	}
 	d.updateWorkerList(list, now)
 	for _, j := range d.jobs {
@@ -76,6 +77,9 @@
 		}
 		w.listed = true
 		w.info = info
+		if w.mayGetTasks() && !w.openInLog {
+			d.journal.appendSoon = true // its tasks wait for the fleet record
+		}
 		w.session.updateRenewalState(func(state *renewalState) { state.info = info })
 		if info.State == model.WorkerDraining {
 			d.stopRunsOnDrainingWorker(w, now)
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -17,6 +17,7 @@
 	lastError         error     // error of the last call; nil after a response
 	hasCrashed        bool      // the last calls show that the process of the worker has ended
 	runsRecorded      bool      // a former leader gave the worker no new tasks, and the log lists all its runs
+	openInLog         bool      // the newest fleet record in the log says that the worker may get new tasks
 
 	clock            WorkerTime // clock of the worker at clockAt
 	clockAt          time.Time  // time of the last response
@@ -96,14 +97,17 @@
 	return active, stopping
 }
 
-// isSchedulable reports whether the worker accepts new tasks.
+// mayGetTasks reports whether the worker gets new tasks once it can, so that the fleet record must say so first.
+func (w *worker) mayGetTasks() bool { return w.listed && w.info.State == model.WorkerReady }
+
+// isSchedulable reports whether the worker accepts new tasks. The next leader must know from the log that it may have runs.
 func (w *worker) isSchedulable(now time.Time) bool {
 	for _, r := range w.runs {
 		if r.needUnknown {
 			return false
 		}
 	}
-	return w.listed && w.hasReported && w.isResponding && w.info.State == model.WorkerReady && !now.Before(w.quarantinedUntil)
+	return w.mayGetTasks() && w.openInLog && w.hasReported && w.isResponding && !now.Before(w.quarantinedUntil)
 }
 
 // unoccupiedResources returns the resources that no run uses. Runs that are being stopped still use theirs.
