Count the crash under an adopted run once

What callers saw: a job was shown as failed ('has crashed each worker that started it') although fewer workers had crashed under its task.

Cause: a task keeps the worker to which a former leader sent it until its runs there are known. The run that the worker reported was adopted, but the worker was kept. When it crashed later, the crash counted with the lost run, and again when the next pass asked whether a run of the former leader may be active there.

TestCrashUnderAdoptedRunCountsOnce fails without the change: 2 != 1.

Change: adopting the run settles the question.

--- a/internal/dispatcher/crash_test.go
+++ b/internal/dispatcher/crash_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
 // Guards against a crash that is not counted because the report that shows it was requested before the run started.
@@ -31,3 +33,22 @@
 		is.Equal(f.task.crashes, 1) // counted once
 	}
 }
+
+// Guards against a restart of a worker that counts twice against a task whose run a former leader started.
+func TestCrashUnderAdoptedRunCountsOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.formerRunsKnown = false
+	f.removeRun(f.task.activeRun, f.now)
+	f.worker.formerIncarnation, f.task.formerWorker = 1, "w0"
+	report := func(ms int, incarnation int64, running ...model.RunProgress) {
+		e := &reportEvent{worker: "w0", report: Report{Incarnation: incarnation, Running: running}, sentAt: f.later(ms), handled: make(chan struct{})}
+		e.apply(f.Dispatcher, f.later(ms+5))
+	}
+	report(10, 1, model.RunProgress{Run: f.runID(1)})
+	is.True(f.task.activeRun != nil) // adopted
+	report(20, 2)
+	is.Equal(f.task.crashes, 1)
+	f.waitingTasks(f.task.step, f.later(50))
+	is.Equal(f.task.crashes, 1)
+}
--- a/internal/dispatcher/takeover.go
+++ b/internal/dispatcher/takeover.go
@@ -203,7 +203,7 @@
 		d.stopRun(r, "task runs elsewhere", now)
 	default:
 		r.task = t
-		t.activeRun = r
+		t.activeRun, t.formerWorker = r, ""
 		d.markJobRunning(j)
 		d.Metrics.Runs.Add("adopted", 1)
 	}
