Keep the runs of workers that a new leader has not heard in the records

What callers would see: a task ran twice after two changes of the leader.

Cause: a new leader that has not heard of a worker which gets no more tasks relies on the records of the jobs for its runs. When it wrote such a record itself, for another task of the job, it listed only the runs that it knew, so the leader after it started the task again.

Change: the record names the worker of a run that a former leader started until that worker has reported or its lease has ended.

Result: TestRecordKeepsRunsOfSilentWorkers fails without the change ('started on w0-1 as run 2049 while it runs on 1 other workers') and passes with it.

--- a/internal/coordinator/fleet_test.go
+++ b/internal/coordinator/fleet_test.go
@@ -72,3 +72,33 @@
 		is.Equal(c.state("j"), model.JobFinished)
 	})
 }
+
+// replaceLeader crashes the leader and waits for the next one.
+func (c *cluster) replaceLeader() {
+	c.t.Helper()
+	c.leader().crash()
+	time.Sleep(50 * time.Millisecond) // the term of the process ends
+	c.awaitLeader()
+}
+
+// Guards against a task that runs twice because a new leader writes the record of its job without a run that it has not heard of.
+func TestRecordKeepsRunsOfSilentWorkers(t *testing.T) {
+	runInCluster(t, 1, 3, 1, 3, func(c *cluster, is *is.I) {
+		all := c.workers
+		c.setListed(all[1])
+		time.Sleep(500 * time.Millisecond)
+		c.submit(job("j", 1, 8*time.Second, model.Step{Count: 2, Need: accelerators(8)}))
+		time.Sleep(6 * time.Second)
+		c.setListed(all[:2]...)
+		time.Sleep(800 * time.Millisecond)
+		c.setListed(all[1:]...) // the first worker keeps its run
+		time.Sleep(800 * time.Millisecond)
+		c.setWorkerFault(all[0].ID, worker.FaultRequestLost)
+		c.replaceLeader()
+		time.Sleep(time.Second) // the other run ends, which changes the record
+		c.replaceLeader()
+		time.Sleep(testLease)
+		c.setWorkerFault(all[0].ID, worker.NoFault)
+		c.awaitEnd(time.Minute, "j")
+	})
+}
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -275,11 +275,10 @@
 			p.DoneTasks.Set(t.index)
 			continue
 		}
-		if t.activeRun != nil {
+		if id := t.runningOn(); id != "" {
 			if p.RunningTasks == nil {
 				p.RunningTasks = map[model.HostID][]int{}
 			}
-			id := t.activeRun.worker.info.ID
 			p.RunningTasks[id] = append(p.RunningTasks[id], t.index)
 		}
 		for r := range t.failedRuns {
@@ -304,6 +303,14 @@
 	return p
 }
 
+// runningOn returns the worker on which the task has a run, or may have one that a former leader started; empty if there is none.
+func (t *task) runningOn() model.HostID {
+	if t.activeRun != nil {
+		return t.activeRun.worker.info.ID
+	}
+	return t.formerWorker
+}
+
 // resumeCheckpoint returns the checkpoint from which the next run resumes, or an empty one if there is none. All members of a
 // gang resume from the same checkpoint.
 func (t *task) resumeCheckpoint() model.Checkpoint {
