Record the runs that a new leader adopts

What callers would see: a task ran twice after two changes of the leader.

Cause: a leader that dies within 300 ms of a start leaves no record of it. Its successor adopts the run when the worker reports it, but the record of the job was written again only if the job had not been running before. When the worker is no longer listed after that, the fleet record says that the log lists all its runs, and the next leader starts the task again.

Change: an adopted run that the records don't name makes the record of its job due.

Result: TestAdoptedRunIsRecorded fails without the change ('started on w0-2 as run 2049 while it runs on 1 other workers') and passes with it.

--- a/internal/coordinator/fleet_test.go
+++ b/internal/coordinator/fleet_test.go
@@ -102,3 +102,27 @@
 		c.awaitEnd(time.Minute, "j")
 	})
 }
+
+// Guards against a task that runs twice because a run that its leader did not record is not recorded by the next leader either.
+func TestAdoptedRunIsRecorded(t *testing.T) {
+	runInCluster(t, 1, 3, 1, 3, func(c *cluster, is *is.I) {
+		all := c.workers
+		c.setListed(all[1])
+		time.Sleep(500 * time.Millisecond)
+		c.submit(job("j", 1, 9*time.Second, model.Step{Count: 2, Need: accelerators(8)}))
+		time.Sleep(2 * time.Second)
+		c.setListed(all[:2]...)
+		for c.fleet.LedgerReport().StartsByTask["j/0/0/1"] == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		c.replaceLeader()
+		time.Sleep(800 * time.Millisecond)
+		c.setListed(all[1:]...) // the first worker keeps its run
+		time.Sleep(800 * time.Millisecond)
+		c.setWorkerFault(all[0].ID, worker.FaultRequestLost)
+		c.replaceLeader()
+		time.Sleep(testLease)
+		c.setWorkerFault(all[0].ID, worker.NoFault)
+		c.awaitEnd(time.Minute, "j")
+	})
+}
--- a/internal/dispatcher/takeover.go
+++ b/internal/dispatcher/takeover.go
@@ -203,6 +203,9 @@
 		d.stopRun(r, "task runs elsewhere", now)
 	default:
 		r.task = t
+		if t.formerWorker != w.info.ID {
+			d.journal.markDirty(j, false) // the former leader did not record the run
+		}
 		t.activeRun, t.formerWorker = r, ""
 		d.markJobRunning(j)
 		d.Metrics.Runs.Add("adopted", 1)
