--- a/internal/coordinator/fleet_test.go
+++ b/internal/coordinator/fleet_test.go
@@ -126,3 +126,22 @@
 		c.awaitEnd(time.Minute, "j")
 	})
 }
+
+// Guards against a task that runs twice because a leader records the runs of a worker as known that it has never heard of.
+func TestUnheardWorkerIsNotRecordedAsKnown(t *testing.T) {
+	runInCluster(t, 1, 3, 1, 3, func(c *cluster, is *is.I) {
+		all := c.workers
+		c.setListed(all[0])
+		time.Sleep(500 * time.Millisecond)
+		c.submit(job("j", 1, 9*time.Second, model.Step{Count: 1, Need: accelerators(8)}))
+		c.awaitStart("j")
+		c.setListed(all[1:]...)
+		c.setWorkerFault(all[0].ID, worker.FaultRequestLost)
+		c.replaceLeader()
+		time.Sleep(time.Second)
+		c.replaceLeader()
+		time.Sleep(testLease)
+		c.setWorkerFault(all[0].ID, worker.NoFault)
+		c.awaitEnd(time.Minute, "j")
+	})
+}
--- a/internal/dispatcher/journal.go
+++ b/internal/dispatcher/journal.go
@@ -156,7 +156,7 @@
 		}
 	}
 	if l.d.fleetDirty {
-		if err := l.addFleet(b); err != nil {
+		if err := l.addFleet(b, now); err != nil {
 			return nil, err
 		}
 	}
@@ -205,7 +205,7 @@
 
 // addFleet adds a fleet record, which lists all workers of the dispatcher. A worker that gets no new tasks according to the record
 // gets none from the moment at which the record may be in the log, until a later record that says otherwise is.
-func (l *journal) addFleet(b *batch) error {
+func (l *journal) addFleet(b *batch, now time.Time) error {
 	l.d.fleetDirty = false
 	var workers []journaler.FleetWorker
 	for _, w := range l.d.workers {
@@ -215,7 +215,7 @@
 			w.openInLog = false
 		}
 		workers = append(workers, journaler.FleetWorker{
-			ID: w.info.ID, Address: w.info.Address, Incarnation: w.knownIncarnation(), RunsRecorded: !w.mayGetTasks(),
+			ID: w.info.ID, Address: w.info.Address, Incarnation: w.knownIncarnation(), RunsRecorded: !w.mayGetTasks() && !w.hasUnknownRuns(now),
 		})
 	}
 	r, err := journaler.NewFleetRecord(workers)
--- a/internal/dispatcher/takeover.go
+++ b/internal/dispatcher/takeover.go
@@ -103,13 +103,12 @@
 func (d *Dispatcher) checkFormerRuns(now time.Time) {
 	var exempt []model.HostID
 	for _, w := range d.workers {
-		if w.hasReported || !now.Before(w.formerLeaseEndsAt) {
-			continue
-		}
-		if !w.runsRecorded {
+		if w.hasUnknownRuns(now) {
 			return
 		}
-		exempt = append(exempt, w.info.ID)
+		if !w.hasReported && now.Before(w.formerLeaseEndsAt) {
+			exempt = append(exempt, w.info.ID)
+		}
 	}
 	d.formerRunsKnown = true
 	d.scheduleUpToDate = false
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -100,6 +100,12 @@
 // mayGetTasks reports whether the worker gets new tasks once it can, so that the fleet record must say so first.
 func (w *worker) mayGetTasks() bool { return w.listed && w.info.State == model.WorkerReady }
 
+// hasUnknownRuns reports whether a former leader may have started runs on the worker that are neither recorded nor known to this
+// leader, and that may still be active.
+func (w *worker) hasUnknownRuns(now time.Time) bool {
+	return !w.hasReported && !w.runsRecorded && now.Before(w.formerLeaseEndsAt)
+}
+
 // isSchedulable reports whether the worker accepts new tasks. The next leader must know from the log that it may have runs.
 func (w *worker) isSchedulable(now time.Time) bool {
 	for _, r := range w.runs {
