Log the states of the workers that waiting work is for

It gives their states, too, as the status output does. The test of a request's service and label stood in four places and is one function now.

No decision changes; TestLongWaitIsLoggedWithReasons looks for the state.

--- a/internal/dispatcher/waiting.go
+++ b/internal/dispatcher/waiting.go
@@ -34,5 +34,16 @@
 	s.waitLog.loggedAt, p.d.waitLoggedAt = p.now, p.now
 	p.d.Logger.Info("step waits for workers", "job", s.ref.Job, "occurrence", s.ref.Occurrence, "step", s.ref.Step, "tasks", r.Count,
 		"gang", r.Gang, "one-rack", r.OneRack, "rank", u.rank, "for-ms", p.now.Sub(s.waitLog.waitingSince).Milliseconds(),
-		"workers", placer.CountObstacles(p.nodes, r))
+		"workers", placer.CountObstacles(p.nodes, r), "states", p.countStates(r))
+}
+
+// countStates returns the number of workers of the request's service and label by their status.
+func (p *schedulingPass) countStates(r *placer.Request) map[string]int {
+	out := map[string]int{}
+	for _, n := range p.nodes {
+		if r.IsFor(n) {
+			out[p.workerOf[n].healthStatus(p.now)]++
+		}
+	}
+	return out
 }
--- a/internal/dispatcher/waiting_test.go
+++ b/internal/dispatcher/waiting_test.go
@@ -23,5 +23,5 @@
 		f.schedule(f.later(ms))
 	}
 	is.Equal(strings.Count(logs.String(), "step waits for workers"), 2) // after 3 s and after 13 s
-	is.True(strings.Contains(logs.String(), "unschedulable"))
+	is.True(strings.Contains(logs.String(), "unreachable"))
 }
--- a/internal/placer/obstacle.go
+++ b/internal/placer/obstacle.go
@@ -7,8 +7,7 @@
 
 const (
 	noObstacle            Obstacle = ""
-	obstacleService       Obstacle = "other-service"
-	obstacleLabel         Obstacle = "label"
+	obstacleOtherWorkers  Obstacle = "other-workers" // another service, or without the label
 	obstacleUnschedulable Obstacle = "unschedulable"
 	obstacleExcluded      Obstacle = "excluded"
 	obstacleSuspected     Obstacle = "suspected"
@@ -18,14 +17,17 @@
 	obstacleFull          Obstacle = "full"
 )
 
+// IsFor reports whether the node belongs to the service of the request and has its label.
+func (r *Request) IsFor(n *Node) bool {
+	return n.Service == r.Service && (r.Label == "" || slices.Contains(n.Labels, r.Label))
+}
+
 // obstacle returns why the node may not run tasks of the request, regardless of its free resources. The node's own state comes
 // last, so that the reason tells about the nodes that the request is for.
 func (r *Request) obstacle(n *Node) Obstacle {
 	switch {
-	case n.Service != r.Service:
-		return obstacleService
-	case r.Label != "" && !slices.Contains(n.Labels, r.Label):
-		return obstacleLabel
+	case !r.IsFor(n):
+		return obstacleOtherWorkers
 	case n.Unschedulable:
 		return obstacleUnschedulable
 	case r.Excluded[n.ID]:
@@ -51,7 +53,7 @@
 		if o == noObstacle && (!n.Free.CanFit(r.Need) || r.taskLimit(n) == 0) {
 			o = obstacleFull
 		}
-		if o != obstacleService && o != obstacleLabel {
+		if o != obstacleOtherWorkers {
 			out[o]++
 		}
 	}
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -119,7 +119,7 @@
 	for _, g := range groups {
 		n := 0
 		for _, node := range g {
-			if !node.Unschedulable && node.Service == r.Service && (r.Label == "" || slices.Contains(node.Labels, r.Label)) {
+			if !node.Unschedulable && r.IsFor(node) {
 				n += min(tasksThatFit(node.Capacity, r.Need), r.taskLimit(node))
 			}
 		}
@@ -136,7 +136,7 @@
 	for rack := range nodesByRack(nodes) {
 		n := 0
 		for _, node := range rack {
-			if node.Service == r.Service && (r.Label == "" || slices.Contains(node.Labels, r.Label)) {
+			if r.IsFor(node) {
 				n += min(tasksThatFit(node.Capacity, r.Need), r.taskLimit(node))
 			}
 		}
