Ask a worker that does not respond until it does

What callers saw: jobs that only one worker may run stayed pending for good, although it was up, listed and empty; after several cuts most of the fleet got no tasks.

Cause: a start request that can't be sent marks its worker as not responding, and a worker in that state gets no tasks. Its run is removed, so the session of the worker has nothing to renew and sleeps until its state changes. Only a response to a call could change it, and no call is ever made. Workers whose runs were dropped after a silence end in the same state.

Change: a session renews, without a lease, while its worker does not respond; once a second if the worker has no runs. Looked for elsewhere: runners of service requests are avoided for 30 s at most, peers for a bounded time.

--- a/internal/dispatcher/session.go
+++ b/internal/dispatcher/session.go
@@ -15,6 +15,8 @@
 	reportWait = 2 * time.Second
 	// reportRetryDelay is the delay before a failed lease renewal is retried.
 	reportRetryDelay = 250 * time.Millisecond
+	// probeInterval is the delay before a renewal that only asks whether a worker without runs responds again.
+	probeInterval = time.Second
 	// durableWait limits the wait until processed run ends are in the log. After that, the lease is renewed without acknowledging
 	// them.
 	durableWait = 300 * time.Millisecond
@@ -61,6 +63,20 @@
 	callTimeout  time.Duration // timeout of the next call, not counting the time for which the worker may delay its response
 }
 
+// needsReport reports whether a lease renewal is due. A worker that does not respond gets no tasks, so only a renewal can show that
+// it responds again.
+func (s *renewalState) needsReport() bool {
+	return !s.hasReported || s.hasWork || s.reportNow || !s.isResponding
+}
+
+// retryDelay returns the delay before the next renewal after a failed one.
+func (s *renewalState) retryDelay() time.Duration {
+	if s.hasReported && !s.hasWork {
+		return probeInterval
+	}
+	return reportRetryDelay
+}
+
 // ackedEnds identifies the last run end that was acknowledged to the worker.
 type ackedEnds struct {
 	incarnation int64
@@ -120,7 +136,7 @@
 	for s.ctx.Err() == nil {
 		state := s.takeRenewalState()
 		switch {
-		case !state.hasReported || state.hasWork || state.reportNow:
+		case state.needsReport():
 			s.renewLease(state)
 		default:
 			s.incarnationKnown = false
@@ -182,7 +198,7 @@
 		s.acked = ackedEnds{incarnation: state.incarnation, seq: req.AckedThrough}
 	}
 	if err != nil {
-		s.backOff()
+		s.backOff(state.retryDelay())
 		return
 	}
 	s.awaitDurable()
@@ -214,9 +230,9 @@
 	return s.grantedUntil
 }
 
-// backOff waits for reportRetryDelay, or until the session ends.
-func (s *session) backOff() {
-	t := time.NewTimer(reportRetryDelay)
+// backOff waits for a time, or until the session ends.
+func (s *session) backOff(d time.Duration) {
+	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
