End the exclusion of a worker from a step

What callers saw: a job with one task that only one worker may run failed once there, while the worker failed everything for some seconds. The worker was sound and empty after that, but the task never started again; the job stayed 'running'.

Cause: a worker on which a run of a step has failed, that did not answer a start or that stood in a stalled gang was excluded from the step for the rest of the term, without exception. Steps for few workers (a label, a rack, a gang as large as the fleet) run out of workers.

Not suspicion or quarantine, which would be named and end.

Change: an exclusion lasts 3 s and doubles with each failure of the step on the worker, up to 12 s. After that the worker is the last choice: it gets tasks of the step only if no other one has room. The limit leaves work that only one worker may run waiting for less than the 14 s after which it should run.

--- a/internal/dispatcher/health.go
+++ b/internal/dispatcher/health.go
@@ -164,20 +164,13 @@
 	}
 }
 
-// suspectStalledGang raises the suspicion of the gang's workers that are not known to be healthy, and excludes them from the step.
+// suspectStalledGang raises the suspicion of the gang's workers that are not known to be healthy, and excludes them from the step for a
+// time.
 func (d *Dispatcher) suspectStalledGang(s *step, now time.Time) {
 	for _, t := range s.tasks {
 		if t.activeRun != nil && !t.activeRun.worker.isKnownHealthy(now) {
 			t.activeRun.worker.raiseSuspicion(now, 1)
-			s.excludeWorker(t.activeRun.worker)
+			s.excludeWorker(t.activeRun.worker, now)
 		}
 	}
 }
-
-// excludeWorker prevents further runs of the step on a worker.
-func (s *step) excludeWorker(w *worker) {
-	if s.excluded == nil {
-		s.excluded = map[model.HostID]bool{}
-	}
-	s.excluded[w.info.ID] = true
-}
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -40,7 +40,7 @@
 	heldWorkers  []*worker                // workers held for the waiting gang; they get no less urgent work
 	heldUntil    time.Time                // time after which other workers may be held instead
 	notBefore    time.Time                // earliest start time of the next attempt
-	excluded     map[model.HostID]bool    // workers that get no tasks of the step
+	exclusions   exclusions               // workers on which the step has failed
 	allStartedAt time.Time                // time at which all tasks were first seen started; zero before that
 	waitLog      waitLog
 	bestPace     float64 // pace of the fastest worker, in seconds per percent of progress; 0 means unknown
--- a/internal/dispatcher/plan.go
+++ b/internal/dispatcher/plan.go
@@ -241,7 +241,8 @@
 	s := u.step
 	r := &placer.Request{
 		Count: len(u.tasks), Need: s.spec.Need, Service: s.job.submission.Queue.Service, Rank: u.rank, Gang: s.spec.Gang,
-		OneRack: s.spec.OneRack && s.spec.Gang, Label: s.spec.Label, NearRack: s.spec.NearRack, MaxPerWorker: s.spec.MaxPerWorker, Excluded: s.excluded,
+		OneRack: s.spec.OneRack && s.spec.Gang, Label: s.spec.Label, NearRack: s.spec.NearRack, MaxPerWorker: s.spec.MaxPerWorker,
+		Excluded: s.exclusions.excluded(p.now), Avoided: s.exclusions.avoided(),
 		WithheldNodes: p.withheldNodes(u), Isolated: u.isolated,
 	}
 	// A gang that fits in no rack may use several racks, on which it runs more slowly, because it could never start otherwise.
--- a/internal/dispatcher/report.go
+++ b/internal/dispatcher/report.go
@@ -253,7 +253,7 @@
 	}
 	t.failedRuns[end.Run.Number] = true
 	s.failedRuns[end.Run.Number] = true
-	s.excludeWorker(w)
+	s.excludeWorker(w, now)
 	failures := len(t.failedRuns)
 	if s.spec.Gang {
 		failures = len(s.failedRuns)
--- a/internal/dispatcher/requests.go
+++ b/internal/dispatcher/requests.go
@@ -169,7 +169,7 @@
 	d.Metrics.Stops.Add(r.stopReason, 1)
 	d.sendStop(r, 0)
 	if t := r.task; t != nil {
-		t.step.excludeWorker(r.worker)
+		t.step.excludeWorker(r.worker, now)
 		if t.step.spec.Gang {
 			d.stopStep(t.step, "no response to start request of another gang member", now)
 		}
--- a/internal/placer/node.go
+++ b/internal/placer/node.go
@@ -78,7 +78,8 @@
 	NearRack            model.RackID          // preferred rack; empty means none
 	MaxPerWorker        int                   // maximum number of tasks of the step per node; 0 means no limit
 	RunningPerWorker    map[model.HostID]int  // number of running tasks of the step on each worker; counts towards MaxPerWorker
-	Excluded            map[model.HostID]bool // workers that must not be used, such as those on which a task of the step has failed
+	Excluded            map[model.HostID]bool // workers that must not be used, such as those on which a task of the step has just failed
+	Avoided             map[model.HostID]bool // workers that are used only if no other has room, such as those on which a task of the step has failed
 	WithheldNodes       int                   // nodes with a ServiceIndex below this are withheld for more urgent work
 	Isolated            bool                  // use only nodes without runs, each for one task
 	ExcludeSuspected    bool                  // use only nodes without suspicion
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -60,7 +60,7 @@
 	score := float64(taskSlots - r.Count)
 	maxSlowness := 0.0
 	for _, n := range places {
-		score += 100 * float64(n.Suspicion)
+		score += 100 * float64(n.Suspicion+r.avoidance(n))
 		maxSlowness = max(maxSlowness, n.Slowness)
 	}
 	if maxSlowness > slowTolerance {
@@ -69,12 +69,13 @@
 	return score
 }
 
-// placeBestFit places tasks on one node after the other until it is full. Nodes with less suspicion come first, then those in the
-// preferred rack, the faster ones, and those with the least leftover.
+// placeBestFit places tasks on one node after the other until it is full. Nodes that the request avoids come last. Of the others,
+// those with less suspicion come first, then those in the preferred rack, the faster ones, and those with the least leftover.
 func placeBestFit(nodes []*Node, r *Request) []*Node {
 	sorted := slices.Clone(nodes)
 	slices.SortStableFunc(sorted, func(a, b *Node) int {
 		return cmp.Or(
+			cmp.Compare(r.avoidance(a), r.avoidance(b)),
 			cmp.Compare(a.Suspicion, b.Suspicion),
 			cmp.Compare(rackAffinity(b, r), rackAffinity(a, r)),
 			cmp.Compare(slownessClass(a), slownessClass(b)),
@@ -93,6 +94,14 @@
 	return places
 }
 
+// avoidance returns 1 for a node that the request avoids, and 0 for any other.
+func (r *Request) avoidance(n *Node) int {
+	if r.Avoided[n.ID] {
+		return 1
+	}
+	return 0
+}
+
 // rackAffinity returns 1 for a node in the preferred rack of the request, and 0 for any other.
 func rackAffinity(n *Node, r *Request) int {
 	if r.NearRack != "" && n.Rack == r.NearRack {
