--- a/internal/coordinator/fleet_test.go
+++ b/internal/coordinator/fleet_test.go
@@ -17,39 +17,54 @@
 	c.mu.Unlock()
 }
 
-// awaitStart waits until a worker has started a run of the only task of a job, and returns at once.
-func (c *cluster) awaitStart(job model.JobID) {
+// awaitStart waits until a worker has started a run of a task, and returns at once.
+func (c *cluster) awaitStart(task string) {
 	c.t.Helper()
 	for range 20_000 {
-		if c.fleet.LedgerReport().StartsByTask[string(job)+"/0/0/0"] > 0 {
+		if c.fleet.LedgerReport().StartsByTask[task] > 0 {
 			return
 		}
 		time.Sleep(time.Millisecond)
 	}
-	c.t.Fatalf("job %s has not started", job)
+	c.t.Fatalf("task %s has not started", task)
 }
 
 // crash ends the process of the host, which is not started again.
 func (h *testHost) crash() { h.cancel() }
 
+// replaceLeader crashes the leader and waits for the next one.
+func (c *cluster) replaceLeader() {
+	c.t.Helper()
+	c.leader().crash()
+	time.Sleep(50 * time.Millisecond) // the term of the process ends
+	c.awaitLeader()
+}
+
+// endSilence lets the lease of a silent worker end, connects the worker again, and waits until a job has ended.
+func (c *cluster) endSilence(w model.HostID, job model.JobID) {
+	c.t.Helper()
+	time.Sleep(testLease)
+	c.setWorkerFault(w, worker.NoFault)
+	c.awaitEnd(time.Minute, job)
+}
+
 // Guards against a task that runs twice because a leader died before it recorded that a worker which is listed again gets tasks.
 func TestWorkerListedAgainIsRecordedBeforeItsTasks(t *testing.T) {
 	runInCluster(t, 1, 3, 1, 3, func(c *cluster, is *is.I) {
 		all := c.workers
 		c.setListed(all[0])
+		time.Sleep(500 * time.Millisecond)
 		c.submit(job("long", 1, 20*time.Second, model.Step{Count: 1, Need: accelerators(1)}))
 		time.Sleep(2 * time.Second)
 		c.setListed()
 		time.Sleep(2 * time.Second) // the worker stays in the fleet because of its run
 		c.submit(job("j", 1, 4*time.Second, model.Step{Count: 1, Need: accelerators(7)}))
 		c.setListed(all[0])
-		c.awaitStart("j")
+		c.awaitStart("j/0/0/0")
 		c.setWorkerFault(all[0].ID, worker.FaultRequestLost)
 		c.leader().crash()
 		c.setListed(all...)
-		time.Sleep(testLease)
-		c.setWorkerFault(all[0].ID, worker.NoFault)
-		c.awaitEnd(time.Minute, "j")
+		c.endSilence(all[0].ID, "j")
 		is.Equal(c.state("j"), model.JobFinished)
 	})
 }
@@ -62,25 +77,15 @@
 		time.Sleep(time.Second) // the workers are removed from the fleet
 		c.submit(job("j", 1, 4*time.Second, model.Step{Count: 1, Need: accelerators(8)}))
 		c.setListed(all[0])
-		c.awaitStart("j")
+		c.awaitStart("j/0/0/0")
 		c.setWorkerFault(all[0].ID, worker.FaultRequestLost)
 		c.leader().crash()
 		c.setListed(all[1:]...)
-		time.Sleep(testLease)
-		c.setWorkerFault(all[0].ID, worker.NoFault)
-		c.awaitEnd(time.Minute, "j")
+		c.endSilence(all[0].ID, "j")
 		is.Equal(c.state("j"), model.JobFinished)
 	})
 }
 
-// replaceLeader crashes the leader and waits for the next one.
-func (c *cluster) replaceLeader() {
-	c.t.Helper()
-	c.leader().crash()
-	time.Sleep(50 * time.Millisecond) // the term of the process ends
-	c.awaitLeader()
-}
-
 // Guards against a task that runs twice because a new leader writes the record of its job without a run that it has not heard of.
 func TestRecordKeepsRunsOfSilentWorkers(t *testing.T) {
 	runInCluster(t, 1, 3, 1, 3, func(c *cluster, is *is.I) {
@@ -97,9 +102,7 @@
 		c.replaceLeader()
 		time.Sleep(time.Second) // the other run ends, which changes the record
 		c.replaceLeader()
-		time.Sleep(testLease)
-		c.setWorkerFault(all[0].ID, worker.NoFault)
-		c.awaitEnd(time.Minute, "j")
+		c.endSilence(all[0].ID, "j")
 	})
 }
 
@@ -112,18 +115,14 @@
 		c.submit(job("j", 1, 9*time.Second, model.Step{Count: 2, Need: accelerators(8)}))
 		time.Sleep(2 * time.Second)
 		c.setListed(all[:2]...)
-		for c.fleet.LedgerReport().StartsByTask["j/0/0/1"] == 0 {
-			time.Sleep(time.Millisecond)
-		}
+		c.awaitStart("j/0/0/1")
 		c.replaceLeader()
 		time.Sleep(800 * time.Millisecond)
 		c.setListed(all[1:]...) // the first worker keeps its run
 		time.Sleep(800 * time.Millisecond)
 		c.setWorkerFault(all[0].ID, worker.FaultRequestLost)
 		c.replaceLeader()
-		time.Sleep(testLease)
-		c.setWorkerFault(all[0].ID, worker.NoFault)
-		c.awaitEnd(time.Minute, "j")
+		c.endSilence(all[0].ID, "j")
 	})
 }
 
@@ -134,14 +133,12 @@
 		c.setListed(all[0])
 		time.Sleep(500 * time.Millisecond)
 		c.submit(job("j", 1, 9*time.Second, model.Step{Count: 1, Need: accelerators(8)}))
-		c.awaitStart("j")
+		c.awaitStart("j/0/0/0")
 		c.setListed(all[1:]...)
 		c.setWorkerFault(all[0].ID, worker.FaultRequestLost)
 		c.replaceLeader()
 		time.Sleep(time.Second)
 		c.replaceLeader()
-		time.Sleep(testLease)
-		c.setWorkerFault(all[0].ID, worker.NoFault)
-		c.awaitEnd(time.Minute, "j")
+		c.endSilence(all[0].ID, "j")
 	})
 }
--- /dev/null
+++ b/internal/dispatcher/batch.go
@@ -0,0 +1,123 @@
+package dispatcher
+
+import (
+	"time"
+
+	"chestnutmux.example/chestnutmux/internal/journaler"
+)
+
+// batch contains the records of one append, and identifies the run ends that become durable with it.
+type batch struct {
+	records  []journaler.Record
+	seq      int64               // sequence number of the append
+	lastEnds map[*worker]endMark // newest run end of each worker whose effect the batch contains
+	opened   []*worker           // workers that may get new tasks once the batch is in the log
+	resigns  bool                // the batch announces the resignation of the leader
+}
+
+// endMark identifies the last run end of a worker whose effect a batch contains.
+type endMark struct {
+	incarnation int64 // incarnation of the worker that reported the run end
+	seq         int64 // sequence number of the run end
+}
+
+// buildBatch collects the records of the next append.
+func (l *journal) buildBatch(now time.Time) (*batch, error) {
+	l.seq++
+	b := &batch{seq: l.seq, lastEnds: map[*worker]endMark{}}
+	for _, w := range l.d.workers {
+		if w.processedSeq > w.durableSeq {
+			b.lastEnds[w] = endMark{incarnation: w.incarnation, seq: w.processedSeq}
+		}
+	}
+	if err := l.addProgress(b, now); err != nil {
+		return nil, err
+	}
+	l.appendSoon = false
+	// An append without records would not advance the sequence number in the log, so the batch needs at least one.
+	if now.After(l.nextRenewalAt) || l.resigning || len(b.records) == 0 {
+		if err := l.addTerm(b, now); err != nil {
+			return nil, err
+		}
+	}
+	if l.d.fleetDirty {
+		if err := l.addFleet(b, now); err != nil {
+			return nil, err
+		}
+	}
+	l.addRemovals(b, now)
+	return b, nil
+}
+
+// addProgress adds the progress records that should be appended soon or have been delayed for lazyAppendDelay.
+//
+// It adds all pending records before a fleet record and at the end of the term, because the next leader relies on the log to
+// know the runs of workers whose RunsRecorded is set.
+func (l *journal) addProgress(b *batch, now time.Time) error {
+	all := l.d.fleetDirty || l.resigning
+	l.oldestChangeAt = time.Time{}
+	for id, entry := range l.dirty {
+		if !all && !entry.appendSoon && now.Before(entry.changedAt.Add(lazyAppendDelay)) {
+			if l.oldestChangeAt.IsZero() || entry.changedAt.Before(l.oldestChangeAt) {
+				l.oldestChangeAt = entry.changedAt
+			}
+			continue
+		}
+		r, err := journaler.NewProgressRecord(id, entry.job.progressRecord(l.d.Term.Fence))
+		if err != nil {
+			return err
+		}
+		b.records = append(b.records, r)
+		delete(l.dirty, id)
+	}
+	return nil
+}
+
+// addTerm adds a term record, which serves as a heartbeat of the leader and contains the current load.
+func (l *journal) addTerm(b *batch, now time.Time) error {
+	t := l.d.Term
+	t.Load = l.d.pendingLoad(now)
+	t.Resigned = l.resigning
+	b.resigns = l.resigning
+	r, err := journaler.NewTermRecord(t)
+	if err != nil {
+		return err
+	}
+	b.records = append(b.records, r)
+	l.nextRenewalAt = now.Add(termRenewInterval)
+	return nil
+}
+
+// addFleet adds a fleet record, which lists all workers of the dispatcher. A worker that gets no new tasks according to the record
+// gets none from the moment at which the record may be in the log, until a later record that says otherwise is.
+func (l *journal) addFleet(b *batch, now time.Time) error {
+	l.d.fleetDirty = false
+	var workers []journaler.FleetWorker
+	for _, w := range l.d.workers {
+		if w.mayGetTasks() {
+			b.opened = append(b.opened, w)
+		} else {
+			w.openInLog = false
+		}
+		workers = append(workers, journaler.FleetWorker{
+			ID: w.info.ID, Address: w.info.Address, Incarnation: w.knownIncarnation(), RunsRecorded: !w.mayGetTasks() && !w.hasUnknownRuns(now),
+		})
+	}
+	r, err := journaler.NewFleetRecord(workers)
+	if err != nil {
+		return err
+	}
+	b.records = append(b.records, r)
+	return nil
+}
+
+// addRemovals adds the removal of ended jobs whose retention time has passed.
+func (l *journal) addRemovals(b *batch, now time.Time) {
+	n := 0
+	for n < len(l.removals) && n < maxRemovalsPerAppend && now.After(l.removals[n].removeAt) {
+		b.records = append(b.records, journaler.NewTombstones(l.removals[n].id)...)
+		delete(l.d.endedJobs, l.removals[n].id)
+		n++
+	}
+	l.removals = l.removals[n:]
+}
