--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -42,8 +42,8 @@
 	notBefore    time.Time                // earliest start time of the next attempt
 	exclusions   exclusions               // workers on which the step has failed
 	allStartedAt time.Time                // time at which all tasks were first seen started; zero before that
-	waitLog      waitLog
-	bestPace     float64 // pace of the fastest worker, in seconds per percent of progress; 0 means unknown
+	waitLog      waitLog                  // when the step began to wait, and was last logged as waiting
+	bestPace     float64                  // pace of the fastest worker, in seconds per percent of progress; 0 means unknown
 }
 
 // task is one task of a step.
--- a/internal/placer/obstacle.go
+++ b/internal/placer/obstacle.go
@@ -22,8 +22,8 @@
 	return n.Service == r.Service && (r.Label == "" || slices.Contains(n.Labels, r.Label))
 }
 
-// obstacle returns why the node may not run tasks of the request, regardless of its free resources. The node's own state comes
-// last, so that the reason tells about the nodes that the request is for.
+// obstacle returns why the node may not run tasks of the request, regardless of its free resources. If there are several reasons,
+// it returns the one that lasts longest.
 func (r *Request) obstacle(n *Node) Obstacle {
 	switch {
 	case !r.IsFor(n):
