--- a/internal/placer/obstacle.go
+++ b/internal/placer/obstacle.go
@@ -6,7 +6,7 @@
 type Obstacle string
 
 const (
-	noObstacle            Obstacle = ""
+	noObstacle            Obstacle = "free"
 	obstacleOtherWorkers  Obstacle = "other-workers" // another service, or without the label
 	obstacleUnschedulable Obstacle = "unschedulable"
 	obstacleExcluded      Obstacle = "excluded"
@@ -23,7 +23,7 @@
 }
 
 // obstacle returns why the node may not run tasks of the request, regardless of its free resources. If there are several reasons,
-// it returns the one that lasts longest.
+// it returns the first of these cases.
 func (r *Request) obstacle(n *Node) Obstacle {
 	switch {
 	case !r.IsFor(n):
@@ -45,7 +45,7 @@
 }
 
 // CountObstacles returns the number of nodes of the request's service and label by the reason why they can take no task of the
-// request. A node that could take a task counts under an empty reason.
+// request. A node that could take a task counts as "free".
 func CountObstacles(nodes []*Node, r *Request) map[Obstacle]int {
 	out := map[Obstacle]int{}
 	for _, n := range nodes {
