Start a task once if its reservation and its step are planned in one pass

What callers would see: a task ran twice at the same time, both runs started by the same leader.

Cause: a step under whose task a worker has crashed has two units in a pass, that task and the others. The unit that comes first starts the reservation of the step, whichever tasks it is for; the second unit then placed its tasks, the ones just started among them.

TestReservedTaskIsStartedOnce fails without the change: 2 != 1.

Change: a unit drops the tasks that have started since it was built.

--- a/internal/dispatcher/plan.go
+++ b/internal/dispatcher/plan.go
@@ -18,6 +18,14 @@
 	awaitingRestart bool        // the gang was interrupted and cannot start yet; its released resources are held
 }
 
+// dropStarted removes the tasks that have started since the unit was built. A step may have two units, and the reservation that
+// one of them starts may be for tasks of the other. A gang has one unit.
+func (u *placementUnit) dropStarted() {
+	if !u.step.spec.Gang {
+		u.tasks = slices.DeleteFunc(u.tasks, func(t *task) bool { return t.activeRun != nil })
+	}
+}
+
 // schedule runs one scheduling pass, which starts the work that fits, most urgent first, and preempts less urgent work for the rest.
 func (d *Dispatcher) schedule(now time.Time) {
 	units := d.placementUnits(now)
@@ -156,6 +164,9 @@
 		p.startReserved(u)
 		return
 	}
+	if u.dropStarted(); len(u.tasks) == 0 {
+		return
+	}
 	if !p.trimToQuota(u) || !p.trimToRate(u) {
 		return
 	}
--- a/internal/dispatcher/reservation_test.go
+++ b/internal/dispatcher/reservation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -32,3 +33,23 @@
 	f.worker.info.Capacity.Accelerators = 8
 	is.True(!f.worker.isSchedulable(f.now))
 }
+
+// Guards against a task that is started twice in a pass, once for its reservation and once with the other waiting tasks of its step.
+func TestReservedTaskIsStartedOnce(t *testing.T) {
+	is := is.New(t)
+	d := newFleet(t, 1)
+	now := time.Now()
+	s := d.addJob(journaler.Job{Submission: newSubmission("job", 1, 3)}, now).steps[0]
+	s.tasks[0].crashes, s.tasks[0].lastCrashAt = 1, now // waits for an empty worker, apart from the others
+	s.reservation = &reservation{tasks: s.tasks[1:2], workers: []*worker{d.workers["w000"]}}
+	d.schedule(now)
+	runs := map[model.TaskRef]int{}
+	for _, w := range d.workers {
+		for _, r := range w.runs {
+			runs[r.id.Task]++
+		}
+	}
+	for _, task := range s.tasks[1:] {
+		is.Equal(runs[task.ref()], 1)
+	}
+}
