Let the session of the test fixture make no renewal of its own

Cause: the session of the fixture's worker runs in the background. If it made its first lease renewal only after the fixture had marked the worker as reported, the renewal granted the lease of an hour that the test dispatcher has, and the dispatcher rightly kept the run. The product is not at fault.

Change: the fixture waits until the first renewal, which grants nothing, has begun, and only then marks the worker. The client holds the call, so no further renewal follows. No check of the test changes.

--- a/internal/dispatcher/report_test.go
+++ b/internal/dispatcher/report_test.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -18,12 +19,29 @@
 	now    time.Time // start time of run 1, and the time at which the dispatcher handles events unless a test says otherwise
 }
 
+// renewalClient blocks every call like unresponsiveClient, and signals that a lease renewal has begun.
+type renewalClient struct {
+	unresponsiveClient
+	renewing chan<- struct{}
+}
+
+func (c renewalClient) RenewLease(ctx context.Context, w model.Worker, req RenewLeaseRequest) (Report, error) {
+	select {
+	case c.renewing <- struct{}{}:
+	default: // the fixture waits for the first renewal only
+	}
+	return c.unresponsiveClient.RenewLease(ctx, w, req)
+}
+
 // newFixture returns a fixture in which the start request of run 1 of the task has been sent.
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
 	d := newDispatcher(t)
+	renewing := make(chan struct{}, 1)
+	d.Workers = renewalClient{renewing: renewing}
 	f := &fixture{Dispatcher: d, now: time.Now()}
 	f.worker = d.addWorker(model.Worker{ID: "w0", State: model.WorkerReady, Capacity: model.Resources{Accelerators: 8}}, f.now)
+	<-renewing // the session waits for the response to a call that grants no lease, and makes no other during the test
 	f.worker.listed, f.worker.openInLog, f.worker.hasReported, f.worker.isResponding = true, true, true, true
 	f.worker.clockAt, f.worker.incarnation = f.now, 1
 	s := newSubmission("job", 1, 1)
