--- a/internal/dispatcher/headroom_test.go
+++ b/internal/dispatcher/headroom_test.go
@@ -123,15 +123,22 @@
 	return n
 }
 
-// Guards against headroom that makes work wait while most of the fleet is idle.
-func TestNoHeadroomOnIdleFleet(t *testing.T) {
-	is := is.New(t)
+// newFleetWithUnmetDemand returns an idle fleet with an urgent gang that never fits, and the time at which its demand is known.
+func newFleetWithUnmetDemand(t *testing.T) (*Dispatcher, time.Time) {
+	t.Helper()
 	d := newFleet(t, 2)
 	now := time.Now()
-	d.addStep("urgent", 0, model.Step{Count: 40, Need: model.Resources{Accelerators: 8}, Gang: true}, now) // never fits
+	d.addStep("urgent", 0, model.Step{Count: 40, Need: model.Resources{Accelerators: 8}, Gang: true}, now)
 	d.schedule(now)
 	now = now.Add(3 * time.Second)
 	d.schedule(now)
+	return d, now
+}
+
+// Guards against headroom that makes work wait while most of the fleet is idle.
+func TestNoHeadroomOnIdleFleet(t *testing.T) {
+	is := is.New(t)
+	d, now := newFleetWithUnmetDemand(t)
 	small := d.addStep("small", 2, model.Step{Count: 8, Need: model.Resources{Accelerators: 8}}, now)
 	d.schedule(now)
 	is.Equal(len(small.tasksPerRack()) > 0, true)
@@ -140,12 +147,7 @@
 // Guards against headroom that permanently blocks work: a gang that needs most of the fleet, and tasks bound to one worker.
 func TestHeadroomExemptions(t *testing.T) {
 	is := is.New(t)
-	d := newFleet(t, 2)
-	now := time.Now()
-	d.addStep("urgent", 0, model.Step{Count: 40, Need: model.Resources{Accelerators: 8}, Gang: true}, now) // never fits
-	d.schedule(now)
-	now = now.Add(3 * time.Second)
-	d.schedule(now)
+	d, now := newFleetWithUnmetDemand(t)
 	delete(d.jobs, "urgent")
 	d.workers["w000"].info.Labels = []string{"fast"}
 	bound := d.addStep("bound", 2, model.Step{Count: 1, Need: model.Resources{Accelerators: 1}, Label: "fast"}, now)
--- a/internal/fake/relay/relay_test.go
+++ b/internal/fake/relay/relay_test.go
@@ -48,17 +48,25 @@
 	return err == nil
 }
 
-// Guards against the fault down leaving connections open, letting new ones through, or lasting after it is cleared.
-func TestDownClosesConnectionsUntilCleared(t *testing.T) {
+// startConnectedRelay starts a relay in front of an echo server, and returns it with a connection that passes data.
+func startConnectedRelay(t *testing.T) (*Relay, net.Conn) {
+	t.Helper()
 	is := is.New(t)
 	addr := startEchoServer(t)
 	r, err := Start("127.0.0.1:0", func() string { return addr })
 	is.NoErr(err)
-	defer r.Close()
+	t.Cleanup(func() { r.Close() })
 	c := dial(t, r.Addr())
 	is.True(roundTrip(c))
+	return r, c
+}
+
+// Guards against the fault down leaving connections open, letting new ones through, or lasting after it is cleared.
+func TestDownClosesConnectionsUntilCleared(t *testing.T) {
+	is := is.New(t)
+	r, c := startConnectedRelay(t)
 	r.SetFaults(fault.Faults{Down: true})
-	_, err = c.Read(make([]byte, 1))
+	_, err := c.Read(make([]byte, 1))
 	is.True(err != nil) // the open connection is closed
 	is.True(!roundTrip(dial(t, r.Addr())))
 	r.SetFaults(fault.Faults{SlowMS: 1})
@@ -69,15 +77,10 @@
 // Guards against the fault frozen letting data through, or losing it instead of forwarding it once the fault is cleared.
 func TestFrozenHoldsBackData(t *testing.T) {
 	is := is.New(t)
-	addr := startEchoServer(t)
-	r, err := Start("127.0.0.1:0", func() string { return addr })
-	is.NoErr(err)
-	defer r.Close()
-	c := dial(t, r.Addr())
-	is.True(roundTrip(c))
+	r, c := startConnectedRelay(t)
 	before := r.ConnectionStats()["bytes-forwarded"]
 	r.SetFaults(fault.Faults{Frozen: true})
-	_, err = c.Write([]byte("x"))
+	_, err := c.Write([]byte("x"))
 	is.NoErr(err)
 	is.NoErr(c.SetReadDeadline(time.Now().Add(20 * time.Millisecond)))
 	_, err = c.Read(make([]byte, 1))
@@ -92,11 +95,8 @@
 // Guards against an address that changes when the relay restarts.
 func TestRestartKeepsAddress(t *testing.T) {
 	is := is.New(t)
-	addr := startEchoServer(t)
-	r, err := Start("127.0.0.1:0", func() string { return addr })
-	is.NoErr(err)
-	c, old := dial(t, r.Addr()), r.Addr()
-	is.True(roundTrip(c))
+	r, c := startConnectedRelay(t)
+	old := r.Addr()
 	is.NoErr(r.Restart())
 	is.Equal(r.Addr(), old)
 	is.True(!roundTrip(c))
