Log when the term was confirmed and which leases ended at a takeover

A failed append now says how long ago the last confirmed one was sent, the end of a takeover names the workers whose leases count as ended without a report, and a lost run says how long its worker was silent and since when its lease had ended.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -41,6 +41,8 @@
 	electionDelayJitter = 40 * time.Millisecond
 	// termAppendTimeout bounds the append of a candidate's term.
 	termAppendTimeout = 800 * time.Millisecond
+	// candidacyRetention is longer than the log may take to carry out an append.
+	candidacyRetention = time.Minute
 	// lostElectionDelay extends the election timeout of a candidate after its attempt, in case another host has won.
 	lostElectionDelay = 150 * time.Millisecond
 	// catchUpTimeout bounds the wait for the replica to reach the end of the log, and also a query of the worker statuses and
@@ -90,20 +92,21 @@
 
 	mu           sync.Mutex
 	elector      elector.Elector
-	logReachable bool               // whether the follower's last call to the log succeeded
-	loaded       bool               // whether a snapshot has been loaded
-	ownTerm      *ownTerm           // nil while this host is not the leader
-	lastFence    model.FencingToken // fencing token of this host's last term, which must not be started again after it has ended
-	resigned     bool               // whether Resign was called
-	wakeup       chan struct{}      // signals Run that the election state may have changed
-	readDone     chan struct{}      // closed and replaced after each call of the follower to the log
+	logReachable bool                // whether the follower's last call to the log succeeded
+	loaded       bool                // whether a snapshot has been loaded
+	ownTerm      *ownTerm            // nil while this host is not the leader
+	candidacies  map[int64]time.Time // when recent terms of this host were sent to the log, by Term.FirstSeq
+	lastFence    model.FencingToken  // fencing token of this host's last term, which must not be started again after it has ended
+	resigned     bool                // whether Resign was called
+	wakeup       chan struct{}       // signals Run that the election state may have changed
+	readDone     chan struct{}       // closed and replaced after each call of the follower to the log
 }
 
 // New returns a coordinator that is inactive until Run.
 func New(cfg Config) *Coordinator {
 	c := &Coordinator{
 		cfg: cfg, replica: &journaler.Replica{Logger: cfg.Logger, Recoverer: cfg.Recoverer}, nonce: newNonce(),
-		wakeup: make(chan struct{}, 1), readDone: make(chan struct{}),
+		candidacies: map[int64]time.Time{}, wakeup: make(chan struct{}, 1), readDone: make(chan struct{}),
 	}
 	c.elector.ElectionTimeout = electionTimeout
 	c.follower = &journaler.Follower{
--- a/internal/coordinator/election.go
+++ b/internal/coordinator/election.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -123,6 +124,7 @@
 		c.cfg.Logger.Error("cannot encode the term record", "error", err)
 		return
 	}
+	c.recordCandidacy(t)
 	appendCtx, cancel := context.WithTimeout(ctx, termAppendTimeout)
 	_, err = c.cfg.Log.Append(appendCtx, []journaler.Record{r}, journaler.AppendCondition{
 		ExpectedEnd: &next, Writer: &journaler.Writer{Name: dispatcher.LeaderWriterName, Epoch: t.Fence, Seq: t.FirstSeq},
@@ -141,6 +143,15 @@
 	c.mu.Unlock()
 }
 
+// recordCandidacy notes when the append of a term was sent. An append without a response may take effect seconds later.
+func (c *Coordinator) recordCandidacy(t journaler.Term) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	maps.DeleteFunc(c.candidacies, func(_ int64, sentAt time.Time) bool { return now.Sub(sentAt) > candidacyRetention })
+	c.candidacies[t.FirstSeq] = now
+}
+
 // awaitOffset waits up to catchUpTimeout until the replica has applied all records before the offset end.
 func (c *Coordinator) awaitOffset(ctx context.Context, end model.Offset) {
 	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -41,7 +41,7 @@
 func (c *Coordinator) startTermLocked(t journaler.Term, offset model.Offset) {
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &dispatcher.Dispatcher{
-		Term: t, TermOffset: offset, Log: c.cfg.Log, Workers: &recoveringClient{client: c.cfg.Workers, recoverer: c.cfg.Recoverer}, Logger: c.cfg.Logger.With("fence", t.Fence), Metrics: c.cfg.Metrics, Recoverer: c.cfg.Recoverer,
+		Term: t, TermOffset: offset, ElectedAt: c.candidacies[t.FirstSeq], Log: c.cfg.Log, Workers: &recoveringClient{client: c.cfg.Workers, recoverer: c.cfg.Recoverer}, Logger: c.cfg.Logger.With("fence", t.Fence), Metrics: c.cfg.Metrics, Recoverer: c.cfg.Recoverer,
 		LeaseDuration: c.cfg.LeaseDuration, LinkRate: c.cfg.LinkRate, JobRetention: c.cfg.JobRetention, LookupJob: c.replica.Job, OnViolation: c.cfg.Asserter.RecordViolation,
 	}
 	d.Init()
--- a/internal/dispatcher/batch.go
+++ b/internal/dispatcher/batch.go
@@ -10,6 +10,7 @@
 type batch struct {
 	records  []journaler.Record
 	seq      int64               // sequence number of the append
+	sentAt   time.Time           // time at which the batch was sent first
 	lastEnds map[*worker]endMark // newest run end of each worker whose effect the batch contains
 	opened   []*worker           // workers that may get new tasks once the batch is in the log
 	resigns  bool                // the batch announces the resignation of the leader
@@ -24,7 +25,7 @@
 // buildBatch collects the records of the next append.
 func (l *journal) buildBatch(now time.Time) (*batch, error) {
 	l.seq++
-	b := &batch{seq: l.seq, lastEnds: map[*worker]endMark{}}
+	b := &batch{seq: l.seq, sentAt: now, lastEnds: map[*worker]endMark{}}
 	for _, w := range l.d.workers {
 		if w.processedSeq > w.durableSeq {
 			b.lastEnds[w] = endMark{incarnation: w.incarnation, seq: w.processedSeq}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -38,6 +38,7 @@
 type Dispatcher struct {
 	Term          journaler.Term
 	TermOffset    model.Offset // log offset of the first record of the term
+	ElectedAt     time.Time    // time at which the append of the term was sent; zero means the time of Init
 	Log           journaler.Log
 	Workers       WorkerClient
 	Logger        hclog.Logger
@@ -81,6 +82,9 @@
 	d.workers = map[model.HostID]*worker{}
 	d.demand = map[model.ServiceID]*priorityDemand{}
 	d.pacer.LinkRate = d.LinkRate
+	if d.ElectedAt.IsZero() {
+		d.ElectedAt = time.Now()
+	}
 	d.journal.init(d)
 }
 
@@ -287,15 +291,16 @@
 	}
 	for _, r := range w.runs {
 		d.Metrics.Runs.Add("lapsed", 1)
-		d.logLostRun(r, "the lease of the worker has expired")
+		d.logLostRun(r, "the lease of the worker has expired", now)
 		d.removeRun(r, now)
 	}
 }
 
 // logLostRun logs that a run has ended without a report of its worker, and how the last call to the worker failed.
-func (d *Dispatcher) logLostRun(r *run, reason string) {
+func (d *Dispatcher) logLostRun(r *run, reason string, now time.Time) {
 	d.Logger.Warn("run lost", "worker", r.worker.info.ID, "task", r.id.Task.String(), "run", r.id.Number, "state", r.state,
-		"percent", r.percentDone, "reason", reason, "last-error", r.worker.lastError, "incarnation", r.worker.incarnation)
+		"percent", r.percentDone, "reason", reason, "last-error", r.worker.lastError, "incarnation", r.worker.incarnation,
+		"silent-ms", now.Sub(r.worker.clockAt).Milliseconds(), "lease-ended-ms-ago", now.Sub(r.worker.leaseEndsAt()).Milliseconds())
 }
 
 // Resign announces the end of the term to the other hosts through the log, and then ends the term.
--- a/internal/dispatcher/journal.go
+++ b/internal/dispatcher/journal.go
@@ -38,6 +38,7 @@
 	appending      bool                      // an append is in flight
 	oldestChangeAt time.Time                 // time of the oldest change that is not in a batch yet; zero means none
 	lastAppendAt   time.Time                 // start time of the last append
+	confirmedAt    time.Time                 // time at which the last append that has succeeded was sent
 	nextRenewalAt  time.Time                 // time at which the next term record is due
 	resigning      bool                      // the next batch announces the resignation of the leader
 	removals       []removal                 // pending removals of ended jobs, in the order in which they are due
@@ -65,6 +66,7 @@
 	l.writerName = LeaderWriterName
 	l.dirty = map[model.JobID]*dirtyJob{}
 	l.seq = d.Term.FirstSeq
+	l.confirmedAt = d.ElectedAt
 }
 
 // markDirty schedules a new record of the job. With appendSoon, the record is part of the next append; otherwise it may be
@@ -155,12 +157,14 @@
 		return
 	default:
 		d.Metrics.Appends.Add("failed", 1)
-		d.Logger.Warn("append failed, retrying", "seq", e.batch.seq, "records", len(e.batch.records), "error", e.err)
+		d.Logger.Warn("append failed, retrying", "seq", e.batch.seq, "records", len(e.batch.records),
+			"confirmed-ms-ago", now.Sub(l.confirmedAt).Milliseconds(), "error", e.err)
 		l.sendBatch(e.batch, appendRetryDelay)
 		return
 	}
 	d.Metrics.Appends.Add("done", 1)
 	l.appending = false
+	l.confirmedAt = e.batch.sentAt
 	if e.batch.resigns {
 		d.endTerm("resigned")
 		return
--- a/internal/dispatcher/report.go
+++ b/internal/dispatcher/report.go
@@ -152,7 +152,7 @@
 		started := !r.startConfirmedAt.IsZero() && r.startConfirmedAt.Before(e.sentAt)
 		stopped := !r.stopConfirmedAt.IsZero() && r.stopConfirmedAt.Before(e.sentAt)
 		if started || stopped {
-			d.logLostRun(r, "the worker no longer reports it")
+			d.logLostRun(r, "the worker no longer reports it", now)
 			d.Metrics.Runs.Add("vanished", 1)
 			d.removeRun(r, now)
 		}
--- a/internal/dispatcher/takeover.go
+++ b/internal/dispatcher/takeover.go
@@ -101,20 +101,24 @@
 // each worker has reported or its lease from a former leader has ended. Workers whose RunsRecorded is set are exempt, because the
 // log lists all their runs.
 func (d *Dispatcher) checkFormerRuns(now time.Time) {
-	var exempt []model.HostID
+	var exempt, expired []model.HostID
 	for _, w := range d.workers {
-		if w.hasUnknownRuns(now) {
+		switch {
+		case w.hasUnknownRuns(now):
 			return
-		}
-		if !w.hasReported && now.Before(w.formerLeaseEndsAt) {
+		case w.hasReported:
+		case now.Before(w.formerLeaseEndsAt):
 			exempt = append(exempt, w.info.ID)
+		default:
+			expired = append(expired, w.info.ID)
 		}
 	}
 	d.formerRunsKnown = true
 	d.scheduleUpToDate = false
 	d.fleetDirty = true // the incarnations of the workers are known now
 	d.Logger.Info("runs of former leaders known, scheduling their jobs", "fence", d.Term.Fence,
-		"without-report", len(exempt), "such-as", exempt[:min(len(exempt), maxLoggedWorkers)])
+		"without-report", len(exempt), "such-as", exempt[:min(len(exempt), maxLoggedWorkers)],
+		"leases-ended", len(expired), "ended-such-as", expired[:min(len(expired), maxLoggedWorkers)])
 	for _, j := range d.jobs {
 		for _, s := range j.steps {
 			if s.spec.Gang && s.tasksLeft > 0 {
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -75,14 +75,19 @@
 // isLost reports whether the runs of the worker can no longer be active and no report of their ends is expected. That is the case
 // once its lease has certainly ended and it has been silent for minSilence, or for lateReportTime longer if it still seems to run.
 func (w *worker) isLost(now time.Time) bool {
-	leaseEndsAt := w.startLeaseEndsAt
-	if end := w.session.latestLeaseEnd(); end.After(leaseEndsAt) {
-		leaseEndsAt = end
-	}
+	lostAt := w.leaseEndsAt()
 	if w.listed && !w.hasCrashed {
-		leaseEndsAt = leaseEndsAt.Add(lateReportTime)
+		lostAt = lostAt.Add(lateReportTime)
+	}
+	return now.After(lostAt) && now.Sub(w.clockAt) > minSilence
+}
+
+// leaseEndsAt returns the time at which all leases that this leader may have granted have certainly ended.
+func (w *worker) leaseEndsAt() time.Time {
+	if end := w.session.latestLeaseEnd(); end.After(w.startLeaseEndsAt) {
+		return end
 	}
-	return now.After(leaseEndsAt) && now.Sub(w.clockAt) > minSilence
+	return w.startLeaseEndsAt
 }
 
 // usedResources returns the resources of runs that are not being stopped, and those of runs that are being stopped.
