Grant no leases that a successor takes for ended

A leader whose appends fail retried them for as long as it led, and renewed leases and started tasks meanwhile. Its successor waits one lease from its own start for workers that do not respond to it. A leader that is cut off from the log together with some workers therefore kept their tasks running while they started again elsewhere.

No lease that a leader grants, with a start or a renewal, now ends later than MaxUnconfirmed and one lease after it sent the last append that the log has confirmed. A successor has seen no append for MinElectionTimeout, and waits for the rest. Class: a lease of a former leader is bounded only if its right to grant it is.

TestRunsSurviveOutageOfLog guards the bridge: tasks survive an outage as long as a lease.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -21,7 +21,7 @@
 const (
 	// electionTimeout is how long a leader may write nothing before other hosts start an election. It allows for three renewals
 	// of the term, which are 350 ms apart, and a slow log.
-	electionTimeout = 1200 * time.Millisecond
+	electionTimeout = dispatcher.MinElectionTimeout
 	// electionDelayPerRoundTrip is the number of round trips to the log by which a host delays an election. Hosts far from the
 	// log wait longer, so that one near it becomes leader.
 	electionDelayPerRoundTrip = 4
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -26,9 +26,9 @@
 	passIntervalFactor = 4
 	// deferredPassDelay is the minimum time between two passes while the rate limit of start requests keeps work waiting.
 	deferredPassDelay = 30 * time.Millisecond
-	// startLeaseDuration is the maximum duration of the worker lease that a start request grants; the next lease renewal
-	// extends the lease.
-	startLeaseDuration = 3 * time.Second
+	// maxStartLease is the maximum duration of the worker lease that a start request grants; the next lease renewal extends the
+	// lease.
+	maxStartLease = 3 * time.Second
 )
 
 // ErrTermEnded is returned by Run when another leader has taken over or this host has resigned.
@@ -59,6 +59,7 @@
 	fleetDirty        bool // the fleet record in the log is outdated
 	entitlements      Entitlements
 	journal           journal
+	leaseLimit        leaseLimit                          // shared with the sessions
 	scheduleUpToDate  bool                                // no event since the last pass requires another one
 	lastPassAt        time.Time                           // start time of the last pass
 	nextPassAt        time.Time                           // earliest start time of the next pass
@@ -85,6 +86,7 @@
 	if d.ElectedAt.IsZero() {
 		d.ElectedAt = time.Now()
 	}
+	d.leaseLimit.confirm(d.ElectedAt, d.LeaseDuration)
 	d.journal.init(d)
 }
 
--- a/internal/dispatcher/journal.go
+++ b/internal/dispatcher/journal.go
@@ -145,6 +145,16 @@
 	}()
 }
 
+// confirmAppend records that the log has accepted an append, so that this host was still the leader when it was sent.
+func (l *journal) confirmAppend(sentAt, now time.Time) {
+	d := l.d
+	if !d.canGrantStartLease(now) {
+		d.scheduleUpToDate = false // work has waited for this
+	}
+	l.confirmedAt = sentAt
+	d.leaseLimit.confirm(sentAt, d.LeaseDuration)
+}
+
 func (e *appendEvent) apply(d *Dispatcher, now time.Time) {
 	l := &d.journal
 	var seq *journaler.SequenceError
@@ -164,7 +174,7 @@
 	}
 	d.Metrics.Appends.Add("done", 1)
 	l.appending = false
-	l.confirmedAt = e.batch.sentAt
+	l.confirmAppend(e.batch.sentAt, now)
 	if e.batch.resigns {
 		d.endTerm("resigned")
 		return
--- a/internal/dispatcher/requests.go
+++ b/internal/dispatcher/requests.go
@@ -23,14 +23,15 @@
 	}
 	t.activeRun, t.lastWorker = r, w
 	w.runs[r.id] = r
+	lease := d.startLeaseDuration(now)
 	req := StartRequest{
 		Run: r.id, Payload: t.step.job.submission.Payload, Checkpoint: t.resumeCheckpoint(), Fence: d.Term.Fence,
-		LeaseUntil: w.leaseUntil(now, min(startLeaseDuration, d.LeaseDuration)), Need: r.need,
+		LeaseUntil: w.leaseUntil(now, lease), Need: r.need,
 	}
 	if t.step.spec.Gang {
 		req.GangSize = len(t.step.tasks)
 	}
-	w.recordStartLease(now, min(startLeaseDuration, d.LeaseDuration))
+	w.recordStartLease(now, lease)
 	d.pacer.Spend(now, startBytes(t.step.job))
 	w.session.sendStart(w.info, req, d.pacer.Timeout())
 	d.updateSession(w)
@@ -39,6 +40,16 @@
 	d.Metrics.Runs.Add("started", 1)
 }
 
+// startLeaseDuration returns the duration of the lease that a start request grants now.
+func (d *Dispatcher) startLeaseDuration(now time.Time) time.Duration {
+	return d.leaseLimit.cut(min(maxStartLease, d.LeaseDuration), now)
+}
+
+// canGrantStartLease reports whether a start request would grant a lease that is long enough.
+func (d *Dispatcher) canGrantStartLease(now time.Time) bool {
+	return d.startLeaseDuration(now) >= minStartLease
+}
+
 // assertCapacity reports a violation if the runs of a worker need more than its capacity after run r was added.
 func (d *Dispatcher) assertCapacity(w *worker, r *run) {
 	if unoccupied := w.unoccupiedResources(); !unoccupied.CanFit(model.Resources{}) {
--- a/internal/dispatcher/session.go
+++ b/internal/dispatcher/session.go
@@ -13,6 +13,9 @@
 const (
 	// reportWait is the maximum time for which a worker may delay a report until a run ends. The platform allows at most 2 s.
 	reportWait = 2 * time.Second
+	// minReportWait is the wait while the leases that can be granted become short, so that they are extended soon after the log
+	// responds again.
+	minReportWait = 500 * time.Millisecond
 	// reportRetryDelay is the delay before a failed lease renewal is retried.
 	reportRetryDelay = 250 * time.Millisecond
 	// probeInterval is the delay before a renewal that only asks whether a worker without runs responds again.
@@ -34,6 +37,7 @@
 	client        WorkerClient
 	fence         model.FencingToken
 	leaseDuration time.Duration
+	leaseLimit    *leaseLimit
 	events        chan<- event
 	ctx           context.Context
 	close         context.CancelFunc
@@ -95,7 +99,7 @@
 func newSession(ctx context.Context, d *Dispatcher, info model.Worker) *session {
 	ctx, cancel := context.WithCancel(ctx)
 	s := &session{
-		client: d.Workers, fence: d.Term.Fence, leaseDuration: d.LeaseDuration, events: d.events, ctx: ctx, close: cancel,
+		client: d.Workers, fence: d.Term.Fence, leaseDuration: d.LeaseDuration, leaseLimit: &d.leaseLimit, events: d.events, ctx: ctx, close: cancel,
 		requestSlots: make(chan struct{}, maxRequestsInFlight), wake: make(chan struct{}, 1),
 	}
 	s.renewal.info, s.renewal.callTimeout = info, d.pacer.Timeout()
@@ -168,16 +172,18 @@
 	}
 	// The lease of a worker that does not respond is not renewed. Otherwise each call, which may have reached the worker,
 	// would postpone the time at which its runs have certainly ended.
+	now := time.Now()
+	lease := s.leaseLimit.cut(s.leaseDuration, now)
 	if state.clockKnown && state.isResponding {
-		if state.hasReported {
-			req.LeaseUntil = state.clock + WorkerTime((time.Since(state.clockAt) + s.leaseDuration).Milliseconds())
+		if state.hasReported && lease > 0 {
+			req.LeaseUntil = state.clock + WorkerTime((now.Sub(state.clockAt) + lease).Milliseconds())
 		}
 		if state.hasReported && state.durableSeq >= state.processedSeq && !state.reportNow && s.incarnationKnown && !acknowledges {
-			req.MaxWait = reportWait
+			req.MaxWait = min(reportWait, max(lease/2, minReportWait))
 		}
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, req.MaxWait+state.callTimeout)
-	previous := s.recordGrant(req.LeaseUntil != 0, state.clockAt)
+	previous := s.recordGrant(req.LeaseUntil != 0, lease, state.clockAt)
 	sentAt := time.Now()
 	report, err := s.client.RenewLease(ctx, state.info, req)
 	cancel()
@@ -205,13 +211,15 @@
 }
 
 // recordGrant updates grantedUntil before a call that may renew the lease. It returns the previous value for restoreGrant.
-func (s *session) recordGrant(renews bool, clockAt time.Time) time.Time {
+func (s *session) recordGrant(renews bool, lease time.Duration, clockAt time.Time) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	previous := s.grantedUntil
 	if renews {
 		now := time.Now()
-		s.grantedUntil = leaseEnd(now, s.leaseDuration+clockDrift(now.Sub(clockAt)))
+		if end := leaseEnd(now, lease+clockDrift(now.Sub(clockAt))); end.After(s.grantedUntil) {
+			s.grantedUntil = end
+		}
 	}
 	return previous
 }
--- a/internal/dispatcher/takeover.go
+++ b/internal/dispatcher/takeover.go
@@ -15,7 +15,7 @@
 // takeOver builds the state of a new term, and starts sessions that request a report from every worker with the new fencing token.
 //
 // A worker that responds refuses all further requests of former leaders. On a worker that does not respond, any lease that a
-// former leader granted has ended once the lease duration has passed. Until then, tasks that a former leader may have started
+// former leader granted has ended once formerLeaseDuration has passed. Until then, tasks that a former leader may have started
 // there are not started again.
 func (d *Dispatcher) takeOver(jobs []journaler.Job, fleet []journaler.FleetWorker, list []model.Worker) {
 	now := time.Now()
@@ -42,7 +42,7 @@
 func (d *Dispatcher) addWorker(info model.Worker, now time.Time) *worker {
 	w := &worker{
 		info: info, runs: map[model.RunRef]*run{},
-		formerLeaseEndsAt: leaseEnd(now, d.LeaseDuration),
+		formerLeaseEndsAt: leaseEnd(now, formerLeaseDuration(d.LeaseDuration)),
 	}
 	d.workers[info.ID] = w
 	w.session = newSession(d.ctx, d, info)
