--- a/internal/coordinator/cluster_test.go
+++ b/internal/coordinator/cluster_test.go
@@ -47,11 +47,12 @@
 	cluster     *cluster
 	id          model.HostID
 	coordinator *Coordinator
-	processors  float64                 // see Config
-	linkRate    pacer.BytesPerSecond    // see Config
-	workers     dispatcher.WorkerClient // nil means direct calls, with faults
-	panicAt     string                  // log message of the leader at which its dispatcher panics; empty means none
-	pauseAt     string                  // log message of the leader at which its process is paused; empty means none
+	processors  float64                           // see Config
+	linkRate    pacer.BytesPerSecond              // see Config
+	workers     dispatcher.WorkerClient           // nil means direct calls, with faults
+	wrapLog     func(journaler.Log) journaler.Log // nil means no change
+	panicAt     string                            // log message of the leader at which its dispatcher panics; empty means none
+	pauseAt     string                            // log message of the leader at which its process is paused; empty means none
 	pauseLength time.Duration
 	recoverer   *recoverer.Recoverer
 	cancel      context.CancelFunc
@@ -108,7 +109,7 @@
 		workers = &worker.DirectClient{Fleet: h.cluster.fleet, InjectFault: h.workerFault}
 	}
 	h.coordinator = New(Config{
-		Host: h.id, Log: &log.DirectStream{Log: h.cluster.log, StreamName: "jobs", InjectFault: h.logFault},
+		Host: h.id, Log: h.log(),
 		Workers:  workers,
 		Registry: h.cluster, Entitlements: func() dispatcher.Entitlements { return dispatcher.Entitlements{} },
 		Logger: logger, Metrics: dispatcher.NewMetrics(), Asserter: &asserter.Asserter{Logger: logger}, Recoverer: h.recoverer,
@@ -117,6 +118,15 @@
 	go h.coordinator.Run(ctx)
 }
 
+// log returns the log as the host sees it.
+func (h *testHost) log() journaler.Log {
+	var l journaler.Log = &log.DirectStream{Log: h.cluster.log, StreamName: "jobs", InjectFault: h.logFault}
+	if h.wrapLog != nil {
+		l = h.wrapLog(l)
+	}
+	return l
+}
+
 // logFault returns the fault that applies to the host's calls to the log, once the host is not paused.
 func (h *testHost) logFault() log.CallFault {
 	h.awaitPauseEnd()
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -234,10 +234,12 @@
 	}
 }
 
-// handleSnapshotLoaded passes all jobs to the dispatcher of the current term.
+// handleSnapshotLoaded passes all jobs to the dispatcher of this host's term, unless the snapshot shows that the term has ended.
 func (c *Coordinator) handleSnapshotLoaded() {
+	t, _ := c.replica.Term()
 	c.mu.Lock()
 	c.loaded = true
+	c.endSupersededTermLocked(t)
 	own := c.ownTerm
 	c.mu.Unlock()
 	if own == nil {
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -25,11 +25,7 @@
 func (c *Coordinator) handleTerm(t journaler.Term, offset model.Offset) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ownTerm != nil && t.Fence > c.ownTerm.fence {
-		c.cfg.Logger.Warn("another host has become the leader", "fence", t.Fence, "host", t.Host, "own", c.ownTerm.fence)
-		c.ownTerm.cancel()
-		c.ownTerm = nil
-	}
+	c.endSupersededTermLocked(t)
 	if t.Nonce != c.nonce || t.Resigned || c.ownTerm != nil || c.resigned || t.Fence <= c.lastFence {
 		return
 	}
@@ -37,6 +33,16 @@
 	c.startTermLocked(t, offset)
 }
 
+// endSupersededTermLocked ends this host's term if t is a later one. The caller holds c.mu.
+func (c *Coordinator) endSupersededTermLocked(t journaler.Term) {
+	if c.ownTerm == nil || t.Fence <= c.ownTerm.fence {
+		return
+	}
+	c.cfg.Logger.Warn("another host has become the leader", "fence", t.Fence, "host", t.Host, "own", c.ownTerm.fence)
+	c.ownTerm.cancel()
+	c.ownTerm = nil
+}
+
 // startTermLocked starts a term of this host. The caller holds c.mu.
 func (c *Coordinator) startTermLocked(t journaler.Term, offset model.Offset) {
 	ctx, cancel := context.WithCancel(context.Background())
