Count with the longest lease until a report confirms the incarnation

Callers saw a task run twice at once. A leader takes the end of a lease on the worker's clock from its last response. If the response is lost and the worker is cut off, the leader took the run for lost while it went on, and started the task elsewhere.

Until a report that was requested after the last start shows the same incarnation, the end of the lease counts from the last grant with the longest lease. Class: a bound computed on a clock whose origin may have changed.

TestRunsExpireOnlyOnSilentWorkers asked a field that is no longer the whole bound; it now asks leaseEndsAt, what it requires after that time is unchanged.

--- a/internal/coordinator/cluster_test.go
+++ b/internal/coordinator/cluster_test.go
@@ -24,6 +24,7 @@
 
 const (
 	testLease     = 6 * time.Second
+	testMaxLease  = 10 * time.Second // longest lease that a worker grants
 	testRetention = 10 * time.Minute
 )
 
@@ -67,7 +68,7 @@
 func newCluster(t *testing.T, seed uint64, hosts, racks, perRack int) *cluster {
 	c := &cluster{
 		t: t, log: log.New(log.Options{AppendsPerSecond: 1000}), rng: rand.New(rand.NewPCG(seed, 1)),
-		fleet:        worker.NewFleet(worker.Options{StopDuration: 200 * time.Millisecond, GangTimeout: 3 * time.Second, MaxLeaseDuration: 10 * time.Second}),
+		fleet:        worker.NewFleet(worker.Options{StopDuration: 200 * time.Millisecond, GangTimeout: 3 * time.Second, MaxLeaseDuration: testMaxLease}),
 		workerFaults: map[model.HostID]worker.CallFault{},
 	}
 	capacity := model.Resources{Cores: 32000, MemoryMB: 131072, Accelerators: 8}
@@ -113,7 +114,7 @@
 		Workers:  workers,
 		Registry: h.cluster, Entitlements: func() dispatcher.Entitlements { return dispatcher.Entitlements{} },
 		Logger: logger, Metrics: dispatcher.NewMetrics(), Asserter: &asserter.Asserter{Logger: logger}, Recoverer: h.recoverer,
-		Processors: h.processors, LinkRate: h.linkRate, LeaseDuration: testLease, JobRetention: testRetention,
+		Processors: h.processors, LinkRate: h.linkRate, LeaseDuration: testLease, MaxLease: testMaxLease, JobRetention: testRetention,
 	})
 	go h.coordinator.Run(ctx)
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -80,6 +80,7 @@
 	LinkRate      pacer.BytesPerSecond // rate of this host's link; 0 means unknown
 	Processors    float64              // number of processors that the host can use; 0 means unknown
 	LeaseDuration time.Duration        // duration of a worker lease
+	MaxLease      time.Duration        // longest lease that a worker grants; 0 means LeaseDuration
 	JobRetention  time.Duration        // time for which the records of an ended job stay in the log
 }
 
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -48,7 +48,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &dispatcher.Dispatcher{
 		Term: t, TermOffset: offset, ElectedAt: c.candidacies[t.FirstSeq], Log: c.cfg.Log, Workers: &recoveringClient{client: c.cfg.Workers, recoverer: c.cfg.Recoverer}, Logger: c.cfg.Logger.With("fence", t.Fence), Metrics: c.cfg.Metrics, Recoverer: c.cfg.Recoverer,
-		LeaseDuration: c.cfg.LeaseDuration, LinkRate: c.cfg.LinkRate, JobRetention: c.cfg.JobRetention, LookupJob: c.replica.Job, OnViolation: c.cfg.Asserter.RecordViolation,
+		LeaseDuration: c.cfg.LeaseDuration, MaxLease: c.cfg.MaxLease, LinkRate: c.cfg.LinkRate, JobRetention: c.cfg.JobRetention, LookupJob: c.replica.Job, OnViolation: c.cfg.Asserter.RecordViolation,
 	}
 	d.Init()
 	own := &ownTerm{fence: t.Fence, dispatcher: d, cancel: cancel, done: make(chan struct{})}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -45,6 +45,7 @@
 	Metrics       *Metrics
 	Recoverer     *recoverer.Recoverer                    // handles panics of appends; may be nil
 	LeaseDuration time.Duration                           // duration of the worker lease, without which a worker may not run tasks
+	MaxLease      time.Duration                           // longest lease that a worker grants; 0 means LeaseDuration
 	LinkRate      pacer.BytesPerSecond                    // rate of this host's link; 0 means unknown
 	JobRetention  time.Duration                           // time for which the records of an ended job stay in the log
 	LookupJob     func(model.JobID) (journaler.Job, bool) // returns a job by its ID, including ended jobs
@@ -83,6 +84,7 @@
 	d.workers = map[model.HostID]*worker{}
 	d.demand = map[model.ServiceID]*priorityDemand{}
 	d.pacer.LinkRate = d.LinkRate
+	d.MaxLease = max(d.MaxLease, d.LeaseDuration)
 	if d.ElectedAt.IsZero() {
 		d.ElectedAt = time.Now()
 	}
--- a/internal/dispatcher/report.go
+++ b/internal/dispatcher/report.go
@@ -28,6 +28,7 @@
 	w.recordResponse()
 	w.clock, w.clockAt, w.lastReportAt = e.report.Clock, e.respondedAt, e.respondedAt
 	restarted := d.updateIncarnation(w, e.report.Incarnation)
+	w.confirmIncarnation(restarted, e.sentAt)
 	if !w.hasReported {
 		// This leader has not renewed the worker lease yet, but a former leader may have.
 		w.recordStartLease(e.respondedAt, d.LeaseDuration)
--- a/internal/dispatcher/report_test.go
+++ b/internal/dispatcher/report_test.go
@@ -154,7 +154,7 @@
 func TestRunsExpireOnlyOnSilentWorkers(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t)
-	late := f.worker.startLeaseEndsAt.Add(time.Second)
+	late := f.worker.leaseEndsAt().Add(time.Second)
 	(&stopEvent{worker: "w0", run: f.runID(1), respondedAt: late.Add(-time.Second)}).apply(f.Dispatcher, late)
 	f.checkWorkers(late)
 	is.True(f.task.activeRun != nil)
--- a/internal/dispatcher/requests.go
+++ b/internal/dispatcher/requests.go
@@ -31,6 +31,7 @@
 	if t.step.spec.Gang {
 		req.GangSize = len(t.step.tasks)
 	}
+	w.recordStart(now)
 	w.recordStartLease(now, lease)
 	d.pacer.Spend(now, startBytes(t.step.job))
 	w.session.sendStart(w.info, req, d.pacer.Timeout())
--- a/internal/dispatcher/session.go
+++ b/internal/dispatcher/session.go
@@ -38,6 +38,7 @@
 	fence         model.FencingToken
 	leaseDuration time.Duration
 	leaseLimit    *leaseLimit
+	maxLease      time.Duration // longest lease that the worker grants
 	events        chan<- event
 	ctx           context.Context
 	close         context.CancelFunc
@@ -47,10 +48,16 @@
 	renewal          renewalState  // guarded by mu
 	acked            ackedEnds     // owned by run, not guarded by mu
 	incarnationKnown bool          // the last lease renewal returned a report; owned by run, not guarded by mu
-	grantedUntil     time.Time     // time at which the latest lease that a renewal may have granted has certainly ended; guarded by mu
+	granted          grant         // what the renewals so far may have granted; guarded by mu
 	wake             chan struct{} // signals a change of renewal
 }
 
+// grant describes the latest lease that a renewal may have granted.
+type grant struct {
+	sentAt time.Time // time at which the renewal was sent
+	endsAt time.Time // time at which the lease has certainly ended
+}
+
 // renewalState is the state of the worker that determines the next lease renewal.
 type renewalState struct {
 	info         model.Worker
@@ -99,7 +106,7 @@
 func newSession(ctx context.Context, d *Dispatcher, info model.Worker) *session {
 	ctx, cancel := context.WithCancel(ctx)
 	s := &session{
-		client: d.Workers, fence: d.Term.Fence, leaseDuration: d.LeaseDuration, leaseLimit: &d.leaseLimit, events: d.events, ctx: ctx, close: cancel,
+		client: d.Workers, fence: d.Term.Fence, leaseDuration: d.LeaseDuration, leaseLimit: &d.leaseLimit, maxLease: d.MaxLease, events: d.events, ctx: ctx, close: cancel,
 		requestSlots: make(chan struct{}, maxRequestsInFlight), wake: make(chan struct{}, 1),
 	}
 	s.renewal.info, s.renewal.callTimeout = info, d.pacer.Timeout()
@@ -210,32 +217,30 @@
 	s.awaitDurable()
 }
 
-// recordGrant updates grantedUntil before a call that may renew the lease. It returns the previous value for restoreGrant.
-func (s *session) recordGrant(renews bool, lease time.Duration, clockAt time.Time) time.Time {
+// recordGrant updates the grant before a call that may renew the lease. It returns the previous one for restoreGrant.
+func (s *session) recordGrant(renews bool, lease time.Duration, clockAt time.Time) grant {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	previous := s.grantedUntil
+	previous := s.granted
 	if renews {
 		now := time.Now()
-		if end := leaseEnd(now, lease+clockDrift(now.Sub(clockAt))); end.After(s.grantedUntil) {
-			s.grantedUntil = end
-		}
+		s.granted = grant{sentAt: now, endsAt: latest(previous.endsAt, leaseEnd(now, lease+clockDrift(now.Sub(clockAt))))}
 	}
 	return previous
 }
 
 // restoreGrant undoes recordGrant for a call that was not sent.
-func (s *session) restoreGrant(previous time.Time) {
+func (s *session) restoreGrant(previous grant) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.grantedUntil = previous
+	s.granted = previous
 }
 
-// latestLeaseEnd returns the time at which the latest lease that a renewal may have granted has certainly ended.
-func (s *session) latestLeaseEnd() time.Time {
+// latestLease returns when the last renewal that may have granted a lease was sent, and when that lease has certainly ended.
+func (s *session) latestLease() (sentAt, endsAt time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.grantedUntil
+	return s.granted.sentAt, s.granted.endsAt
 }
 
 // backOff waits for a time, or until the session ends.
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -19,10 +19,12 @@
 	runsRecorded      bool      // a former leader gave the worker no new tasks, and the log lists all its runs
 	openInLog         bool      // the newest fleet record in the log says that the worker may get new tasks
 
-	clock            WorkerTime // clock of the worker at clockAt
-	clockAt          time.Time  // time of the last response
-	lastReportAt     time.Time  // time of the last report
-	startLeaseEndsAt time.Time  // like grantedUntil of the session, for leases granted by start requests and by former leaders
+	clock             WorkerTime // clock of the worker at clockAt
+	clockAt           time.Time  // time of the last response
+	lastReportAt      time.Time  // time of the last report
+	lastStartAt       time.Time  // time of the last start request
+	incarnationAtRisk bool       // the worker may have restarted unnoticed before the last start request; see leaseEndsAt
+	startLeaseEndsAt  time.Time  // like the end of the session's grant, for leases granted by start requests and by former leaders
 
 	formerIncarnation int64 // incarnation that a former leader has recorded; 0 if unknown
 
@@ -83,11 +85,36 @@
 }
 
 // leaseEndsAt returns the time at which all leases that this leader may have granted have certainly ended.
+//
+// The clock of a worker that has restarted starts anew, and a time on the former clock then grants the longest lease.
 func (w *worker) leaseEndsAt() time.Time {
-	if end := w.session.latestLeaseEnd(); end.After(w.startLeaseEndsAt) {
-		return end
+	grantedAt, end := w.session.latestLease()
+	end = latest(end, w.startLeaseEndsAt)
+	if w.incarnationAtRisk {
+		end = latest(end, leaseEnd(latest(grantedAt, w.lastStartAt), w.session.maxLease))
 	}
-	return w.startLeaseEndsAt
+	return end
+}
+
+// recordStart notes that a start request is sent, whose worker may have restarted since its last report.
+func (w *worker) recordStart(now time.Time) { w.lastStartAt, w.incarnationAtRisk = now, true }
+
+// confirmIncarnation notes the incarnation in a report that was requested at the given time.
+func (w *worker) confirmIncarnation(restarted bool, sentAt time.Time) {
+	switch {
+	case restarted:
+		w.startLeaseEndsAt = w.leaseEndsAt() // a start request may have reached the new process
+	case sentAt.After(w.lastStartAt):
+		w.incarnationAtRisk = false
+	}
+}
+
+// latest returns the later of two times.
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
 }
 
 // usedResources returns the resources of runs that are not being stopped, and those of runs that are being stopped.
