Let a restarted worker confirm the stop of an unanswered start

A start request without a response may be carried out seconds later, and is stopped so that the worker refuses it then. A worker that restarts has forgotten the stop, the fence and its clock. A run whose stop the former process had confirmed counted as gone with the first report of the new one, and the task started elsewhere while the new process could still carry out the start.

After a restart the stop is sent again, and only a confirmation of the new process counts. TestRestartedWorkerMustConfirmStop failed before. A start that arrives after the run has been forgotten is not covered: the users were asked whether it can (docs/platform.md, question 1).

--- a/internal/dispatcher/report.go
+++ b/internal/dispatcher/report.go
@@ -27,7 +27,7 @@
 	w.isResponding = true
 	w.recordResponse()
 	w.clock, w.clockAt, w.lastReportAt = e.report.Clock, e.respondedAt, e.respondedAt
-	restarted := d.updateIncarnation(w, e.report.Incarnation)
+	restarted := d.updateIncarnation(w, e.report.Incarnation, e.respondedAt)
 	w.confirmIncarnation(restarted, e.sentAt)
 	if !w.hasReported {
 		// This leader has not renewed the worker lease yet, but a former leader may have.
@@ -99,7 +99,7 @@
 
 // updateIncarnation detects a restart of the worker, which loses all its runs and restarts the sequence numbers of its run ends at
 // 1. It reports whether the worker has restarted.
-func (d *Dispatcher) updateIncarnation(w *worker, n int64) bool {
+func (d *Dispatcher) updateIncarnation(w *worker, n int64, now time.Time) bool {
 	if n == w.incarnation {
 		return false
 	}
@@ -108,11 +108,25 @@
 		d.Logger.Info("worker restarted", "worker", w.info.ID, "incarnation", n, "before", w.incarnation, "runs", len(w.runs))
 		w.processedSeq, w.durableSeq, w.ackedSeq = 0, 0, 0
 	}
-	w.incarnation = n
+	w.incarnation, w.incarnationAt = n, now
+	if known {
+		d.repeatStops(w)
+	}
 	d.fleetDirty = d.fleetDirty || known
 	return known
 }
 
+// repeatStops sends the stop requests of unconfirmed runs again after the worker has restarted. The new process would carry out a
+// start request that is still under way.
+func (d *Dispatcher) repeatStops(w *worker) {
+	for _, r := range w.runs {
+		if r.startConfirmedAt.IsZero() && !r.stopConfirmedAt.IsZero() {
+			r.stopConfirmedAt = time.Time{}
+			d.sendStop(r, 0)
+		}
+	}
+}
+
 // updateRun updates a run that a worker reports as running, or adopts it if it is unknown.
 func (d *Dispatcher) updateRun(w *worker, progress model.RunProgress, now time.Time) {
 	r := w.runs[progress.Run]
--- a/internal/dispatcher/report_test.go
+++ b/internal/dispatcher/report_test.go
@@ -104,6 +104,30 @@
 	is.True(f.task.activeRun == nil)
 }
 
+// Guards against a second run of a task whose first start is carried out late, by a process that has not seen the stop request.
+func TestRestartedWorkerMustConfirmStop(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	(&startEvent{worker: "w0", run: f.runID(1), err: context.DeadlineExceeded}).apply(f.Dispatcher, f.now)
+	stop := func(sent int) {
+		(&stopEvent{worker: "w0", run: f.runID(1), sentAt: f.later(sent), respondedAt: f.later(sent + 10)}).apply(f.Dispatcher, f.now)
+	}
+	report := func(sent int) {
+		(&reportEvent{
+			worker: "w0", report: Report{Incarnation: 2}, sentAt: f.later(sent), respondedAt: f.later(sent + 5), handled: make(chan struct{}),
+		}).apply(f.Dispatcher, f.now)
+	}
+	stop(10)
+	report(30)
+	is.True(f.task.activeRun != nil) // the former process has confirmed the stop, the new one has not
+	stop(20)                         // sent before the restart was known
+	report(50)
+	is.True(f.task.activeRun != nil)
+	stop(60)
+	report(80)
+	is.True(f.task.activeRun == nil)
+}
+
 // Guards against work that is done twice. The lease of a worker expired after its run had completed, and the dispatcher learns of
 // that only when the task is already running again.
 func TestSupersededRunCompletesTask(t *testing.T) {
--- a/internal/dispatcher/requests.go
+++ b/internal/dispatcher/requests.go
@@ -200,6 +200,9 @@
 	}
 	var refused *RefusedError
 	switch {
+	case e.err == nil && e.sentAt.Before(w.incarnationAt) && r.startConfirmedAt.IsZero():
+		d.sendStop(r, 0) // the process that has confirmed it may have ended
+		return
 	case e.err == nil:
 		w.clock, w.clockAt, w.isResponding = e.response.Clock, e.respondedAt, true
 		w.recordResponse()
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -28,11 +28,12 @@
 
 	formerIncarnation int64 // incarnation that a former leader has recorded; 0 if unknown
 
-	incarnation  int64 // incarnation in the last report; 0 before the first report
-	processedSeq int64 // sequence number of the last run end that was processed
-	durableSeq   int64 // sequence number of the last run end whose effect is in the log
-	ackedSeq     int64 // sequence number of the last run end that was acknowledged to the worker
-	runs         map[model.RunRef]*run
+	incarnation   int64     // incarnation in the last report; 0 before the first report
+	incarnationAt time.Time // time of the first report with this incarnation
+	processedSeq  int64     // sequence number of the last run end that was processed
+	durableSeq    int64     // sequence number of the last run end whose effect is in the log
+	ackedSeq      int64     // sequence number of the last run end that was acknowledged to the worker
+	runs          map[model.RunRef]*run
 
 	health
 }
