--- a/internal/coordinator/cluster_test.go
+++ b/internal/coordinator/cluster_test.go
@@ -52,6 +52,7 @@
 	linkRate    pacer.BytesPerSecond              // see Config
 	workers     dispatcher.WorkerClient           // nil means direct calls, with faults
 	wrapLog     func(journaler.Log) journaler.Log // nil means no change
+	registry    Registry                          // nil means the cluster
 	panicAt     string                            // log message of the leader at which its dispatcher panics; empty means none
 	pauseAt     string                            // log message of the leader at which its process is paused; empty means none
 	pauseLength time.Duration
@@ -109,10 +110,14 @@
 	if workers == nil {
 		workers = &worker.DirectClient{Fleet: h.cluster.fleet, InjectFault: h.workerFault}
 	}
+	registry := h.registry
+	if registry == nil {
+		registry = h.cluster
+	}
 	h.coordinator = New(Config{
 		Host: h.id, Log: h.log(),
 		Workers:  workers,
-		Registry: h.cluster, Entitlements: func() dispatcher.Entitlements { return dispatcher.Entitlements{} },
+		Registry: registry, Entitlements: func() dispatcher.Entitlements { return dispatcher.Entitlements{} },
 		Logger: logger, Metrics: dispatcher.NewMetrics(), Asserter: &asserter.Asserter{Logger: logger}, Recoverer: h.recoverer,
 		Processors: h.processors, LinkRate: h.linkRate, LeaseDuration: testLease, MaxLease: testMaxLease, JobRetention: testRetention,
 	})
--- a/internal/coordinator/random_test.go
+++ b/internal/coordinator/random_test.go
@@ -32,7 +32,7 @@
 				defer c.close()
 				c.awaitLeader()
 				r := &randomRun{cluster: c}
-				r.injectFaultsAndJobs(40 * time.Second)
+				r.injectFaultsAndJobs(40*time.Second, r.injectFault)
 				r.clearFaults()
 				r.awaitJobs()
 				c.checkWorkerViolations()
@@ -51,8 +51,8 @@
 	cancelled map[model.JobID]bool // jobs for which a cancellation was appended
 }
 
-// injectFaultsAndJobs submits a job or injects a fault every few hundred milliseconds, for the given length of time.
-func (r *randomRun) injectFaultsAndJobs(length time.Duration) {
+// injectFaultsAndJobs submits a job or calls inject every few hundred milliseconds, for the given length of time.
+func (r *randomRun) injectFaultsAndJobs(length time.Duration, inject func()) {
 	r.cancelled = map[model.JobID]bool{}
 	end := time.Now().Add(length)
 	for time.Now().Before(end) {
@@ -61,7 +61,7 @@
 			r.submitRandomJob()
 			continue
 		}
-		r.injectFault()
+		inject()
 	}
 }
 
--- a/internal/fake/worker/crash.go
+++ b/internal/fake/worker/crash.go
@@ -28,6 +28,7 @@
 // crash ends the process of a worker. It is back after crashDownTime. The caller holds f.mu.
 func (f *Fleet) crash(s *workerState, now time.Time) {
 	for _, r := range s.runs {
+		f.ledger.lostRuns[r.ref.Task]++
 		f.removeRun(s, r)
 		f.endOtherGangMembers(r, model.EndGangMemberEnded, now)
 	}
@@ -41,3 +42,13 @@
 	defer f.mu.Unlock()
 	return now.Before(f.workers[id].downUntil)
 }
+
+// StopWorker ends the process of a worker, with all its runs. It refuses connections until RestartWorker.
+func (f *Fleet) StopWorker(id model.HostID, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.applyDueEnds(now)
+	f.nextEndTime = time.Time{}
+	f.crash(f.workers[id], now)
+	f.workers[id].downUntil = now.Add(24 * time.Hour)
+}
--- a/internal/fake/worker/direct.go
+++ b/internal/fake/worker/direct.go
@@ -70,9 +70,9 @@
 		return zero, ctx.Err()
 	case FaultRequestDelayed:
 		go func() {
-			incarnation := d.Fleet.incarnation(id)
+			incarnation := d.Fleet.Incarnation(id)
 			time.Sleep(delayedRequestDelay)
-			if d.Fleet.incarnation(id) == incarnation { // a request in transit to a process is lost when the process ends
+			if d.Fleet.Incarnation(id) == incarnation { // a request in transit to a process is lost when the process ends
 				_, _ = send() // the caller doesn't learn the outcome
 			}
 		}()
--- a/internal/fake/worker/fleet.go
+++ b/internal/fake/worker/fleet.go
@@ -76,6 +76,7 @@
 	lastEndSequence    int64     // sequence number of the latest run end
 	failRuns           bool      // each run that starts fails
 	downUntil          time.Time // the worker has crashed and refuses connections until then
+	clockRate          float64   // rate of its clock relative to real time; 0 means 1
 }
 
 // run is a run of a task on a worker.
@@ -120,6 +121,7 @@
 	f.applyDueEnds(now)
 	f.nextEndTime = time.Time{}
 	for _, r := range s.runs {
+		f.ledger.lostRuns[r.ref.Task]++
 		f.removeRun(s, r)
 		f.endOtherGangMembers(r, model.EndGangMemberEnded, now)
 	}
@@ -143,9 +145,32 @@
 	f.workers[id].failRuns = fail
 }
 
+// SetClockRate sets the rate of a worker's clock relative to real time. It must be called before the worker is used.
+func (f *Fleet) SetClockRate(id model.HostID, rate float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[id].clockRate = rate
+}
+
 // workerTime returns the reading of the worker's clock, which counts milliseconds since its start.
 func (s *workerState) workerTime(now time.Time) dispatcher.WorkerTime {
-	return dispatcher.WorkerTime(now.Sub(s.startedAt).Milliseconds())
+	return dispatcher.WorkerTime(s.onClock(now.Sub(s.startedAt)).Milliseconds())
+}
+
+// onClock returns the length of a real time on the worker's clock.
+func (s *workerState) onClock(d time.Duration) time.Duration {
+	if s.clockRate == 0 {
+		return d
+	}
+	return time.Duration(float64(d) * s.clockRate)
+}
+
+// fromClock returns the real time that a time on the worker's clock takes.
+func (s *workerState) fromClock(d time.Duration) time.Duration {
+	if s.clockRate == 0 {
+		return d
+	}
+	return time.Duration(float64(d) / s.clockRate)
 }
 
 // extendLease extends the worker lease; a requested end before the current one leaves it unchanged.
@@ -153,8 +178,8 @@
 	if now.After(s.leaseEnd) {
 		s.ignoredAcksThrough = s.lastEndSequence
 	}
-	leaseEnd := s.startedAt.Add(time.Duration(leaseUntil) * time.Millisecond)
-	if maxEnd := now.Add(f.opts.MaxLeaseDuration); leaseEnd.After(maxEnd) {
+	leaseEnd := s.startedAt.Add(s.fromClock(time.Duration(leaseUntil) * time.Millisecond))
+	if maxEnd := now.Add(s.fromClock(f.opts.MaxLeaseDuration)); leaseEnd.After(maxEnd) {
 		leaseEnd = maxEnd
 	}
 	if leaseEnd.After(s.leaseEnd) {
@@ -274,7 +299,7 @@
 	}
 	for len(s.pendingEnds) > 0 && s.pendingEnds[0].Sequence <= req.AckedThrough {
 		if s.pendingEnds[0].Sequence > s.ignoredAcksThrough {
-			f.ledger.recordAcknowledgment(s.pendingEnds[0])
+			f.ledger.recordAcknowledgment(s, s.pendingEnds[0])
 		}
 		s.pendingEnds = s.pendingEnds[1:]
 	}
@@ -321,7 +346,7 @@
 	deadline := time.Now().Add(req.MaxWait)
 	for err == nil && len(report.Ended) == 0 && time.Now().Before(deadline) && ctx.Err() == nil {
 		time.Sleep(pollInterval)
-		if f.incarnation(id) != report.Incarnation {
+		if f.Incarnation(id) != report.Incarnation {
 			return dispatcher.Report{}, errWorkerRestarted
 		}
 		if f.HasUnacknowledgedEnds(id, req.AckedThrough, time.Now()) {
@@ -337,8 +362,8 @@
 // errWorkerRestarted is returned for a call if the worker restarted before it could respond.
 var errWorkerRestarted = errors.New("worker: restarted while the call was in progress")
 
-// incarnation returns a number that changes whenever the worker restarts.
-func (f *Fleet) incarnation(id model.HostID) int64 {
+// Incarnation returns a number that changes whenever the worker restarts.
+func (f *Fleet) Incarnation(id model.HostID) int64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.workers[id].startedAt.UnixMilli()
--- a/internal/fake/worker/ledger.go
+++ b/internal/fake/worker/ledger.go
@@ -14,14 +14,16 @@
 	workersByTask          map[model.TaskRef]map[model.HostID]bool // workers that run each task now
 	completionAcknowledged map[model.TaskRef]bool                  // tasks whose completion the leader has acknowledged
 	completionsByTask      map[model.TaskRef]int                   // number of runs that completed each task
+	startsAtCompletion     map[model.RunRef]int                    // number of starts of the task until the run completed it
 	violations             []string                                // description of each violation
 	gangTimeouts           int                                     // number of gang members that timed out waiting for the others
+	lostRuns               map[model.TaskRef]int                   // number of runs of each task that ended with the process of their worker
 }
 
 func newLedger() ledger {
 	return ledger{
 		startsByTask: map[string]int{}, workersByTask: map[model.TaskRef]map[model.HostID]bool{}, completionAcknowledged: map[model.TaskRef]bool{},
-		completionsByTask: map[model.TaskRef]int{},
+		completionsByTask: map[model.TaskRef]int{}, startsAtCompletion: map[model.RunRef]int{}, lostRuns: map[model.TaskRef]int{},
 	}
 }
 
@@ -31,8 +33,8 @@
 	CompletedTasks int            `json:"done"`       // number of tasks that a run has completed
 	CompletedTwice int            `json:"done-twice"` // number of tasks that more than one run has completed
 	GangTimeouts   int            `json:"alone"`      // number of gang members that timed out waiting for the others
-	// Violations describes each start of a task that was already running or was acknowledged as completed, and each start that
-	// exceeded the capacity of a worker.
+	// Violations describes each start of a task that was already running, or was completed by a run whose end was acknowledged before
+	// or after the start, and each start that exceeded the capacity of a worker.
 	Violations []string `json:"faults"`
 }
 
@@ -58,6 +60,19 @@
 	return report
 }
 
+// LostRuns returns the number of runs of a job's task that ended with the processes of their workers, for the task with the most.
+func (f *Fleet) LostRuns(id model.JobID) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	most := 0
+	for task, n := range f.ledger.lostRuns {
+		if task.Job == id {
+			most = max(most, n)
+		}
+	}
+	return most
+}
+
 func (l *ledger) addViolation(format string, args ...any) {
 	l.violations = append(l.violations, fmt.Sprintf(format, args...))
 }
@@ -96,14 +111,20 @@
 	switch kind {
 	case model.EndDone:
 		l.completionsByTask[r.ref.Task]++
+		l.startsAtCompletion[r.ref] = l.startsByTask[r.ref.Task.String()]
 	case model.EndGangIncomplete:
 		l.gangTimeouts++
 	}
 }
 
-// recordAcknowledgment records that the leader has acknowledged the end of a run.
-func (l *ledger) recordAcknowledgment(e model.RunEnd) {
-	if e.Kind == model.EndDone {
-		l.completionAcknowledged[e.Run.Task] = true
+// recordAcknowledgment records that the leader has acknowledged the end of a run. It adds a violation if the run had completed its
+// task and the task has started since.
+func (l *ledger) recordAcknowledgment(s *workerState, e model.RunEnd) {
+	if e.Kind != model.EndDone {
+		return
+	}
+	l.completionAcknowledged[e.Run.Task] = true
+	if n := l.startsByTask[e.Run.Task.String()] - l.startsAtCompletion[e.Run]; n > 0 {
+		l.addViolation("task %s started %d times after run %d on %s had completed it, whose end was acknowledged", e.Run.Task, n, e.Run.Number, s.id)
 	}
 }
