Ask a worker for a report once the list shows its restart

Callers saw a task run twice at once. An idle worker is not asked for reports, so a leader did not notice its restart until it had started a task there. The process that has restarted knows no fencing token, and carries out requests of former leaders, also late ones. And the lease that the start carried was a time on the former clock, far ahead of the new one, so the worker granted its longest lease: a successor that did not reach the worker waited 8.1 s for a lease of 10 s.

The platform's list shows the start time of each worker. Once that is later than in the last report, the worker gets no tasks and no lease until it has reported, which costs one call for each restart. What a leader sends within the moments before the list shows the restart is still bounded by the longest lease only.

--- /dev/null
+++ b/internal/coordinator/restart_test.go
@@ -0,0 +1,54 @@
+package coordinator
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chestnutmux.example/chestnutmux/internal/dispatcher"
+	"chestnutmux.example/chestnutmux/internal/fake/worker"
+	"chestnutmux.example/chestnutmux/pkg/model"
+)
+
+// restartIdleWorker restarts the only listed worker, which has been up for longer than its longest lease, and shows that in the list.
+func (c *cluster) restartIdleWorker() model.Worker {
+	w := c.workers[0]
+	w.Incarnation = c.fleet.Incarnation(w.ID)
+	c.setListed(w)
+	time.Sleep(15 * time.Second)
+	c.fleet.RestartWorker(w.ID, time.Now())
+	w.Incarnation = c.fleet.Incarnation(w.ID)
+	c.setListed(w)
+	time.Sleep(time.Second)
+	return w
+}
+
+// Guards against a task that runs twice because its worker, which restarted while it was idle, holds a longer lease than a successor waits.
+func TestRestartOfIdleWorkerMakesNoLeaseLonger(t *testing.T) {
+	runInCluster(t, 1, 2, 1, 2, func(c *cluster, is *is.I) {
+		other := c.workers[1]
+		w := c.restartIdleWorker()
+		c.submit(job("j", 1, 9500*time.Millisecond, model.Step{Count: 1, Need: accelerators(8)}))
+		c.awaitStart("j/0/0/0")
+		c.setWorkerFault(w.ID, worker.FaultRequestLost)
+		c.setListed(other)
+		c.leader().restartWith(func() {})
+		time.Sleep(20 * time.Second)
+		c.setWorkerFault(w.ID, worker.NoFault)
+		c.awaitEnd(time.Minute, "j")
+		is.Equal(c.state("j"), model.JobFinished)
+	})
+}
+
+// Guards against a start request of a former leader that an idle worker accepts after a restart, beside the same task elsewhere.
+func TestRestartedWorkerRefusesFormerLeader(t *testing.T) {
+	runInCluster(t, 1, 2, 1, 2, func(c *cluster, is *is.I) {
+		c.replaceLeader()
+		former := c.leader().coordinator.ownTerm.fence - 1
+		w := c.restartIdleWorker()
+		ref := model.RunRef{Task: model.TaskRef{StepRef: model.StepRef{Job: "j"}}, Number: 1}
+		_, err := c.fleet.StartRun(w.ID, dispatcher.StartRequest{Run: ref, Fence: former, LeaseUntil: 15_000}, time.Now())
+		is.True(err != nil)
+	})
+}
--- a/internal/dispatcher/report.go
+++ b/internal/dispatcher/report.go
@@ -27,6 +27,9 @@
 	w.isResponding = true
 	w.recordResponse()
 	w.clock, w.clockAt, w.lastReportAt = e.report.Clock, e.respondedAt, e.respondedAt
+	if !e.sentAt.Before(w.restartListedAt) {
+		w.restartListedAt = time.Time{}
+	}
 	restarted := d.updateIncarnation(w, e.report.Incarnation)
 	w.confirmIncarnation(restarted, e.sentAt)
 	if !w.hasReported {
@@ -302,7 +305,8 @@
 		state.hasReported = w.hasReported
 		state.processedSeq, state.durableSeq, state.incarnation = w.processedSeq, w.durableSeq, w.incarnation
 		state.clock, state.clockAt = w.clock, w.clockAt
-		state.clockKnown = !w.clockAt.IsZero()
+		state.clockKnown = !w.clockAt.IsZero() && w.restartListedAt.IsZero()
+		state.restartListed = !w.restartListedAt.IsZero()
 		state.isResponding = w.isResponding
 		state.callTimeout = d.pacer.Timeout()
 	})
--- a/internal/dispatcher/session.go
+++ b/internal/dispatcher/session.go
@@ -60,24 +60,25 @@
 
 // renewalState is the state of the worker that determines the next lease renewal.
 type renewalState struct {
-	info         model.Worker
-	hasWork      bool          // the worker has runs, or run ends that are not acknowledged
-	hasReported  bool          // the worker has reported in this term
-	incarnation  int64         // incarnation in the last report
-	durableSeq   int64         // sequence number of the last run end whose effect is in the log
-	processedSeq int64         // sequence number of the last run end that the dispatcher has processed
-	clock        WorkerTime    // clock of the worker at clockAt
-	clockAt      time.Time     // time of the last response
-	clockKnown   bool          // clock and clockAt are valid
-	reportNow    bool          // the next report should arrive without delay; cleared once it is requested
-	isResponding bool          // the worker responded to the last call
-	callTimeout  time.Duration // timeout of the next call, not counting the time for which the worker may delay its response
+	info          model.Worker
+	hasWork       bool          // the worker has runs, or run ends that are not acknowledged
+	hasReported   bool          // the worker has reported in this term
+	incarnation   int64         // incarnation in the last report
+	durableSeq    int64         // sequence number of the last run end whose effect is in the log
+	processedSeq  int64         // sequence number of the last run end that the dispatcher has processed
+	clock         WorkerTime    // clock of the worker at clockAt
+	clockAt       time.Time     // time of the last response
+	clockKnown    bool          // clock and clockAt are valid
+	reportNow     bool          // the next report should arrive without delay; cleared once it is requested
+	isResponding  bool          // the worker responded to the last call
+	restartListed bool          // the list shows that the worker has restarted since its last report
+	callTimeout   time.Duration // timeout of the next call, not counting the time for which the worker may delay its response
 }
 
 // needsReport reports whether a lease renewal is due. A worker that does not respond gets no tasks, so only a renewal can show that
 // it responds again.
 func (s *renewalState) needsReport() bool {
-	return !s.hasReported || s.hasWork || s.reportNow || !s.isResponding
+	return !s.hasReported || s.hasWork || s.reportNow || !s.isResponding || s.restartListed
 }
 
 // retryDelay returns the delay before the next renewal after a failed one.
--- a/internal/dispatcher/takeover.go
+++ b/internal/dispatcher/takeover.go
@@ -76,11 +76,16 @@
 			d.Logger.Info("worker state changed", "worker", info.ID, "state", info.State, "remaining-ms", info.MinRemainingMS)
 		}
 		w.listed = true
+		restarted := w.isListedRestart(info)
 		w.info = info
 		if w.mayGetTasks() && !w.openInLog {
 			d.journal.appendSoon = true // its tasks wait for the fleet record
 		}
 		w.session.updateRenewalState(func(state *renewalState) { state.info = info })
+		if restarted {
+			w.restartListedAt = now
+			d.updateSession(w)
+		}
 		if info.State == model.WorkerDraining {
 			d.stopRunsOnDrainingWorker(w, now)
 		}
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -28,6 +28,9 @@
 
 	formerIncarnation int64 // incarnation that a former leader has recorded; 0 if unknown
 
+	// restartListedAt is the time at which the list showed a later incarnation than the last report; zero after the next report.
+	restartListedAt time.Time
+
 	incarnation  int64 // incarnation in the last report; 0 before the first report
 	processedSeq int64 // sequence number of the last run end that was processed
 	durableSeq   int64 // sequence number of the last run end whose effect is in the log
@@ -145,7 +148,7 @@
 			return false
 		}
 	}
-	return w.mayGetTasks() && w.openInLog && w.hasReported && w.isResponding && !now.Before(w.quarantinedUntil)
+	return w.mayGetTasks() && w.openInLog && w.hasReported && w.restartListedAt.IsZero() && w.isResponding && !now.Before(w.quarantinedUntil)
 }
 
 // unoccupiedResources returns the resources that no run uses. Runs that are being stopped still use theirs.
@@ -162,6 +165,12 @@
 	return w.info.Incarnation
 }
 
+// isListedRestart reports whether a new entry of the list shows a restart of the worker that no report has shown. Its clock is unknown
+// then, and it accepts requests of former leaders.
+func (w *worker) isListedRestart(info model.Worker) bool {
+	return w.incarnation != 0 && info.Incarnation > w.incarnation && info.Incarnation != w.info.Incarnation
+}
+
 // hasRestartedSinceFormerLeader reports whether the worker is known to have restarted since a former leader recorded it.
 func (w *worker) hasRestartedSinceFormerLeader() bool {
 	return w.formerIncarnation != 0 && w.incarnation != 0 && w.incarnation != w.formerIncarnation
