Repeat stop requests to a worker that has restarted

Callers saw a task run twice at once. A start request without a response is stopped, so that the worker refuses it when it arrives late. If the worker restarts after it has confirmed the stop request, it has forgotten that; the first report of the new process lists no such run, so the leader started the task elsewhere, and the late start request was carried out, too.

A restart now voids the confirmations of such stop requests: they are sent again to the new process, and the run counts as ended only once a later report does not list it. A worker that restarts after the run was removed, or that carries out the request before the leader has noticed the restart, is not covered.

--- a/internal/coordinator/restart_test.go
+++ b/internal/coordinator/restart_test.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -52,3 +53,58 @@
 		is.True(err != nil)
 	})
 }
+
+// lateStartClient carries out the start requests to one worker late, and loses the renewals until then if loseReports is set.
+type lateStartClient struct {
+	worker.DirectClient
+	id          model.HostID
+	delay       time.Duration
+	loseReports func() bool
+}
+
+// Start implements dispatcher.WorkerClient.
+func (c *lateStartClient) Start(ctx context.Context, w model.Worker, req dispatcher.StartRequest) (dispatcher.Response, error) {
+	if w.ID != c.id {
+		return c.DirectClient.Start(ctx, w, req)
+	}
+	go func() {
+		time.Sleep(c.delay)
+		_, _ = c.Fleet.StartRun(w.ID, req, time.Now())
+	}()
+	<-ctx.Done()
+	return dispatcher.Response{}, ctx.Err()
+}
+
+// RenewLease implements dispatcher.WorkerClient.
+func (c *lateStartClient) RenewLease(ctx context.Context, w model.Worker, req dispatcher.RenewLeaseRequest) (dispatcher.Report, error) {
+	if w.ID == c.id && c.loseReports() {
+		<-ctx.Done()
+		return dispatcher.Report{}, ctx.Err()
+	}
+	return c.DirectClient.RenewLease(ctx, w, req)
+}
+
+// Guards against a late start request that a restarted worker carries out because it has forgotten the stop request.
+func TestStopIsRepeatedAfterRestart(t *testing.T) {
+	runInCluster(t, 1, 1, 1, 2, func(c *cluster, is *is.I) {
+		all := c.workers
+		restartAt := time.Now().Add(20 * time.Second)
+		startAt := restartAt.Add(-3 * time.Second)
+		client := &lateStartClient{
+			DirectClient: worker.DirectClient{Fleet: c.fleet}, id: all[0].ID, delay: 6 * time.Second,
+			loseReports: func() bool {
+				return time.Now().After(startAt) && time.Now().Before(restartAt.Add(300*time.Millisecond))
+			},
+		}
+		c.hosts[0].restartWith(func() { c.hosts[0].workers = client })
+		c.setListed(all[0])
+		time.Sleep(time.Until(startAt) - 50*time.Millisecond)
+		c.submit(job("j", 1, 9*time.Second, model.Step{Count: 1, Need: accelerators(8)}))
+		time.Sleep(time.Second)
+		c.setListed(all...)
+		time.Sleep(time.Until(restartAt))
+		c.fleet.RestartWorker(all[0].ID, time.Now())
+		c.awaitEnd(time.Minute, "j")
+		is.Equal(c.state("j"), model.JobFinished)
+	})
+}
--- a/internal/dispatcher/report.go
+++ b/internal/dispatcher/report.go
@@ -40,6 +40,7 @@
 	}
 	if restarted {
 		d.attributeCrash(w.runsLostIn(e), now)
+		d.repeatStops(w)
 	}
 	for _, progress := range e.report.Running {
 		d.updateRun(w, progress, now)
@@ -116,6 +117,17 @@
 	return known
 }
 
+// repeatStops stops the runs again whose start requests have got no response and may still arrive, after a restart of the worker,
+// which has forgotten the stop requests that it had confirmed.
+func (d *Dispatcher) repeatStops(w *worker) {
+	for _, r := range w.runs {
+		if r.state == runUnconfirmed && !r.stopConfirmedAt.IsZero() {
+			r.stopConfirmedAt = time.Time{}
+			d.sendStop(r, 0)
+		}
+	}
+}
+
 // updateRun updates a run that a worker reports as running, or adopts it if it is unknown.
 func (d *Dispatcher) updateRun(w *worker, progress model.RunProgress, now time.Time) {
 	r := w.runs[progress.Run]
