Take over jobs in the order of their submission

Callers saw jobs wait while later ones of the same priority started. A new leader counts the arrival of the jobs as it gets them from the replica, which returned them in the random order of a map; each change of the leader, and each reload of the log by it, drew a new order, so a wide gang could stay behind later work again and again.

The replica now keeps the offset of each submission and returns the jobs in that order. The offset that tells jobs of this term from older ones stays as it was.

--- a/internal/journaler/job.go
+++ b/internal/journaler/job.go
@@ -1,7 +1,9 @@
 package journaler
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
@@ -13,8 +15,10 @@
 	Cancelled      bool         // whether the job was cancelled before a final state was written
 	Progress       Progress     // newest progress record
 
-	cancelOffset model.Offset // offset of the cancellation record; not used
-	finalOffset  model.Offset // offset of the record with the final state
+	// submissionOffset is the offset of the first submission record that the replica has applied. A snapshot only has the newest one.
+	submissionOffset model.Offset
+	cancelOffset     model.Offset // offset of the cancellation record; not used
+	finalOffset      model.Offset // offset of the record with the final state
 }
 
 // State returns the job's state as shown to callers.
@@ -81,7 +85,7 @@
 	return *j, true
 }
 
-// Jobs returns a copy of every job whose submission is known.
+// Jobs returns a copy of every job whose submission is known, in the order of submission.
 func (rep *Replica) Jobs() []Job {
 	rep.mu.Lock()
 	defer rep.mu.Unlock()
@@ -91,5 +95,6 @@
 			out = append(out, *j)
 		}
 	}
+	slices.SortFunc(out, func(a, b Job) int { return cmp.Compare(a.submissionOffset, b.submissionOffset) })
 	return out
 }
--- a/internal/journaler/replica.go
+++ b/internal/journaler/replica.go
@@ -147,7 +147,7 @@
 		rep.jobs[id] = j
 	}
 	rep.updateJob(j, func() {
-		j.Submission = s
+		j.Submission, j.submissionOffset = s, r.Offset
 		if !rep.loadingSnapshot {
 			j.AcceptedOffset = r.Offset
 		}
