--- a/internal/dispatcher/report.go
+++ b/internal/dispatcher/report.go
@@ -27,6 +27,9 @@
 	w.isResponding = true
 	w.recordResponse()
 	w.clock, w.clockAt, w.lastReportAt = e.report.Clock, e.respondedAt, e.respondedAt
+	if !e.sentAt.Before(w.restartListedAt) {
+		w.restartListedAt = time.Time{}
+	}
 	restarted := d.updateIncarnation(w, e.report.Incarnation, e.respondedAt)
 	w.confirmIncarnation(restarted, e.sentAt)
 	if !w.hasReported {
@@ -37,6 +40,7 @@
 	}
 	if restarted {
 		d.attributeCrash(w.runsLostIn(e), now)
+		d.repeatStops(w)
 	}
 	for _, progress := range e.report.Running {
 		d.updateRun(w, progress, now)
@@ -109,9 +113,6 @@
 		w.processedSeq, w.durableSeq, w.ackedSeq = 0, 0, 0
 	}
 	w.incarnation, w.incarnationAt = n, now
-	if known {
-		d.repeatStops(w)
-	}
 	d.fleetDirty = d.fleetDirty || known
 	return known
 }
@@ -316,7 +317,8 @@
 		state.hasReported = w.hasReported
 		state.processedSeq, state.durableSeq, state.incarnation = w.processedSeq, w.durableSeq, w.incarnation
 		state.clock, state.clockAt = w.clock, w.clockAt
-		state.clockKnown = !w.clockAt.IsZero()
+		state.clockKnown = !w.clockAt.IsZero() && w.restartListedAt.IsZero()
+		state.restartListed = !w.restartListedAt.IsZero()
 		state.isResponding = w.isResponding
 		state.callTimeout = d.pacer.Timeout()
 	})
