Take the drift of a slow clock off the leases that are requested

Callers saw a task run twice at once after a change of the leader. A leader estimates a worker's clock from the last response. An idle worker is not asked, and its clock may be 2% slow, so after a minute the requested end was 1.2 s further ahead than the leader meant. The leader itself counted that, but its successor did not: it waits for the length of a lease.

The drift is now taken off, so that no lease is longer than LeaseDuration, and idle workers are asked for their clocks every 2 minutes.

--- a/internal/dispatcher/leaselimit.go
+++ b/internal/dispatcher/leaselimit.go
@@ -37,9 +37,10 @@
 	}
 }
 
-// cut returns the duration of a lease that is granted now, at most the given one. It is 0 once the limit has passed.
-func (l *leaseLimit) cut(leaseDuration time.Duration, now time.Time) time.Duration {
+// cut returns the duration to request for a lease that is granted now, so that neither the given duration nor the limit is exceeded on
+// a clock that is behind its estimate by the given drift. It is 0 once the limit has passed.
+func (l *leaseLimit) cut(leaseDuration, drift time.Duration, now time.Time) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return max(0, min(leaseDuration, l.at.Sub(now)))
+	return max(0, min(leaseDuration, l.at.Sub(now))-drift)
 }
--- a/internal/dispatcher/requests.go
+++ b/internal/dispatcher/requests.go
@@ -23,7 +23,7 @@
 	}
 	t.activeRun, t.lastWorker = r, w
 	w.runs[r.id] = r
-	lease := d.startLeaseDuration(now)
+	lease := min(maxStartLease, d.grantableLease(w, now))
 	req := StartRequest{
 		Run: r.id, Payload: t.step.job.submission.Payload, Checkpoint: t.resumeCheckpoint(), Fence: d.Term.Fence,
 		LeaseUntil: w.leaseUntil(now, lease), Need: r.need,
@@ -41,14 +41,14 @@
 	d.Metrics.Runs.Add("started", 1)
 }
 
-// startLeaseDuration returns the duration of the lease that a start request grants now.
-func (d *Dispatcher) startLeaseDuration(now time.Time) time.Duration {
-	return d.leaseLimit.cut(min(maxStartLease, d.LeaseDuration), now)
+// grantableLease returns the longest lease that a start request to the worker may grant now.
+func (d *Dispatcher) grantableLease(w *worker, now time.Time) time.Duration {
+	return d.leaseLimit.cut(d.LeaseDuration, clockDrift(now.Sub(w.clockAt)), now)
 }
 
-// canGrantStartLease reports whether a start request would grant a lease that is long enough.
+// canGrantStartLease reports whether start requests to workers whose clocks are known well would grant leases that are long enough.
 func (d *Dispatcher) canGrantStartLease(now time.Time) bool {
-	return d.startLeaseDuration(now) >= minStartLease
+	return d.leaseLimit.cut(d.LeaseDuration, 0, now) >= minStartLease
 }
 
 // assertCapacity reports a violation if the runs of a worker need more than its capacity after run r was added.
--- a/internal/dispatcher/session.go
+++ b/internal/dispatcher/session.go
@@ -20,6 +20,9 @@
 	reportRetryDelay = 250 * time.Millisecond
 	// probeInterval is the delay before a renewal that only asks whether a worker without runs responds again.
 	probeInterval = time.Second
+	// maxClockAge is the time after which an idle worker is asked for its clock. The longer ago it was read, the shorter are the
+	// leases that can be granted without exceeding their bound on a slow clock.
+	maxClockAge = 2 * time.Minute
 	// durableWait limits the wait until processed run ends are in the log. After that, the lease is renewed without acknowledging
 	// them.
 	durableWait = 300 * time.Millisecond
@@ -78,7 +81,7 @@
 // needsReport reports whether a lease renewal is due. A worker that does not respond gets no tasks, so only a renewal can show that
 // it responds again.
 func (s *renewalState) needsReport() bool {
-	return !s.hasReported || s.hasWork || s.reportNow || !s.isResponding || s.restartListed
+	return !s.hasReported || s.hasWork || s.reportNow || !s.isResponding || s.restartListed || time.Since(s.clockAt) > maxClockAge
 }
 
 // retryDelay returns the delay before the next renewal after a failed one.
@@ -152,7 +155,7 @@
 			s.renewLease(state)
 		default:
 			s.incarnationKnown = false
-			s.awaitChange(time.Hour)
+			s.awaitChange(maxClockAge)
 		}
 	}
 }
@@ -181,7 +184,7 @@
 	// The lease of a worker that does not respond is not renewed. Otherwise each call, which may have reached the worker,
 	// would postpone the time at which its runs have certainly ended.
 	now := time.Now()
-	lease := s.leaseLimit.cut(s.leaseDuration, now)
+	lease := s.leaseLimit.cut(s.leaseDuration, clockDrift(now.Sub(state.clockAt)), now)
 	if state.clockKnown && state.isResponding {
 		if state.hasReported && lease > 0 {
 			req.LeaseUntil = state.clock + WorkerTime((now.Sub(state.clockAt) + lease).Milliseconds())
