Check again that an election is due at the end of the log that it names

A candidate checks how long the leader has been silent, and then takes the end of the log for the condition of its append. The replica moves on before the elector learns of it, so a renewal that had just been read met the condition without restarting the timeout: a successor could be elected milliseconds after an append of its predecessor, while all bounds on leases assume MinElectionTimeout.

TestNoElectionBesideFreshLeaderRecord failed before (fence 2) and passes now.

--- a/internal/coordinator/election.go
+++ b/internal/coordinator/election.go
@@ -116,8 +116,10 @@
 
 // startElection appends a new term of this host to the log. The host becomes leader once it reads this term from the log.
 func (c *Coordinator) startElection(ctx context.Context) {
-	previous, _ := c.replica.Term()
-	next := c.replica.NextOffset()
+	previous, next, ok := c.electionBasis(time.Now())
+	if !ok {
+		return
+	}
 	t := journaler.Term{Fence: previous.Fence + 1, Host: c.cfg.Host, Nonce: c.nonce, FirstSeq: rand.Int64N(firstSeqRange), Load: previous.Load}
 	r, err := journaler.NewTermRecord(t)
 	if err != nil {
@@ -143,6 +145,18 @@
 	c.mu.Unlock()
 }
 
+// electionBasis returns the term to replace and the end of the log as far as this host has read it; ok is false if a record up to
+// there shows that no election is due. The replica may be ahead of the elector.
+func (c *Coordinator) electionBasis(now time.Time) (previous journaler.Term, next model.Offset, ok bool) {
+	next = c.replica.NextOffset()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.updateElectorLocked(now)
+	at, ok := c.elector.NextElection()
+	previous, _ = c.replica.Term()
+	return previous, next, ok && !now.Before(at)
+}
+
 // recordCandidacy notes when the append of a term was sent. An append without a response may take effect seconds later.
 func (c *Coordinator) recordCandidacy(t journaler.Term) {
 	c.mu.Lock()
