Start nothing once a successor may lead

Callers saw tasks run twice at once. A leader that the log did not confirm started tasks for as long as its leases went on, about 10 s, also after a pause. Workers that its successor has reached refuse that by the fence, but a worker that restarts forgets the fence, and an idle one is asked by nobody.

A leader now sends no start from MinElectionTimeout after the last confirmed append on, since a successor may exist from then on. A leader that resigns stops at once, and its leases end before its successor counts them as ended.

The price: in an outage of the log nothing starts after 1.2 s. The fixtures of the dispatcher's tests pass later times than those of real appends, so they set a term that the log confirms all the time; their checks are unchanged.

--- a/internal/dispatcher/batch.go
+++ b/internal/dispatcher/batch.go
@@ -80,6 +80,9 @@
 	t.Load = l.d.pendingLoad(now)
 	t.Resigned = l.resigning
 	b.resigns = l.resigning
+	if l.resigning {
+		l.d.leaseLimit.resign(now, l.d.LeaseDuration)
+	}
 	r, err := journaler.NewTermRecord(t)
 	if err != nil {
 		return err
--- a/internal/dispatcher/bench_test.go
+++ b/internal/dispatcher/bench_test.go
@@ -34,7 +34,8 @@
 // newLoadedDispatcher returns a dispatcher with workers of 8 accelerators each, all in use, and with queued jobs.
 func newLoadedDispatcher(b *testing.B, workers, queuedJobs int) *Dispatcher {
 	d := &Dispatcher{
-		Term: journaler.Term{Fence: 1}, Workers: unresponsiveClient{}, Logger: hclog.NewNullLogger(), Metrics: NewMetrics(), LeaseDuration: time.Hour,
+		// The log confirms the term during the whole test.
+		Term: journaler.Term{Fence: 1}, ElectedAt: time.Now().Add(time.Hour), Workers: unresponsiveClient{}, Logger: hclog.NewNullLogger(), Metrics: NewMetrics(), LeaseDuration: time.Hour,
 		OnViolation: func(asserter.Invariant, ...any) {}, formerRunsKnown: true,
 	}
 	d.Init()
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -16,7 +16,8 @@
 func newDispatcher(t *testing.T) *Dispatcher {
 	t.Helper()
 	d := &Dispatcher{
-		Term: journaler.Term{Fence: 1}, Workers: unresponsiveClient{}, Logger: hclog.NewNullLogger(), Metrics: NewMetrics(), LeaseDuration: time.Hour,
+		// The log confirms the term during the whole test.
+		Term: journaler.Term{Fence: 1}, ElectedAt: time.Now().Add(time.Hour), Workers: unresponsiveClient{}, Logger: hclog.NewNullLogger(), Metrics: NewMetrics(), LeaseDuration: time.Hour,
 		OnViolation: func(inv asserter.Invariant, args ...any) { t.Error(inv, args) }, formerRunsKnown: true,
 	}
 	d.Init()
--- a/internal/dispatcher/journal.go
+++ b/internal/dispatcher/journal.go
@@ -148,7 +148,7 @@
 // confirmAppend records that the log has accepted an append, so that this host was still the leader when it was sent.
 func (l *journal) confirmAppend(sentAt, now time.Time) {
 	d := l.d
-	if !d.canGrantStartLease(now) {
+	if !d.leaseLimit.allowsStart(now) {
 		d.scheduleUpToDate = false // work has waited for this
 	}
 	l.confirmedAt = sentAt
--- a/internal/dispatcher/leaselimit.go
+++ b/internal/dispatcher/leaselimit.go
@@ -12,29 +12,50 @@
 	// MaxUnconfirmed is how long after its last confirmed append a leader grants worker leases of full length. It bridges a short
 	// outage of the log, and a successor waits longer by as much for workers that do not respond to it.
 	MaxUnconfirmed = 3 * time.Second
-	// minStartLease is the shortest lease with which a task is started. The next renewal needs time to extend it.
-	minStartLease = time.Second
+	// succession is what MaxUnconfirmed adds to the time for which a successor waits.
+	succession = MaxUnconfirmed - MinElectionTimeout
 )
 
 // formerLeaseDuration returns how long after the start of a term a worker lease that a former leader has granted may last.
 func formerLeaseDuration(leaseDuration time.Duration) time.Duration {
-	return leaseDuration + MaxUnconfirmed - MinElectionTimeout
+	return leaseDuration + succession
 }
 
-// leaseLimit is the time at which all worker leases that a leader grants have ended unless the log confirms a later append. A leader
-// that is cut off from the log can't know whether it has a successor, which relies on that. Its methods may be called concurrently.
+// leaseLimit bounds what a leader does without a confirmation of the log. A leader that is cut off from the log can't know whether it
+// has a successor, which relies on these bounds. Its methods may be called concurrently.
 type leaseLimit struct {
-	mu sync.Mutex
-	at time.Time
+	mu          sync.Mutex
+	startsUntil time.Time // no start request is sent from then on
+	leasesUntil time.Time // all worker leases have ended by then
+	resigned    bool      // the limits no longer move
 }
 
-// confirm moves the limit after an append that was sent at the given time and has succeeded.
+// confirm moves the limits after an append that was sent at the given time and has succeeded.
 func (l *leaseLimit) confirm(sentAt time.Time, leaseDuration time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if at := sentAt.Add(MaxUnconfirmed + leaseDuration); at.After(l.at) {
-		l.at = at
+	if l.resigned {
+		return
 	}
+	l.startsUntil = latest(l.startsUntil, sentAt.Add(MinElectionTimeout))
+	l.leasesUntil = latest(l.leasesUntil, sentAt.Add(MaxUnconfirmed+leaseDuration))
+}
+
+// resign sets the limits for a leader that announces its resignation now. Its successor may take over at once.
+func (l *leaseLimit) resign(now time.Time, leaseDuration time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.resigned, l.startsUntil = true, now
+	if end := now.Add(succession + leaseDuration); end.Before(l.leasesUntil) {
+		l.leasesUntil = end
+	}
+}
+
+// allowsStart reports whether a start request may be sent now.
+func (l *leaseLimit) allowsStart(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Before(l.startsUntil)
 }
 
 // cut returns the duration to request for a lease that is granted now, so that neither the given duration nor the limit is exceeded on
@@ -42,5 +63,5 @@
 func (l *leaseLimit) cut(leaseDuration, drift time.Duration, now time.Time) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return max(0, min(leaseDuration, l.at.Sub(now))-drift)
+	return max(0, min(leaseDuration, l.leasesUntil.Sub(now))-drift)
 }
--- /dev/null
+++ b/internal/dispatcher/leaselimit_test.go
@@ -0,0 +1,57 @@
+package dispatcher
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a leader that grants leases, or starts tasks, beyond what its successor waits for.
+func TestLeaseLimitMovesWithConfirmedAppends(t *testing.T) {
+	is := is.New(t)
+	const lease = 8 * time.Second
+	var l leaseLimit
+	now := time.Now()
+	is.True(!l.allowsStart(now)) // nothing is confirmed yet
+	is.Equal(l.cut(lease, 0, now), time.Duration(0))
+	l.confirm(now, lease)
+	is.True(l.allowsStart(now.Add(MinElectionTimeout - 1)))
+	is.True(!l.allowsStart(now.Add(MinElectionTimeout)))
+	is.Equal(l.cut(lease, 0, now.Add(MaxUnconfirmed)), lease)
+	is.Equal(l.cut(lease, time.Second, now.Add(MaxUnconfirmed+time.Second)), lease-2*time.Second)
+	is.Equal(l.cut(lease, 0, now.Add(MaxUnconfirmed+lease)), time.Duration(0))
+}
+
+// Guards against a leader that goes on after its resignation, beside a successor that has taken over at once.
+func TestResignationEndsLeasesBeforeSuccessorStarts(t *testing.T) {
+	is := is.New(t)
+	const lease = 8 * time.Second
+	var l leaseLimit
+	now := time.Now()
+	l.confirm(now, lease)
+	l.resign(now, lease)
+	l.confirm(now.Add(time.Second), lease) // an earlier append
+	is.True(!l.allowsStart(now))
+	is.Equal(l.cut(lease, 0, now.Add(formerLeaseDuration(lease))), time.Duration(0))
+}
+
+// Guards against a limit that counts from the response of an append, which a successor may have read long before.
+func TestLeaseLimitCountsFromFirstAttemptOfAppend(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.leaseLimit = leaseLimit{}
+	(&appendEvent{batch: &batch{sentAt: f.now}}).apply(f.Dispatcher, f.later(900))
+	is.True(f.leaseLimit.allowsStart(f.later(1100)))
+	is.True(!f.leaseLimit.allowsStart(f.later(1200)))
+}
+
+// Guards against the lease of a start that has reached a restarted worker and is forgotten with the next report.
+func TestRestartKeepsLeaseOfEarlierStart(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	end := f.worker.leaseEndsAt()
+	f.worker.confirmIncarnation(true, f.later(10))
+	f.worker.confirmIncarnation(false, f.later(20))
+	is.True(!f.worker.leaseEndsAt().Before(end))
+}
--- a/internal/dispatcher/rate.go
+++ b/internal/dispatcher/rate.go
@@ -15,9 +15,9 @@
 }
 
 // canStart reports whether the rate limit allows to send a start request now. If not, another pass follows soon. It also reports
-// false while the log does not confirm this leader's appends for so long that it can grant no lease for a start.
+// false while the log does not confirm this leader's appends, so that there may be a successor.
 func (p *schedulingPass) canStart() bool {
-	if !p.d.canGrantStartLease(p.now) {
+	if !p.d.leaseLimit.allowsStart(p.now) {
 		return false
 	}
 	if p.d.pacer.CanStart(p.now) {
--- a/internal/dispatcher/requests.go
+++ b/internal/dispatcher/requests.go
@@ -46,11 +46,6 @@
 	return d.leaseLimit.cut(d.LeaseDuration, clockDrift(now.Sub(w.clockAt)), now)
 }
 
-// canGrantStartLease reports whether start requests to workers whose clocks are known well would grant leases that are long enough.
-func (d *Dispatcher) canGrantStartLease(now time.Time) bool {
-	return d.leaseLimit.cut(d.LeaseDuration, 0, now) >= minStartLease
-}
-
 // assertCapacity reports a violation if the runs of a worker need more than its capacity after run r was added.
 func (d *Dispatcher) assertCapacity(w *worker, r *run) {
 	if unoccupied := w.unoccupiedResources(); !unoccupied.CanFit(model.Resources{}) {
