Count with the longest lease at a change of the leader

A start to a worker that has restarted while it was idle grants the longest lease. The run of such a worker was dropped, or its task was free, while it went on.

Both places now count with the longest lease.

--- a/internal/coordinator/succession_test.go
+++ b/internal/coordinator/succession_test.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"chestnutmux.example/chestnutmux/internal/fake/log"
+	"chestnutmux.example/chestnutmux/internal/fake/worker"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
@@ -34,3 +36,46 @@
 		})
 	}
 }
+
+// Guards against an adopted run that is dropped while it goes on, because its former leader did not know that the worker had restarted.
+func TestAdoptedRunMayHoldLongestLease(t *testing.T) {
+	runInCluster(t, 1, 2, 1, 2, func(c *cluster, is *is.I) {
+		time.Sleep(12 * time.Second)
+		for _, w := range c.workers {
+			c.fleet.RestartWorker(w.ID, time.Now())
+		}
+		c.submit(job("long", 1, 9900*time.Millisecond, model.Step{Count: 1, Need: accelerators(8)}))
+		for len(c.fleet.LedgerReport().StartsByTask) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		c.leader().cancel()
+		time.Sleep(1300 * time.Millisecond)
+		busy := c.awaitBusyWorker()
+		c.setWorkerFault(busy.ID, worker.FaultRequestLost)
+		var others []model.Worker
+		for _, w := range c.workers {
+			if w.ID != busy.ID {
+				others = append(others, w)
+			}
+		}
+		c.setListed(others...)
+		time.Sleep(20 * time.Second)
+		c.setWorkerFault(busy.ID, worker.NoFault)
+		c.awaitEnd(time.Minute, "long")
+		is.Equal(c.state("long"), model.JobFinished)
+	})
+}
+
+// awaitBusyWorker waits until a leader knows a run, and returns its worker.
+func (c *cluster) awaitBusyWorker() model.Worker {
+	for {
+		time.Sleep(5 * time.Millisecond)
+		for _, st := range c.awaitLeader().coordinator.WorkerStatuses(context.Background()) {
+			for _, w := range c.workers {
+				if w.ID == st.Worker && st.InUse > 0 {
+					return w
+				}
+			}
+		}
+	}
+}
--- a/internal/dispatcher/leaselimit.go
+++ b/internal/dispatcher/leaselimit.go
@@ -16,9 +16,10 @@
 	succession = MaxUnconfirmed - MinElectionTimeout
 )
 
-// formerLeaseDuration returns how long after the start of a term a worker lease that a former leader has granted may last.
-func formerLeaseDuration(leaseDuration time.Duration) time.Duration {
-	return leaseDuration + succession
+// formerLeaseDuration returns how long after the start of a term a worker lease that a former leader has granted may last. A start
+// request to a worker that has restarted may grant the longest lease.
+func formerLeaseDuration(leaseDuration, maxLease time.Duration) time.Duration {
+	return max(leaseDuration+succession, maxLease)
 }
 
 // leaseLimit bounds what a leader does without a confirmation of the log. A leader that is cut off from the log can't know whether it
--- a/internal/dispatcher/leaselimit_test.go
+++ b/internal/dispatcher/leaselimit_test.go
@@ -33,7 +33,7 @@
 	l.resign(now, lease)
 	l.confirm(now.Add(time.Second), lease) // an earlier append
 	is.True(!l.allowsStart(now))
-	is.Equal(l.cut(lease, 0, now.Add(formerLeaseDuration(lease))), time.Duration(0))
+	is.Equal(l.cut(lease, 0, now.Add(formerLeaseDuration(lease, lease))), time.Duration(0))
 }
 
 // Guards against a limit that counts from the response of an append, which a successor may have read long before.
--- a/internal/dispatcher/report.go
+++ b/internal/dispatcher/report.go
@@ -34,7 +34,7 @@
 	w.confirmIncarnation(restarted, e.sentAt)
 	if !w.hasReported {
 		// This leader has not renewed the worker lease yet, but a former leader may have.
-		w.recordStartLease(e.respondedAt, d.LeaseDuration)
+		w.recordStartLease(e.respondedAt, d.MaxLease)
 		w.hasReported = true
 		d.scheduleUpToDate = false
 	}
--- a/internal/dispatcher/takeover.go
+++ b/internal/dispatcher/takeover.go
@@ -42,7 +42,7 @@
 func (d *Dispatcher) addWorker(info model.Worker, now time.Time) *worker {
 	w := &worker{
 		info: info, runs: map[model.RunRef]*run{},
-		formerLeaseEndsAt: leaseEnd(now, formerLeaseDuration(d.LeaseDuration)),
+		formerLeaseEndsAt: leaseEnd(now, formerLeaseDuration(d.LeaseDuration, d.MaxLease)),
 	}
 	d.workers[info.ID] = w
 	w.session = newSession(d.ctx, d, info)
