Send no start request after its lease has ended

Start requests to a worker that does not respond wait for each other, four at a time. A queued one was sent also after its run had been dropped and its task had started elsewhere; if the worker had restarted meanwhile, the end of the lease was far ahead on its new clock, and it accepted the start.

A start request that is still waiting when its lease ends, or when there may be a successor, is withdrawn. The time from which a report shows that the worker has not restarted counts from the sending of the last start.

--- a/internal/dispatcher/requests.go
+++ b/internal/dispatcher/requests.go
@@ -34,7 +34,7 @@
 	w.recordStart(now)
 	w.recordStartLease(now, lease)
 	d.pacer.Spend(now, startBytes(t.step.job))
-	w.session.sendStart(w.info, req, d.pacer.Timeout())
+	w.session.sendStart(w.info, req, now.Add(lease), d.pacer.Timeout())
 	d.updateSession(w)
 	d.journal.markDirty(t.step.job, false)
 	d.assertCapacity(w, r)
@@ -90,12 +90,20 @@
 }
 
 func (e *startEvent) apply(d *Dispatcher, now time.Time) {
-	d.pacer.Observe(now, e.respondedAt.Sub(e.sentAt), hasResponded(e.err))
 	w := d.workers[e.worker]
 	if w == nil {
 		return
 	}
 	r := w.runs[e.run]
+	if errors.Is(e.err, errWithdrawn) {
+		if r != nil {
+			d.Logger.Warn("start request withdrawn", "worker", w.info.ID, "task", e.run.Task.String(), "run", e.run.Number)
+			d.requeueUnstarted(r, now)
+		}
+		return
+	}
+	d.pacer.Observe(now, e.respondedAt.Sub(e.sentAt), hasResponded(e.err))
+	w.recordStart(e.sentAt)
 	if e.err == nil {
 		w.clock, w.clockAt, w.isResponding = e.response.Clock, e.respondedAt, true
 		w.recordResponse()
--- a/internal/dispatcher/session.go
+++ b/internal/dispatcher/session.go
@@ -273,10 +273,17 @@
 	}
 }
 
-// sendStart sends a start request in the background.
-func (s *session) sendStart(info model.Worker, req StartRequest, timeout time.Duration) {
+// errWithdrawn reports that a start request has waited for too long and was not sent.
+var errWithdrawn = errors.New("dispatcher: start request withdrawn before it was sent")
+
+// sendStart sends a start request in the background, unless it has to wait until its lease, which ends at the given time, is over or
+// this leader may have a successor.
+func (s *session) sendStart(info model.Worker, req StartRequest, leaseEndsAt time.Time, timeout time.Duration) {
 	go s.sendRequest(timeout, func(ctx context.Context) event {
 		sentAt := time.Now()
+		if sentAt.After(leaseEndsAt) || !s.leaseLimit.allowsStart(sentAt) {
+			return &startEvent{worker: info.ID, run: req.Run, err: errWithdrawn}
+		}
 		response, err := s.client.Start(ctx, info, req)
 		return &startEvent{worker: info.ID, run: req.Run, response: response, sentAt: sentAt, respondedAt: time.Now(), err: err}
 	})
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -19,12 +19,12 @@
 	runsRecorded      bool      // a former leader gave the worker no new tasks, and the log lists all its runs
 	openInLog         bool      // the newest fleet record in the log says that the worker may get new tasks
 
-	clock             WorkerTime // clock of the worker at clockAt
-	clockAt           time.Time  // time of the last response
-	lastReportAt      time.Time  // time of the last report
-	lastStartAt       time.Time  // time of the last start request
-	incarnationAtRisk bool       // the worker may have restarted unnoticed before the last start request; see leaseEndsAt
-	startLeaseEndsAt  time.Time  // like the end of the session's grant, for leases granted by start requests and by former leaders
+	clock            WorkerTime // clock of the worker at clockAt
+	clockAt          time.Time  // time of the last response
+	lastReportAt     time.Time  // time of the last report
+	lastStartAt      time.Time  // time at which the last start request was sent
+	confirmedAt      time.Time  // time at which the last report was requested that showed no restart
+	startLeaseEndsAt time.Time  // like the end of the session's grant, for leases granted by start requests and by former leaders
 
 	formerIncarnation int64 // incarnation that a former leader has recorded; 0 if unknown
 
@@ -94,23 +94,22 @@
 func (w *worker) leaseEndsAt() time.Time {
 	grantedAt, end := w.session.latestLease()
 	end = latest(end, w.startLeaseEndsAt)
-	if w.incarnationAtRisk {
+	if !w.confirmedAt.After(w.lastStartAt) {
 		end = latest(end, leaseEnd(latest(grantedAt, w.lastStartAt), w.session.maxLease))
 	}
 	return end
 }
 
 // recordStart notes that a start request is sent, whose worker may have restarted since its last report.
-func (w *worker) recordStart(now time.Time) { w.lastStartAt, w.incarnationAtRisk = now, true }
+func (w *worker) recordStart(sentAt time.Time) { w.lastStartAt = latest(w.lastStartAt, sentAt) }
 
-// confirmIncarnation notes the incarnation in a report that was requested at the given time.
+// confirmIncarnation notes whether a report that was requested at the given time has shown a restart.
 func (w *worker) confirmIncarnation(restarted bool, sentAt time.Time) {
-	switch {
-	case restarted:
+	if restarted {
 		w.startLeaseEndsAt = w.leaseEndsAt() // a start request may have reached the new process
-	case sentAt.After(w.lastStartAt):
-		w.incarnationAtRisk = false
+		return
 	}
+	w.confirmedAt = latest(w.confirmedAt, sentAt)
 }
 
 // latest returns the later of two times.
