--- /dev/null
+++ b/test/platformsoak/lease_test.go
@@ -0,0 +1,48 @@
+package platformsoak
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chestnutmux.example/chestnutmux/review/standin"
+)
+
+const (
+	leaseHosts    = 3
+	leaseMachines = 4
+	// oldAge is the age of the runners when they restart. The clock of a runner starts anew then.
+	oldAge    = 12 * time.Second
+	watchTime = 14 * time.Second
+)
+
+// Guards against a second run of a task whose worker has a longer lease than the leader knows, because it restarted while it was idle.
+func TestIdleRestartDoesNotStartRunTwice(t *testing.T) {
+	is := is.New(t)
+	s, err := startSite(t, leaseHosts, leaseMachines)
+	is.NoErr(err)
+	tr := &traffic{site: s, rng: rand.New(rand.NewPCG(*seed, 1)), jobs: map[string]*job{}}
+	time.Sleep(oldAge)
+	for _, m := range s.machines {
+		is.NoErr(m.crash(linkReset))
+		is.NoErr(m.boot(false))
+		is.NoErr(m.link.set(linkTrap))
+	}
+	time.Sleep(time.Second)
+	need := standin.Room{CPU: 2800, MemMB: 4000, GPU: 1}
+	tr.submit(newShape([]step{{count: 1, need: need, after: -1}}, standin.Work{Duration: 9700 * time.Millisecond, Need: need}, nil), 1)
+	for deadline := time.Now().Add(startTimeout); len(s.fleet.Starts()) == 0 && time.Now().Before(deadline); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	starts := s.fleet.Starts()
+	is.True(len(starts) > 0) // the task has started
+	for _, m := range s.machines {
+		if m.runner.ID != starts[0].Runner {
+			is.NoErr(m.link.set(linkOpen))
+		}
+	}
+	time.Sleep(watchTime)
+	finishSite(t, s, s.ledger.doubleRuns(s.fleet.Starts()))
+}
