--- a/test/platformsoak/lease_test.go
+++ b/test/platformsoak/lease_test.go
@@ -33,11 +33,8 @@
 	time.Sleep(time.Second)
 	need := standin.Room{CPU: 2800, MemMB: 4000, GPU: 1}
 	tr.submit(newShape([]step{{count: 1, need: need, after: -1}}, standin.Work{Duration: 9700 * time.Millisecond, Need: need}, nil), 1)
-	for deadline := time.Now().Add(startTimeout); len(s.fleet.Starts()) == 0 && time.Now().Before(deadline); {
-		time.Sleep(10 * time.Millisecond)
-	}
+	is.True(s.awaitStarts(1)) // the task has started
 	starts := s.fleet.Starts()
-	is.True(len(starts) > 0) // the task has started
 	for _, m := range s.machines {
 		if m.runner.ID != starts[0].Runner {
 			is.NoErr(m.link.set(linkOpen))
--- a/test/platformsoak/link_test.go
+++ b/test/platformsoak/link_test.go
@@ -17,12 +17,13 @@
 type linkMode string
 
 const (
-	linkOpen   linkMode = "open"
-	linkSilent linkMode = "silent" // nothing passes, and new connections get no response
-	linkDeaf   linkMode = "deaf"   // requests pass, responses are lost
-	linkReset  linkMode = "reset"  // connections are reset and new ones refused
-	linkFlaky  linkMode = "flaky"  // each call may be reset, hang, or be delivered late
-	linkTrap   linkMode = "trap"   // like open until a start was delivered, which is reset; like reset from then on
+	linkOpen    linkMode = "open"
+	linkSilent  linkMode = "silent"   // nothing passes, and new connections get no response
+	linkDeaf    linkMode = "deaf"     // requests pass, responses are lost
+	linkReset   linkMode = "reset"    // connections are reset and new ones refused
+	linkFlaky   linkMode = "flaky"    // each call may be reset, hang, or be delivered late
+	linkNoStart linkMode = "no-start" // starts are reset and not delivered
+	linkTrap    linkMode = "trap"     // like open until a start was delivered, which is reset; like reset from then on
 )
 
 // fate is what a link does with one call.
@@ -37,6 +38,11 @@
 	fateDrop        fate = "drop"         // the request is delivered and not answered
 )
 
+const (
+	startPath = "/chestnutmux/run-start"
+	holdPath  = "/chestnutmux/hold"
+)
+
 const (
 	minLate      = 2 * time.Second
 	maxLate      = 12 * time.Second
@@ -169,10 +175,10 @@
 	return l.mode == linkSilent || l.mode == linkDeaf
 }
 
-func (l *link) isTrap() bool {
+func (l *link) is(mode linkMode) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.mode == linkTrap
+	return l.mode == mode
 }
 
 func (l *link) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -181,6 +187,9 @@
 		return
 	}
 	f, late, v := l.draw()
+	if r.URL.Path == startPath && l.is(linkNoStart) {
+		f = fateResetBefore
+	}
 	if f != fatePass {
 		l.note("link to %s: %s %s: %s", v.id, r.URL.Path, body, f)
 	}
@@ -200,7 +209,7 @@
 		return
 	}
 	status, resp, err := l.deliver(v, r, body)
-	if r.URL.Path == "/chestnutmux/run-start" && l.isTrap() {
+	if r.URL.Path == startPath && l.is(linkTrap) {
 		l.note("link to %s: %s %s: cut after the delivery", v.id, r.URL.Path, body)
 		if err := l.set(linkReset); err != nil {
 			l.note("link to %s: %v", v.id, err)
@@ -248,7 +257,7 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	if r.URL.Path == "/chestnutmux/hold" && resp.StatusCode == http.StatusOK {
+	if r.URL.Path == holdPath && resp.StatusCode == http.StatusOK {
 		var request struct {
 			AckCursor int64 `json:"ack_cursor"`
 		}
