--- a/test/platformsoak/faults_test.go
+++ b/test/platformsoak/faults_test.go
@@ -62,9 +62,9 @@
 }
 
 func (f *faults) inject() {
-	switch f.rng.IntN(14) {
+	switch f.rng.IntN(17) {
 	case 0, 1, 2, 3:
-		f.linkFault(f.randomMachine(), []linkMode{linkFlaky, linkFlaky, linkDeaf, linkSilent, linkReset}[f.rng.IntN(5)], f.between(500*time.Millisecond, 9*time.Second))
+		f.linkFault(f.randomMachine(), []linkMode{linkFlaky, linkLate, linkDeaf, linkSilent, linkReset}[f.rng.IntN(5)], f.between(500*time.Millisecond, 9*time.Second))
 	case 4, 5, 6:
 		f.crash(f.randomMachine(), f.rng.IntN(3) > 0)
 	case 7, 8:
@@ -75,6 +75,15 @@
 		f.hostFault()
 	case 13:
 		f.storeFault()
+	case 14, 15:
+		mode, d := []linkMode{linkLate, linkLate, linkFlaky, linkSilent}[f.rng.IntN(4)], f.between(2*time.Second, 11*time.Second)
+		for range 2 + f.rng.IntN(5) {
+			f.linkFault(f.randomMachine(), mode, d)
+		}
+	case 16:
+		for range 2 + f.rng.IntN(3) {
+			f.crash(f.randomMachine(), true)
+		}
 	}
 }
 
@@ -193,21 +202,26 @@
 			return nil
 		})
 	case 6:
-		f.start("kill of all hosts", func() error {
-			var done sync.WaitGroup
-			for _, h := range f.site.hosts {
-				done.Go(func() {
-					if err := h.killAndStart(restart); err != nil {
-						f.t.Error(err)
-					}
-				})
-			}
-			done.Wait()
-			return nil
-		})
+		f.killAll(restart)
 	}
 }
 
+// killAll kills all hosts at once and starts them again after a time.
+func (f *faults) killAll(restart time.Duration) {
+	f.start("kill of all hosts", func() error {
+		var done sync.WaitGroup
+		for _, h := range f.site.hosts {
+			done.Go(func() {
+				if err := h.killAndStart(restart); err != nil {
+					f.t.Error(err)
+				}
+			})
+		}
+		done.Wait()
+		return nil
+	})
+}
+
 // killAndStart kills the process and starts it again after a time.
 func (h *host) killAndStart(after time.Duration) error {
 	h.mu.Lock()
--- a/test/platformsoak/lease_test.go
+++ b/test/platformsoak/lease_test.go
@@ -21,8 +21,7 @@
 // Guards against a second run of a task whose worker has a longer lease than the leader knows, because it restarted while it was idle.
 func TestIdleRestartDoesNotStartRunTwice(t *testing.T) {
 	is := is.New(t)
-	s, err := startSite(t, leaseHosts, leaseMachines)
-	is.NoErr(err)
+	s := startSite(t, leaseHosts, leaseMachines)
 	tr := &traffic{site: s, rng: rand.New(rand.NewPCG(*seed, 1)), jobs: map[string]*job{}}
 	time.Sleep(oldAge)
 	for _, m := range s.machines {
@@ -41,5 +40,5 @@
 		}
 	}
 	time.Sleep(watchTime)
-	finishSite(t, s, s.ledger.doubleRuns(s.fleet.Starts()))
+	s.report(t, s.ledger.doubleRuns(s.fleet.Starts()))
 }
--- a/test/platformsoak/link_test.go
+++ b/test/platformsoak/link_test.go
@@ -22,6 +22,7 @@
 	linkDeaf    linkMode = "deaf"     // requests pass, responses are lost
 	linkReset   linkMode = "reset"    // connections are reset and new ones refused
 	linkFlaky   linkMode = "flaky"    // each call may be reset, hang, or be delivered late
+	linkLate    linkMode = "late"     // half of the calls are delivered late and not answered
 	linkNoStart linkMode = "no-start" // starts are reset and not delivered
 	linkTrap    linkMode = "trap"     // like open until a start was delivered, which is reset; like reset from then on
 )
@@ -161,6 +162,8 @@
 		return fateHang, late, l.life
 	case linkDeaf:
 		return fateDrop, late, l.life
+	case linkLate:
+		return []fate{fatePass, fateLate}[l.rng.IntN(2)], late, l.life
 	case linkFlaky:
 		fates := []fate{fatePass, fatePass, fateResetBefore, fateResetAfter, fateLate, fateLate, fateHang, fateDrop}
 		return fates[l.rng.IntN(len(fates))], late, l.life
--- a/test/platformsoak/paused_leader_test.go
+++ b/test/platformsoak/paused_leader_test.go
@@ -21,8 +21,7 @@
 // Guards against a start by a paused leader on a worker that its successor could not reach, of a task that the successor has started.
 func TestPausedLeaderDoesNotStartRunTwice(t *testing.T) {
 	is := is.New(t)
-	s, err := startSite(t, leaseHosts, 2)
-	is.NoErr(err)
+	s := startSite(t, leaseHosts, 2)
 	tr := &traffic{site: s, rng: rand.New(rand.NewPCG(*seed, 1)), jobs: map[string]*job{}}
 	unreached, busy := s.machines[0], s.machines[1]
 	time.Sleep(contactTime)
@@ -42,7 +41,7 @@
 	is.NoErr(unreached.link.set(linkOpen))
 	leader.Signal(syscall.SIGCONT)
 	time.Sleep(watchTime)
-	finishSite(t, s, s.ledger.doubleRuns(s.fleet.Starts()))
+	s.report(t, s.ledger.doubleRuns(s.fleet.Starts()))
 }
 
 // submitWhole hands in a job with one task that fills a runner.
--- a/test/platformsoak/site_test.go
+++ b/test/platformsoak/site_test.go
@@ -163,7 +163,7 @@
 		return err
 	}
 	zone := []string{"kartli-a", "kartli-b", "imereti-a"}[i%3]
-	e, err := standin.NewEntry(s.dir, s.dir, fmt.Sprintf("front-%s-%d", zone, i), zone, s.network.IP(10+i), l.addr(), s.record)
+	e, err := standin.NewEntry(programDir, s.dir, fmt.Sprintf("front-%s-%d", zone, i), zone, s.network.IP(10+i), l.addr(), s.record)
 	if err != nil {
 		return err
 	}
--- a/test/platformsoak/soak_test.go
+++ b/test/platformsoak/soak_test.go
@@ -6,12 +6,9 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"testing"
 	"time"
-
-	"github.com/matryer/is"
 )
 
 var (
@@ -31,17 +28,21 @@
 
 // Guards against two runs of a task at once and against jobs that wait while there is room for them.
 func TestPlatformSoak(t *testing.T) {
-	is := is.New(t)
-	s, err := startSite(t, hostCount, machineCount)
-	is.NoErr(err)
+	s := startSite(t, hostCount, machineCount)
+	playSite(t, s, rand.New(rand.NewPCG(*seed, 2)), func(f *faults, end time.Time) { f.run(end, min(troubleTime, *length), calmTime) })
+}
+
+// playSite hands in jobs while faults are injected, checks the site and ends it.
+func playSite(t *testing.T, s *site, rng *rand.Rand, inject func(f *faults, end time.Time)) {
 	tr := &traffic{site: s, rng: rand.New(rand.NewPCG(*seed, 1)), jobs: map[string]*job{}}
-	f := &faults{t: t, site: s, rng: rand.New(rand.NewPCG(*seed, 2))}
+	f := &faults{t: t, site: s, rng: rng}
 	c := &idleCheck{site: s, traffic: tr, faults: f, since: map[string]time.Time{}, reported: map[string]bool{}}
 	s.tasks.Go(c.run)
 	time.Sleep(contactTime)
 	end := time.Now().Add(*length)
 	tr.pending.Go(func() { tr.run(end, *pause) })
-	f.run(end, min(troubleTime, *length), calmTime)
+	inject(f, end)
+	f.pending.Wait()
 	tr.pending.Wait()
 	time.Sleep(finishTime)
 	findings := c.awaitEnds()
@@ -51,32 +52,35 @@
 	findings = append(findings, c.findings...)
 	c.mu.Unlock()
 	t.Logf("seed %d: %d jobs accepted, %d starts, %d findings", *seed, len(tr.acceptedJobs()), len(starts), len(findings))
-	finishSite(t, s, findings)
+	s.report(t, findings)
 }
 
-// startSite builds the program and starts a deployment.
-func startSite(t *testing.T, hosts, machines int) (*site, error) {
+// startSite starts a deployment, which ends with the test. The logs of a failed test are kept if asked for.
+func startSite(t *testing.T, hosts, machines int) *site {
+	t.Helper()
 	dir := t.TempDir()
-	build := exec.Command("go", "build", "-o", filepath.Join(dir, "target")+"/", "../../cmd/chestnutmux")
-	build.Stderr = os.Stderr
-	if err := build.Run(); err != nil {
-		return nil, err
+	s, err := newSite(dir, *seed, hosts, machines)
+	if err != nil {
+		t.Fatal(err)
 	}
-	return newSite(dir, *seed, hosts, machines)
+	t.Cleanup(func() {
+		s.close()
+		if !t.Failed() || *keepLogs == "" {
+			return
+		}
+		target := filepath.Join(*keepLogs, fmt.Sprint(t.Name(), "-", *seed))
+		if err := errors.Join(os.RemoveAll(target), os.CopyFS(target, os.DirFS(dir))); err != nil {
+			t.Error(err)
+		}
+	})
+	return s
 }
 
-// finishSite reports the findings, ends the deployment and keeps the logs of a failed run if asked to.
-func finishSite(t *testing.T, s *site, findings []string) {
+// report records the findings and fails the test if there are any.
+func (s *site) report(t *testing.T, findings []string) {
+	t.Helper()
 	for _, finding := range findings {
 		s.record.Printf("%s", finding)
 		t.Error(finding)
 	}
-	s.close()
-	if !t.Failed() || *keepLogs == "" {
-		return
-	}
-	target := filepath.Join(*keepLogs, fmt.Sprint(t.Name(), "-", *seed))
-	if err := errors.Join(os.RemoveAll(filepath.Join(s.dir, "target")), os.RemoveAll(target), os.CopyFS(target, os.DirFS(s.dir))); err != nil {
-		t.Error(err)
-	}
 }
