--- a/test/platformsoak/link_test.go
+++ b/test/platformsoak/link_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -24,7 +25,7 @@
 	linkFlaky   linkMode = "flaky"    // each call may be reset, hang, or be delivered late
 	linkLate    linkMode = "late"     // half of the calls are delivered late and not answered
 	linkNoStart linkMode = "no-start" // starts are reset and not delivered
-	linkTrap    linkMode = "trap"     // like open until a start was delivered, which is reset; like reset from then on
+	linkTrap    linkMode = "trap"     // like open until a start arrives, which is delivered and not answered; like afterTrap from then on
 )
 
 // fate is what a link does with one call.
@@ -58,13 +59,14 @@
 	note          func(format string, args ...any)
 	client        *http.Client
 
-	mu       sync.Mutex
-	rng      *rand.Rand
-	mode     linkMode
-	life     *life // of the runner behind the link
-	listener net.Listener
-	server   *http.Server
-	fillers  []net.Conn
+	mu        sync.Mutex
+	rng       *rand.Rand
+	mode      linkMode
+	afterTrap linkMode // mode that follows linkTrap
+	life      *life    // of the runner behind the link
+	listener  net.Listener
+	server    *http.Server
+	fillers   []net.Conn
 }
 
 func newLink(addr, backend string, l *ledger, rng *rand.Rand, note func(string, ...any)) *link {
@@ -211,19 +213,16 @@
 		<-r.Context().Done()
 		return
 	}
+	isTrap := r.URL.Path == startPath && l.is(linkTrap)
 	status, resp, err := l.deliver(v, r, body)
-	if r.URL.Path == startPath && l.is(linkTrap) {
-		l.note("link to %s: %s %s: cut after the delivery", v.id, r.URL.Path, body)
-		if err := l.set(linkReset); err != nil {
-			l.note("link to %s: %v", v.id, err)
-		}
-		reset(w)
-		return
+	if isTrap {
+		l.note("link to %s: %s %s: delivered, then %s", v.id, r.URL.Path, body, l.afterTrap)
+		err = errors.Join(err, l.set(l.afterTrap))
 	}
 	switch {
 	case l.losesAnswers() || f == fateDrop:
 		<-r.Context().Done()
-	case err != nil || f == fateResetAfter:
+	case err != nil || f == fateResetAfter || isTrap:
 		reset(w)
 	default:
 		w.Header().Set("Content-Type", "application/json")
--- a/test/platformsoak/soak_test.go
+++ b/test/platformsoak/soak_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"path"
 	"path/filepath"
 	"testing"
 	"time"
@@ -68,7 +69,7 @@
 		if !t.Failed() || *keepLogs == "" {
 			return
 		}
-		target := filepath.Join(*keepLogs, fmt.Sprint(t.Name(), "-", *seed))
+		target := filepath.Join(*keepLogs, fmt.Sprint(path.Base(t.Name()), "-", *seed))
 		if err := errors.Join(os.RemoveAll(target), os.CopyFS(target, os.DirFS(dir))); err != nil {
 			t.Error(err)
 		}
