--- a/test/platformsoak/machine_test.go
+++ b/test/platformsoak/machine_test.go
@@ -156,6 +156,13 @@
 	m.mu.Unlock()
 }
 
+// current returns the runner, which may be down.
+func (m *machine) current() *standin.Runner {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.runner
+}
+
 // ready returns the id of the runner, or an empty string if it is not up and ready.
 func (m *machine) ready() string {
 	m.mu.Lock()
