Log use, headroom and preemption of steps that wait

The line "step waits for workers" named the obstacle of each worker, but not why so many were withheld, how much of the service was in use, or why nothing was preempted. It now names the use of all ready and of the schedulable workers for each resource, the number of withheld nodes and held workers, the tasks that would fit without regard to racks and headroom, and what keeps the unit from preempting. A start by reservation now ends the logged wait; a later wait of the same step was logged as if it had begun before that start.

--- a/internal/dispatcher/headroom.go
+++ b/internal/dispatcher/headroom.go
@@ -75,6 +75,9 @@
 	capacity    model.Resources   // total capacity of the schedulable workers
 	inUse       float64           // number of workers that active runs fill
 	demand      workersByPriority // current demand of each priority
+	ready       resourceUse       // use of the listed ready workers; valid if useKnown
+	usable      resourceUse       // use of the schedulable workers; valid if useKnown
+	useKnown    bool
 }
 
 // meanCapacity returns the mean capacity of the schedulable workers.
--- a/internal/dispatcher/plan.go
+++ b/internal/dispatcher/plan.go
@@ -126,6 +126,7 @@
 	preemptionTargets []preemptionTarget               // indexed by PreemptionUnit.ID
 	infeasible        map[requestKey]bool              // requests for which this pass found neither free resources nor less urgent running work
 	rackFits          map[requestKey]bool              // cached results of fitsRack
+	slots             map[slotsKey]int                 // cached results of freeSlots
 	leastUrgent       placer.Rank                      // rank of the least urgent running work; set by listPreemptible
 	pools             map[model.ServiceID]*servicePool // totals of the workers of each service
 	preemptibleListed bool                             // listPreemptible has run in this pass
@@ -135,7 +136,7 @@
 func newSchedulingPass(d *Dispatcher, now time.Time) *schedulingPass {
 	p := &schedulingPass{
 		d: d, now: now, workerOf: map[*placer.Node]*worker{}, nodeOf: map[*worker]*placer.Node{}, infeasible: map[requestKey]bool{},
-		rackFits: map[requestKey]bool{}, pools: map[model.ServiceID]*servicePool{},
+		rackFits: map[requestKey]bool{}, slots: map[slotsKey]int{}, pools: map[model.ServiceID]*servicePool{},
 	}
 	p.reserved = d.reservedResources(now)
 	for _, w := range d.workers {
@@ -178,7 +179,6 @@
 	}
 	if places := placer.Place(p.nodes, r); len(places) > 0 {
 		p.startTasks(u, places)
-		u.step.waitLog.waitingSince = time.Time{}
 		if len(places) == len(u.tasks) {
 			return
 		}
@@ -314,6 +314,7 @@
 // startTask starts the next attempt of a task. Members of a gang use the attempt number of the gang.
 func (p *schedulingPass) startTask(t *task, w *worker) {
 	t.attempts++
+	t.step.waitLog.waitingSince = time.Time{}
 	n := t.attempts
 	if t.step.spec.Gang {
 		n = t.step.gangAttempts
--- a/internal/dispatcher/preemption.go
+++ b/internal/dispatcher/preemption.go
@@ -22,14 +22,25 @@
 //
 // It returns nil until the job has waited for preemptionSlackShare of its slack. Jobs of priority 0 do not wait.
 func (p *schedulingPass) planPreemption(u *placementUnit) ([]*placer.Node, []*placer.PreemptionUnit) {
-	j := u.step.job
-	if j.submission.Queue.Priority > 0 && p.now.Sub(j.seenAt) <= time.Duration(preemptionSlackShare*float64(j.slack())) {
+	if p.preemptionWait(u.step.job) > 0 {
 		return nil, nil
 	}
 	p.listPreemptible()
 	return p.d.preemptionPlanner.Plan(p.nodes, p.placementRequest(u))
 }
 
+// preemptionWait returns how much longer the job waits before it preempts less urgent work; 0 if it may preempt now.
+func (p *schedulingPass) preemptionWait(j *job) time.Duration {
+	if j.submission.Queue.Priority == 0 {
+		return 0
+	}
+	preemptsAt := j.seenAt.Add(time.Duration(preemptionSlackShare * float64(j.slack())))
+	if p.now.After(preemptsAt) {
+		return 0
+	}
+	return max(preemptsAt.Sub(p.now), 1)
+}
+
 // startReserved starts the tasks of the unit's reservation whose resources have become free. A gang starts only as a whole.
 func (p *schedulingPass) startReserved(u *placementUnit) {
 	res := u.step.reservation
--- a/internal/dispatcher/waiting.go
+++ b/internal/dispatcher/waiting.go
@@ -32,9 +32,37 @@
 		return
 	}
 	s.waitLog.loggedAt, p.d.waitLoggedAt = p.now, p.now
+	ready, schedulable := p.serviceUse(r.Service)
+	slots := p.freeSlots(r)
+	obstacle, preemptsIn := p.preemptionObstacle(u)
 	p.d.Logger.Info("step waits for workers", "job", s.ref.Job, "occurrence", s.ref.Occurrence, "step", s.ref.Step, "tasks", r.Count,
 		"gang", r.Gang, "one-rack", r.OneRack, "rank", u.rank, "for-ms", p.now.Sub(s.waitLog.waitingSince).Milliseconds(),
-		"workers", placer.CountObstacles(p.nodes, r), "states", p.countStates(r))
+		"workers", placer.CountObstacles(p.nodes, r), "states", p.countStates(r), "use-percent", ready.percent(),
+		"use-percent-schedulable", schedulable.percent(), "withheld-nodes", r.WithheldNodes, "free-slots", slots, "fits-twice", slots >= 2*r.Count,
+		"held-workers", len(s.heldWorkers), "preemption", obstacle, "preempts-in-ms", preemptsIn.Milliseconds())
+}
+
+// preemptionObstacle is the reason why a waiting unit preempts nothing.
+type preemptionObstacle string
+
+const (
+	obstacleIsolated   preemptionObstacle = "isolated"              // the unit waits for empty workers
+	obstacleNoVictims  preemptionObstacle = "no-less-urgent-work"   // nothing that runs is less urgent
+	obstacleSlack      preemptionObstacle = "slack-left"            // the job waits for a part of its slack first
+	obstacleInfeasible preemptionObstacle = "no-room-by-preemption" // stopping less urgent work would not make enough room
+)
+
+// preemptionObstacle returns why the unit preempts nothing, and the time until the job has waited enough to preempt.
+func (p *schedulingPass) preemptionObstacle(u *placementUnit) (preemptionObstacle, time.Duration) {
+	switch wait := p.preemptionWait(u.step.job); {
+	case u.isolated:
+		return obstacleIsolated, wait
+	case u.rank >= p.leastUrgentRunning():
+		return obstacleNoVictims, wait
+	case wait > 0:
+		return obstacleSlack, wait
+	}
+	return obstacleInfeasible, 0
 }
 
 // countStates returns the number of workers of the request's service and label by their status.
--- a/internal/placer/node.go
+++ b/internal/placer/node.go
@@ -117,6 +117,15 @@
 	return min(limit, max(0, r.MaxPerWorker-r.RunningPerWorker[n.ID]))
 }
 
+// Slots returns how many tasks of the request, whatever its Count, fit into the given free resources of the node.
+func (r *Request) Slots(n *Node, free model.Resources) int {
+	slots := tasksThatFit(free, r.Need)
+	if r.MaxPerWorker > 0 {
+		slots = min(slots, max(0, r.MaxPerWorker-r.RunningPerWorker[n.ID]))
+	}
+	return slots
+}
+
 // leftover returns the resources that remain free after one more task, as a weighted sum of fractions of the capacity.
 // Accelerators have twice the weight of cores and memory.
 func leftover(n *Node, free, need model.Resources) float64 {
