Start a one-rack gang on several racks beside ample room

A gang could use several racks only if it would have fitted in no empty rack, and nothing ended its wait.

It now uses several racks once it has waited 2 s while under half of the service is in use and the gang fits on the free resources twice over. A spread gang runs up to three times as long, so it still waits for a rack under load. The use of a service counts all its ready workers, not only the schedulable ones, and an accelerator as 8 cores, as the prices of the platform do: the sum of largest shares that headroom uses exceeds half long before half of any resource is in use. 2 s leave time for the start within the 2.9 s of an urgent job.

TestOneRackGangStartsBesideSmallTaskInEachRack failed before; TestOneRackGangWaitsForRackUnderLoad holds before and after.

--- /dev/null
+++ b/internal/dispatcher/ampleroom.go
@@ -0,0 +1,67 @@
+package dispatcher
+
+import (
+	"time"
+
+	"chestnutmux.example/chestnutmux/internal/placer"
+)
+
+const (
+	// maxAmpleRoomUse is the share of a service in use from which on a gang has to wait for its rack. The platform
+	// counts less as a service that has room for all work.
+	maxAmpleRoomUse = 0.5
+	// ampleRoomWait is the time for which a step without runs waits beside ample room for a whole rack.
+	// The platform allows 2.9 s to an urgent job and 3 s to any other.
+	ampleRoomWait = 2000 * time.Millisecond
+)
+
+// findPlaces returns places for tasks of the unit on free resources, or nil.
+func (p *schedulingPass) findPlaces(u *placementUnit, r *placer.Request) []*placer.Node {
+	if !p.infeasible[keyOf(r)] {
+		if places := placer.Place(p.nodes, r); len(places) > 0 {
+			return places
+		}
+	}
+	waited := p.ampleRoomTime(u, r)
+	if waited < ampleRoomWait || !r.OneRack {
+		return nil
+	}
+	wide := *r
+	return p.placeAnywhere(u, &wide)
+}
+
+// ampleRoomTime returns for how long the step has waited beside ample room: its job has no run, or its tasks last; under maxAmpleRoomUse
+// of the service is in use; and its unit fits on the free resources twice over, whatever is withheld or held and in whatever rack.
+func (p *schedulingPass) ampleRoomTime(u *placementUnit, r *placer.Request) time.Duration {
+	s := u.step
+	if s.job.hasActiveRuns() && !s.spec.LongRunning || !p.hasAmpleRoom(r) {
+		s.roomSince = time.Time{}
+		return 0
+	}
+	if s.roomSince.IsZero() {
+		s.roomSince = p.now
+	}
+	return p.now.Sub(s.roomSince)
+}
+
+// hasAmpleRoom reports whether under maxAmpleRoomUse of the service is in use, and the gang, or one other task, fits twice over.
+func (p *schedulingPass) hasAmpleRoom(r *placer.Request) bool {
+	ready, _ := p.serviceUse(r.Service)
+	tasks := 1
+	if r.Gang {
+		tasks = r.Count
+	}
+	return ready.share() < maxAmpleRoomUse && p.freeSlots(r) >= 2*tasks
+}
+
+// placeAnywhere places a one-rack gang on several racks.
+func (p *schedulingPass) placeAnywhere(u *placementUnit, r *placer.Request) []*placer.Node {
+	r.OneRack = false
+	places := placer.Place(p.nodes, r)
+	if len(places) > 0 {
+		p.forgetRoom(r.Service)
+		p.d.Logger.Info("step starts beside its usual workers", "job", u.step.ref.Job, "step", u.step.ref.Step, "rank", u.rank, "tasks", len(places),
+			"one-rack", r.OneRack, "for-ms", p.now.Sub(u.step.roomSince).Milliseconds())
+	}
+	return places
+}
--- /dev/null
+++ b/internal/dispatcher/idle_test.go
@@ -0,0 +1,68 @@
+package dispatcher
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chestnutmux.example/chestnutmux/pkg/model"
+)
+
+// maxIdleWait is the time after which work must run that has room for it twice over while under half of the service is in use.
+const maxIdleWait = 3 * time.Second
+
+// newLargeFleet returns a dispatcher with racks of 8 workers with 128 cores, 256 GB and 8 accelerators each.
+func newLargeFleet(t *testing.T, racks int) *Dispatcher {
+	t.Helper()
+	d := newFleet(t, racks)
+	for _, w := range d.workers {
+		w.info.Capacity = model.Resources{Cores: 128_000, MemoryMB: 262_144, Accelerators: 8}
+	}
+	return d
+}
+
+// fill starts one running task of the given need on each worker of a range.
+func (d *Dispatcher) fill(id string, p model.Priority, need model.Resources, from, to int, now time.Time) *step {
+	s := d.addStep(id, p, model.Step{Count: to - from, Need: need}, now)
+	for i, task := range s.tasks {
+		d.startRun(task, d.workers[model.HostID(fmt.Sprintf("w%03d", from+i))], 1, now)
+		task.activeRun.state, task.activeRun.startConfirmedAt = runRunning, now
+	}
+	return s
+}
+
+// startsWithin runs passes until the step has a run or a reservation, and reports whether that took less than the limit.
+func (d *Dispatcher) startsWithin(s *step, limit time.Duration, now time.Time) bool {
+	for at := time.Duration(0); at < limit; at += maxPassInterval {
+		d.schedule(now.Add(at))
+		if !s.isIdle() || s.reservation != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against a gang that waits for a whole rack for ever beside a small task that lasts in each rack.
+func TestOneRackGangStartsBesideSmallTaskInEachRack(t *testing.T) {
+	is := is.New(t)
+	d := newLargeFleet(t, 4)
+	now := time.Now()
+	for _, at := range []int{0, 8, 16, 24} {
+		d.fill(fmt.Sprint("small", at), 0, model.Resources{Accelerators: 1}, at, at+1, now)
+	}
+	gang := d.addStep("gang", 0, model.Step{Count: 8, Need: model.Resources{Accelerators: 8}, Gang: true, OneRack: true}, now)
+	is.True(d.startsWithin(gang, maxIdleWait, now))
+}
+
+// Guards against a gang that gives up the speed of a single rack on a loaded service, where a rack becomes free soon.
+func TestOneRackGangWaitsForRackUnderLoad(t *testing.T) {
+	is := is.New(t)
+	d := newLargeFleet(t, 4)
+	now := time.Now()
+	d.fill("filler", 0, model.Resources{Cores: 128_000, MemoryMB: 200_000, Accelerators: 8}, 7, 24, now)
+	gang := d.addStep("gang", 0, model.Step{Count: 8, Need: model.Resources{Accelerators: 8}, Gang: true, OneRack: true}, now)
+	d.fill("small", 0, model.Resources{Accelerators: 1}, 31, 32, now)
+	is.True(!d.startsWithin(gang, 2*maxIdleWait, now))
+}
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -42,6 +42,7 @@
 	notBefore    time.Time                // earliest start time of the next attempt
 	exclusions   exclusions               // workers on which the step has failed
 	allStartedAt time.Time                // time at which all tasks were first seen started; zero before that
+	roomSince    time.Time                // start of the first pass since which the step waits beside ample room; zero while it does not
 	waitLog      waitLog                  // when the step began to wait, and was last logged as waiting
 	bestPace     float64                  // pace of the fastest worker, in seconds per percent of progress; 0 means unknown
 }
--- a/internal/dispatcher/plan.go
+++ b/internal/dispatcher/plan.go
@@ -173,11 +173,12 @@
 	}
 	r := p.placementRequest(u)
 	key := keyOf(r)
-	if p.infeasible[key] {
+	places := p.findPlaces(u, r)
+	if len(places) == 0 && p.infeasible[key] {
 		p.noteWaiting(u, r)
 		return // an equivalent request has found no place in this pass
 	}
-	if places := placer.Place(p.nodes, r); len(places) > 0 {
+	if len(places) > 0 {
 		p.startTasks(u, places)
 		if len(places) == len(u.tasks) {
 			return
@@ -314,7 +315,7 @@
 // startTask starts the next attempt of a task. Members of a gang use the attempt number of the gang.
 func (p *schedulingPass) startTask(t *task, w *worker) {
 	t.attempts++
-	t.step.waitLog.waitingSince = time.Time{}
+	t.step.roomSince, t.step.waitLog.waitingSince = time.Time{}, time.Time{}
 	n := t.attempts
 	if t.step.spec.Gang {
 		n = t.step.gangAttempts
--- a/internal/dispatcher/use.go
+++ b/internal/dispatcher/use.go
@@ -5,6 +5,9 @@
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
+// coresPerAccelerator is what an accelerator counts as in the use of a service. The platform's prices count it so.
+const coresPerAccelerator model.MilliCores = 8000
+
 // resourceUse is the capacity of a set of workers, and what active runs use of it.
 type resourceUse struct {
 	capacity model.Resources
@@ -17,6 +20,18 @@
 	u.capacity, u.used = u.capacity.Add(w.info.Capacity), u.used.Add(active)
 }
 
+// share returns the share of the capacity that is in use, with each accelerator counted as coresPerAccelerator.
+func (u *resourceUse) share() float64 {
+	if total := coreEquivalents(u.capacity); total > 0 {
+		return float64(coreEquivalents(u.used)) / float64(total)
+	}
+	return placer.DominantShare(u.used, u.capacity)
+}
+
+func coreEquivalents(r model.Resources) model.MilliCores {
+	return r.Cores + coresPerAccelerator*model.MilliCores(r.Accelerators)
+}
+
 // percent returns how much of each resource is in use, in percent.
 func (u *resourceUse) percent() map[string]int64 {
 	return map[string]int64{
@@ -78,3 +93,9 @@
 	}
 	return slots
 }
+
+// forgetRoom makes the next calls of serviceUse and freeSlots count the runs that have started since.
+func (p *schedulingPass) forgetRoom(id model.ServiceID) {
+	p.pool(id).useKnown = false
+	clear(p.slots)
+}
--- a/internal/dispatcher/waiting.go
+++ b/internal/dispatcher/waiting.go
@@ -35,11 +35,15 @@
 	ready, schedulable := p.serviceUse(r.Service)
 	slots := p.freeSlots(r)
 	obstacle, preemptsIn := p.preemptionObstacle(u)
+	ampleFor := time.Duration(0)
+	if !s.roomSince.IsZero() {
+		ampleFor = p.now.Sub(s.roomSince)
+	}
 	p.d.Logger.Info("step waits for workers", "job", s.ref.Job, "occurrence", s.ref.Occurrence, "step", s.ref.Step, "tasks", r.Count,
 		"gang", r.Gang, "one-rack", r.OneRack, "rank", u.rank, "for-ms", p.now.Sub(s.waitLog.waitingSince).Milliseconds(),
 		"workers", placer.CountObstacles(p.nodes, r), "states", p.countStates(r), "use-percent", ready.percent(),
 		"use-percent-schedulable", schedulable.percent(), "withheld-nodes", r.WithheldNodes, "free-slots", slots, "fits-twice", slots >= 2*r.Count,
-		"held-workers", len(s.heldWorkers), "preemption", obstacle, "preempts-in-ms", preemptsIn.Milliseconds())
+		"held-workers", len(s.heldWorkers), "preemption", obstacle, "preempts-in-ms", preemptsIn.Milliseconds(), "ample-room-ms", ampleFor.Milliseconds())
 }
 
 // preemptionObstacle is the reason why a waiting unit preempts nothing.
