Start work behind headroom beside ample room

Up to half of the workers are withheld once the sum of the largest shares of all runs exceeds half of the schedulable workers. That is so with no resource half in use, if some runs need cores and others accelerators, and with few runs, if many workers are quarantined or don't respond.

A gang, or one task of another step, now starts on withheld workers under the condition that a one-rack gang spreads: its job has had nothing running for 2 s, under half of the service is in use, and it fits twice over. Headroom under load stays as it is.

TestNoHeadroomWhileEachResourceIsHalfIdle and TestNoHeadroomWhileUnreachableWorkersAreIdle failed before.

--- a/internal/dispatcher/ampleroom.go
+++ b/internal/dispatcher/ampleroom.go
@@ -7,10 +7,10 @@
 )
 
 const (
-	// maxAmpleRoomUse is the share of a service in use from which on a gang has to wait for its rack. The platform
-	// counts less as a service that has room for all work.
+	// maxAmpleRoomUse is the share of a service in use from which on a step has to wait for its rack and behind headroom. The
+	// platform counts less as a service that has room for all work.
 	maxAmpleRoomUse = 0.5
-	// ampleRoomWait is the time for which a step without runs waits beside ample room for a whole rack.
+	// ampleRoomWait is the time for which a step without runs waits beside ample room for a place that suits it and other work best.
 	// The platform allows 2.9 s to an urgent job and 3 s to any other.
 	ampleRoomWait = 2000 * time.Millisecond
 )
@@ -23,15 +23,16 @@
 		}
 	}
 	waited := p.ampleRoomTime(u, r)
-	if waited < ampleRoomWait || !r.OneRack {
+	if waited < ampleRoomWait {
 		return nil
 	}
 	wide := *r
+	wide.WithheldNodes = 0
 	return p.placeAnywhere(u, &wide)
 }
 
 // ampleRoomTime returns for how long the step has waited beside ample room: its job has no run, or its tasks last; under maxAmpleRoomUse
-// of the service is in use; and its unit fits on the free resources twice over, whatever is withheld or held and in whatever rack.
+// of the service is in use; and its unit fits on the free resources twice over, whatever is withheld and in whatever rack.
 func (p *schedulingPass) ampleRoomTime(u *placementUnit, r *placer.Request) time.Duration {
 	s := u.step
 	if s.job.hasActiveRuns() && !s.spec.LongRunning || !p.hasAmpleRoom(r) {
@@ -54,10 +55,17 @@
 	return ready.share() < maxAmpleRoomUse && p.freeSlots(r) >= 2*tasks
 }
 
-// placeAnywhere places a one-rack gang on several racks.
+// placeAnywhere places the gang, or one other task. If no rack has room for a one-rack
+// gang, it uses several.
 func (p *schedulingPass) placeAnywhere(u *placementUnit, r *placer.Request) []*placer.Node {
-	r.OneRack = false
+	if !r.Gang && !u.step.spec.LongRunning {
+		r.Count = 1
+	}
 	places := placer.Place(p.nodes, r)
+	if len(places) == 0 && r.OneRack {
+		r.OneRack = false
+		places = placer.Place(p.nodes, r)
+	}
 	if len(places) > 0 {
 		p.forgetRoom(r.Service)
 		p.d.Logger.Info("step starts beside its usual workers", "job", u.step.ref.Job, "step", u.step.ref.Step, "rank", u.rank, "tasks", len(places),
--- a/internal/dispatcher/idle_test.go
+++ b/internal/dispatcher/idle_test.go
@@ -33,6 +33,11 @@
 	return s
 }
 
+// expectUrgentWork makes the smoothed demand of priority 0 as large as the given number of workers.
+func (d *Dispatcher) expectUrgentWork(workers float64, now time.Time) {
+	d.demand[""] = &priorityDemand{smoothed: workersByPriority{workers}, updatedAt: now}
+}
+
 // startsWithin runs passes until the step has a run or a reservation, and reports whether that took less than the limit.
 func (d *Dispatcher) startsWithin(s *step, limit time.Duration, now time.Time) bool {
 	for at := time.Duration(0); at < limit; at += maxPassInterval {
@@ -66,3 +71,32 @@
 	d.fill("small", 0, model.Resources{Accelerators: 1}, 31, 32, now)
 	is.True(!d.startsWithin(gang, 2*maxIdleWait, now))
 }
+
+// Guards against withheld workers while no resource of the service is half in use, though the largest needs of its tasks add up to more.
+func TestNoHeadroomWhileEachResourceIsHalfIdle(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		is := is.New(t)
+		d := newLargeFleet(t, 4)
+		now := time.Now()
+		d.fill("cores", 1, model.Resources{Cores: 128_000}, 4, 18, now)
+		d.fill("accelerators", 1, model.Resources{Accelerators: 8}, 18, 32, now)
+		d.expectUrgentWork(16, now)
+		waiting := d.addStep("waiting", 1, model.Step{Count: 2, Need: model.Resources{Cores: 64_000, Accelerators: 4}, Gang: gang}, now)
+		is.True(d.startsWithin(waiting, maxIdleWait, now))
+	}
+}
+
+// Guards against headroom that counts a service as full because most of its workers get no tasks for a time.
+func TestNoHeadroomWhileUnreachableWorkersAreIdle(t *testing.T) {
+	is := is.New(t)
+	d := newLargeFleet(t, 4)
+	now := time.Now()
+	for i := 16; i < 32; i++ {
+		d.workers[model.HostID(fmt.Sprintf("w%03d", i))].isResponding = false
+	}
+	full := model.Resources{Cores: 128_000, MemoryMB: 262_144, Accelerators: 8}
+	d.fill("filler", 1, full, 6, 16, now)
+	d.expectUrgentWork(8, now)
+	gang := d.addStep("gang", 1, model.Step{Count: 3, Need: full, Gang: true}, now)
+	is.True(d.startsWithin(gang, maxIdleWait, now))
+}
