Start work on held workers beside ample room

A gang that waits for its preemption holds the workers that become free soonest for up to 4 s at a time, so other work waited behind it for as long as the gang did, while over half of the service was idle. Such work may now use held workers under the condition that it may use withheld ones. The gang can preempt less urgent work later; nothing is taken from a reservation.

TestWorkStartsOnHeldWorkersOfHalfIdleService failed before.

--- a/internal/dispatcher/ampleroom.go
+++ b/internal/dispatcher/ampleroom.go
@@ -32,7 +32,7 @@
 }
 
 // ampleRoomTime returns for how long the step has waited beside ample room: its job has no run, or its tasks last; under maxAmpleRoomUse
-// of the service is in use; and its unit fits on the free resources twice over, whatever is withheld and in whatever rack.
+// of the service is in use; and its unit fits on the free resources twice over, whatever is withheld or held and in whatever rack.
 func (p *schedulingPass) ampleRoomTime(u *placementUnit, r *placer.Request) time.Duration {
 	s := u.step
 	if s.job.hasActiveRuns() && !s.spec.LongRunning || !p.hasAmpleRoom(r) {
@@ -55,17 +55,23 @@
 	return ready.share() < maxAmpleRoomUse && p.freeSlots(r) >= 2*tasks
 }
 
-// placeAnywhere places the gang, or one other task. If no rack has room for a one-rack
+// placeAnywhere places the gang, or one other task, also on workers that are held for other work. If no rack has room for a one-rack
 // gang, it uses several.
 func (p *schedulingPass) placeAnywhere(u *placementUnit, r *placer.Request) []*placer.Node {
 	if !r.Gang && !u.step.spec.LongRunning {
 		r.Count = 1
 	}
+	for n, held := range p.held {
+		n.Free = n.Free.Add(held)
+	}
 	places := placer.Place(p.nodes, r)
 	if len(places) == 0 && r.OneRack {
 		r.OneRack = false
 		places = placer.Place(p.nodes, r)
 	}
+	for n, held := range p.held {
+		n.Free = n.Free.Sub(held)
+	}
 	if len(places) > 0 {
 		p.forgetRoom(r.Service)
 		p.d.Logger.Info("step starts beside its usual workers", "job", u.step.ref.Job, "step", u.step.ref.Step, "rank", u.rank, "tasks", len(places),
--- a/internal/dispatcher/headroom.go
+++ b/internal/dispatcher/headroom.go
@@ -191,7 +191,9 @@
 		}
 	}
 	for _, w := range s.heldWorkers {
-		placer.TakeResources(p.nodeOf[w], s.spec.Need)
+		n := p.nodeOf[w]
+		placer.TakeResources(n, s.spec.Need)
+		p.held[n] = p.held[n].Add(s.spec.Need)
 	}
 }
 
--- a/internal/dispatcher/idle_test.go
+++ b/internal/dispatcher/idle_test.go
@@ -100,3 +100,16 @@
 	gang := d.addStep("gang", 1, model.Step{Count: 3, Need: full, Gang: true}, now)
 	is.True(d.startsWithin(gang, maxIdleWait, now))
 }
+
+// Guards against work that waits behind workers held for a gang that can't start.
+func TestWorkStartsOnHeldWorkersOfHalfIdleService(t *testing.T) {
+	is := is.New(t)
+	d := newLargeFleet(t, 2)
+	now := time.Now()
+	full := model.Resources{Accelerators: 8}
+	d.fill("low", 2, full, 0, 7, now)
+	gang := d.addStep("gang", 1, model.Step{Count: 10, Need: full, Gang: true}, now)
+	small := d.addStep("small", 2, model.Step{Count: 4, Need: full}, now)
+	is.True(d.startsWithin(small, maxIdleWait, now))
+	is.True(gang.isIdle())
+}
--- a/internal/dispatcher/plan.go
+++ b/internal/dispatcher/plan.go
@@ -127,6 +127,7 @@
 	infeasible        map[requestKey]bool              // requests for which this pass found neither free resources nor less urgent running work
 	rackFits          map[requestKey]bool              // cached results of fitsRack
 	slots             map[slotsKey]int                 // cached results of freeSlots
+	held              map[*placer.Node]model.Resources // resources of each node that are held for waiting gangs
 	leastUrgent       placer.Rank                      // rank of the least urgent running work; set by listPreemptible
 	pools             map[model.ServiceID]*servicePool // totals of the workers of each service
 	preemptibleListed bool                             // listPreemptible has run in this pass
@@ -136,7 +137,7 @@
 func newSchedulingPass(d *Dispatcher, now time.Time) *schedulingPass {
 	p := &schedulingPass{
 		d: d, now: now, workerOf: map[*placer.Node]*worker{}, nodeOf: map[*worker]*placer.Node{}, infeasible: map[requestKey]bool{},
-		rackFits: map[requestKey]bool{}, slots: map[slotsKey]int{}, pools: map[model.ServiceID]*servicePool{},
+		rackFits: map[requestKey]bool{}, slots: map[slotsKey]int{}, held: map[*placer.Node]model.Resources{}, pools: map[model.ServiceID]*servicePool{},
 	}
 	p.reserved = d.reservedResources(now)
 	for _, w := range d.workers {
--- a/internal/dispatcher/preemption.go
+++ b/internal/dispatcher/preemption.go
@@ -117,6 +117,7 @@
 // refreshFree recomputes the free resources of all nodes after runs or reservations have changed.
 func (p *schedulingPass) refreshFree() {
 	clear(p.infeasible)
+	clear(p.held)
 	for _, n := range p.nodes {
 		n.Free = p.freeResources(p.workerOf[n])
 	}
