Start work on doubtful workers beside ample room

A failed task waited 3 s for a worker with a recent success, which an idle service doesn't have. One whose label only suspected, excluded or quarantined workers have waited up to 12 or 24 s, though they had room and may be sound: failures of the work itself count against them, too. Work that has waited 2.5 s beside ample room may now use them, quarantined ones last. The room of quarantined workers counts as room.

TestFailedTaskStartsOnIdleService and TestFailedTaskStartsOnSuspectedWorkersOfIdleService (excluded, suspected, quarantined) failed before.

--- a/internal/dispatcher/ampleroom.go
+++ b/internal/dispatcher/ampleroom.go
@@ -13,6 +13,8 @@
 	// ampleRoomWait is the time for which a step without runs waits beside ample room for a place that suits it and other work best.
 	// The platform allows 2.9 s to an urgent job and 3 s to any other.
 	ampleRoomWait = 2000 * time.Millisecond
+	// doubtfulWorkerWait is the time for which such a step waits before it uses workers on which tasks have failed, if no other has room.
+	doubtfulWorkerWait = 2500 * time.Millisecond
 )
 
 // findPlaces returns places for tasks of the unit on free resources, or nil.
@@ -28,6 +30,10 @@
 	}
 	wide := *r
 	wide.WithheldNodes = 0
+	if waited >= doubtfulWorkerWait {
+		wide.Excluded, wide.ExcludeSuspected, wide.RequireKnownHealthy, wide.SuccessAfter = nil, false, false, time.Time{}
+		wide.UseQuarantined = true
+	}
 	return p.placeAnywhere(u, &wide)
 }
 
@@ -75,7 +81,7 @@
 	if len(places) > 0 {
 		p.forgetRoom(r.Service)
 		p.d.Logger.Info("step starts beside its usual workers", "job", u.step.ref.Job, "step", u.step.ref.Step, "rank", u.rank, "tasks", len(places),
-			"one-rack", r.OneRack, "for-ms", p.now.Sub(u.step.roomSince).Milliseconds())
+			"one-rack", r.OneRack, "doubtful-workers", r.UseQuarantined, "for-ms", p.now.Sub(u.step.roomSince).Milliseconds())
 	}
 	return places
 }
--- a/internal/dispatcher/idle_test.go
+++ b/internal/dispatcher/idle_test.go
@@ -113,3 +113,41 @@
 	is.True(d.startsWithin(small, maxIdleWait, now))
 	is.True(gang.isIdle())
 }
+
+// Guards against a failed task that waits for a proof of health that no worker of an idle service can give.
+func TestFailedTaskStartsOnIdleService(t *testing.T) {
+	is := is.New(t)
+	d := newLargeFleet(t, 1)
+	now := time.Now()
+	s := d.addStep("failed", 1, model.Step{Count: 1, Need: model.Resources{Accelerators: 8}}, now)
+	s.tasks[0].failedRuns[1], s.tasks[0].lastFailureAt = true, now
+	is.True(d.startsWithin(s, maxIdleWait, now))
+}
+
+// Guards against a task that waits for excluded or suspected workers to become usable while no others have its label.
+func TestFailedTaskStartsOnSuspectedWorkersOfIdleService(t *testing.T) {
+	for _, reason := range []string{"excluded", "suspected", "quarantined"} {
+		t.Run(reason, func(t *testing.T) {
+			is := is.New(t)
+			d := newLargeFleet(t, 1)
+			now := time.Now()
+			s := d.addStep("failed", 1, model.Step{Count: 1, Need: model.Resources{Accelerators: 8}, Label: "fast"}, now)
+			for _, id := range []model.HostID{"w000", "w001"} {
+				w := d.workers[id]
+				w.info.Labels = []string{"fast"}
+				if reason == "suspected" {
+					w.raiseSuspicion(now, maxSuspicion)
+					s.tasks[0].failedRuns[1], s.tasks[0].lastFailureAt = true, now
+					continue
+				}
+				if reason == "quarantined" {
+					w.quarantinedUntil = now.Add(maxQuarantine)
+					continue
+				}
+				s.excludeWorker(w, now)
+				s.excludeWorker(w, now)
+			}
+			is.True(d.startsWithin(s, maxIdleWait, now))
+		})
+	}
+}
--- a/internal/dispatcher/plan.go
+++ b/internal/dispatcher/plan.go
@@ -147,7 +147,7 @@
 		n := &placer.Node{
 			ID: w.info.ID, Service: w.info.Service, Domain: w.info.FailureDomain, Rack: w.info.Rack, Labels: w.info.Labels,
 			Capacity: w.info.Capacity, Free: p.freeResources(w), Unschedulable: !w.isSchedulable(now) || w.hostsSuspect(), Occupied: len(w.runs) > 0, Suspicion: w.suspicion,
-			KnownHealthy: w.isKnownHealthy(now), LastSuccessAt: w.lastSuccessAt, Slowness: w.slowness,
+			Quarantined: w.canStartTasks() && now.Before(w.quarantinedUntil) && !w.hostsSuspect(), KnownHealthy: w.isKnownHealthy(now), LastSuccessAt: w.lastSuccessAt, Slowness: w.slowness,
 		}
 		p.nodes = append(p.nodes, n)
 		p.workerOf[n], p.nodeOf[w] = w, n
--- a/internal/dispatcher/use.go
+++ b/internal/dispatcher/use.go
@@ -75,7 +75,7 @@
 	maxPerWorker int
 }
 
-// freeSlots returns how many tasks of the request fit into the unoccupied resources of the schedulable workers,
+// freeSlots returns how many tasks of the request fit into the unoccupied resources of the schedulable and the quarantined workers,
 // whatever their racks, and whatever is withheld or held there. The result for equivalent requests is computed once in a pass.
 func (p *schedulingPass) freeSlots(r *placer.Request) int {
 	key := slotsKey{need: r.Need, service: r.Service, label: r.Label, maxPerWorker: r.MaxPerWorker}
@@ -84,7 +84,7 @@
 	}
 	slots := 0
 	for _, n := range p.nodes {
-		if r.IsFor(n) && !n.Unschedulable {
+		if r.IsFor(n) && (!n.Unschedulable || n.Quarantined) {
 			slots += r.Slots(n, p.workerOf[n].unoccupiedResources())
 		}
 	}
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -106,14 +106,20 @@
 	return !w.hasReported && !w.runsRecorded && now.Before(w.formerLeaseEndsAt)
 }
 
-// isSchedulable reports whether the worker accepts new tasks. The next leader must know from the log that it may have runs.
+// isSchedulable reports whether the worker accepts new tasks.
 func (w *worker) isSchedulable(now time.Time) bool {
+	return w.canStartTasks() && !now.Before(w.quarantinedUntil)
+}
+
+// canStartTasks reports whether the worker could start new tasks, quarantined or not. The next leader must know from the log that it may
+// have runs.
+func (w *worker) canStartTasks() bool {
 	for _, r := range w.runs {
 		if r.needUnknown {
 			return false
 		}
 	}
-	return w.mayGetTasks() && w.openInLog && w.hasReported && w.isResponding && !now.Before(w.quarantinedUntil)
+	return w.mayGetTasks() && w.openInLog && w.hasReported && w.isResponding
 }
 
 // unoccupiedResources returns the resources that no run uses. Runs that are being stopped still use theirs.
--- a/internal/placer/node.go
+++ b/internal/placer/node.go
@@ -22,6 +22,7 @@
 	Capacity      model.Resources
 	Free          model.Resources // resources available for the request, as computed by the caller
 	Unschedulable bool            // the worker accepts no new tasks
+	Quarantined   bool            // the worker is unschedulable only because tasks have failed on it
 	Occupied      bool            // the worker has runs
 	Suspicion     int             // number that grows with each sign of a fault; 0 means no suspicion
 	KnownHealthy  bool            // the worker has recently completed a task or made progress, without a failure since
@@ -82,6 +83,7 @@
 	Avoided             map[model.HostID]bool // workers that are used only if no other has room, such as those on which a task of the step has failed
 	WithheldNodes       int                   // nodes with a ServiceIndex below this are withheld for more urgent work
 	Isolated            bool                  // use only nodes without runs, each for one task
+	UseQuarantined      bool                  // use quarantined nodes, too, if no other has room
 	ExcludeSuspected    bool                  // use only nodes without suspicion
 	RequireKnownHealthy bool                  // use only nodes that are known to be healthy
 	SuccessAfter        time.Time             // use only nodes with a success after this time; zero means no such restriction
--- a/internal/placer/obstacle.go
+++ b/internal/placer/obstacle.go
@@ -28,7 +28,7 @@
 	switch {
 	case !r.IsFor(n):
 		return obstacleOtherWorkers
-	case n.Unschedulable:
+	case n.Unschedulable && !(r.UseQuarantined && n.Quarantined):
 		return obstacleUnschedulable
 	case r.Excluded[n.ID]:
 		return obstacleExcluded
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -94,8 +94,11 @@
 	return places
 }
 
-// avoidance returns 1 for a node that the request avoids, and 0 for any other.
+// avoidance returns 2 for a quarantined node, 1 for another one that the request avoids, and 0 for the rest.
 func (r *Request) avoidance(n *Node) int {
+	if n.Quarantined {
+		return 2
+	}
 	if r.Avoided[n.ID] {
 		return 1
 	}
