Keep the order of acceptance under a new leader

A new leader learned of the jobs in the order of a map, so older jobs queued behind newer ones of their rank, and the guarantee of a workspace went to other jobs than before.

TestTakeoverKeepsOrderOfAcceptance failed before.

--- a/internal/dispatcher/takeover.go
+++ b/internal/dispatcher/takeover.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -19,6 +20,7 @@
 // there are not started again.
 func (d *Dispatcher) takeOver(jobs []journaler.Job, fleet []journaler.FleetWorker, list []model.Worker) {
 	now := time.Now()
+	slices.SortFunc(jobs, compareAcceptance)
 	for _, j := range jobs {
 		if !j.Progress.State.IsFinal() {
 			d.addJob(j, now)
@@ -38,6 +40,13 @@
 	d.Logger.Info("term started", "fence", d.Term.Fence, "offset", d.TermOffset, "jobs", len(d.jobs), "workers", len(d.workers))
 }
 
+// compareAcceptance compares jobs by the order in which they were accepted. The offsets of jobs from a snapshot are unknown; they precede
+// all others, and are compared by the clocks of the hosts that accepted them.
+func compareAcceptance(a, b journaler.Job) int {
+	return cmp.Or(cmp.Compare(a.AcceptedOffset, b.AcceptedOffset), cmp.Compare(a.Submission.AcceptedAtMS, b.Submission.AcceptedAtMS),
+		cmp.Compare(a.Submission.ID, b.Submission.ID))
+}
+
 // addWorker adds a worker and starts its session.
 func (d *Dispatcher) addWorker(info model.Worker, now time.Time) *worker {
 	w := &worker{
