--- a/internal/dispatcher/headroom.go
+++ b/internal/dispatcher/headroom.go
@@ -75,6 +75,7 @@
 	capacity    model.Resources   // total capacity of the schedulable workers
 	inUse       float64           // number of workers that active runs fill
 	demand      workersByPriority // current demand of each priority
+	ready       resourceUse       // use of the listed workers that are ready, schedulable or not
 }
 
 // meanCapacity returns the mean capacity of the schedulable workers.
@@ -98,6 +99,9 @@
 	for _, n := range p.nodes {
 		pool := p.pool(n.Service)
 		n.ServiceIndex = pool.schedulable
+		if p.workerOf[n].mayGetTasks() {
+			pool.ready.capacity = pool.ready.capacity.Add(n.Capacity)
+		}
 		if !n.Unschedulable {
 			pool.schedulable++
 			pool.capacity = pool.capacity.Add(n.Capacity)
@@ -108,6 +112,9 @@
 			if r.task != nil && (r.state == runStarting || r.state == runRunning) {
 				pool := p.pool(w.info.Service)
 				pool.inUse += pool.addDemand(r.task.step.job.submission.Queue.Priority, r.need, 1)
+				if w.mayGetTasks() {
+					pool.ready.used = pool.ready.used.Add(r.need)
+				}
 			}
 		}
 	}
@@ -188,7 +195,9 @@
 		}
 	}
 	for _, w := range s.heldWorkers {
-		placer.TakeResources(p.nodeOf[w], s.spec.Need)
+		n := p.nodeOf[w]
+		placer.TakeResources(n, s.spec.Need)
+		p.held[n] = p.held[n].Add(s.spec.Need)
 	}
 }
 
--- a/internal/dispatcher/plan.go
+++ b/internal/dispatcher/plan.go
@@ -126,6 +126,8 @@
 	preemptionTargets []preemptionTarget               // indexed by PreemptionUnit.ID
 	infeasible        map[requestKey]bool              // requests for which this pass found neither free resources nor less urgent running work
 	rackFits          map[requestKey]bool              // cached results of fitsRack
+	slots             map[slotsKey]int                 // cached results of freeSlots
+	held              map[*placer.Node]model.Resources // resources of each node that are held for waiting gangs
 	leastUrgent       placer.Rank                      // rank of the least urgent running work; set by listPreemptible
 	pools             map[model.ServiceID]*servicePool // totals of the workers of each service
 	preemptibleListed bool                             // listPreemptible has run in this pass
@@ -135,17 +137,18 @@
 func newSchedulingPass(d *Dispatcher, now time.Time) *schedulingPass {
 	p := &schedulingPass{
 		d: d, now: now, workerOf: map[*placer.Node]*worker{}, nodeOf: map[*worker]*placer.Node{}, infeasible: map[requestKey]bool{},
-		rackFits: map[requestKey]bool{}, pools: map[model.ServiceID]*servicePool{},
+		rackFits: map[requestKey]bool{}, slots: map[slotsKey]int{}, held: map[*placer.Node]model.Resources{}, pools: map[model.ServiceID]*servicePool{},
 	}
 	p.reserved = d.reservedResources(now)
 	for _, w := range d.workers {
 		if !w.listed {
 			continue
 		}
+		free, unused := p.freeResources(w)
 		n := &placer.Node{
 			ID: w.info.ID, Service: w.info.Service, Domain: w.info.FailureDomain, Rack: w.info.Rack, Labels: w.info.Labels,
-			Capacity: w.info.Capacity, Free: p.freeResources(w), Unschedulable: !w.isSchedulable(now) || w.hostsSuspect(), Occupied: len(w.runs) > 0, Suspicion: w.suspicion,
-			KnownHealthy: w.isKnownHealthy(now), LastSuccessAt: w.lastSuccessAt, Slowness: w.slowness,
+			Capacity: w.info.Capacity, Free: free, Unused: unused, Unschedulable: !w.isSchedulable(now) || w.hostsSuspect(), Occupied: len(w.runs) > 0, Suspicion: w.suspicion,
+			Quarantined: now.Before(w.quarantinedUntil) && w.canStartTasks() && !w.hostsSuspect(), KnownHealthy: w.isKnownHealthy(now), LastSuccessAt: w.lastSuccessAt, Slowness: w.slowness,
 		}
 		p.nodes = append(p.nodes, n)
 		p.workerOf[n], p.nodeOf[w] = w, n
@@ -172,13 +175,14 @@
 	}
 	r := p.placementRequest(u)
 	key := keyOf(r)
-	if p.infeasible[key] {
+	infeasible := p.infeasible[key]
+	places := p.findPlaces(u, r, infeasible)
+	if len(places) == 0 && infeasible {
 		p.noteWaiting(u, r)
-		return // an equivalent request has found no place in this pass
+		return
 	}
-	if places := placer.Place(p.nodes, r); len(places) > 0 {
+	if len(places) > 0 {
 		p.startTasks(u, places)
-		u.step.waitLog.waitingSince = time.Time{}
 		if len(places) == len(u.tasks) {
 			return
 		}
@@ -306,6 +310,7 @@
 	for i, n := range places {
 		p.startTask(u.tasks[i], p.workerOf[n])
 		placer.TakeResources(n, s.spec.Need)
+		n.Unused = n.Unused.Sub(s.spec.Need)
 		n.Occupied, n.Unschedulable = true, n.Unschedulable || u.isolated
 	}
 	p.d.Logger.Debug("tasks started", "job", s.ref.Job, "step", s.ref.Step, "tasks", len(places), "of", len(u.tasks), "rank", u.rank)
@@ -314,6 +319,9 @@
 // startTask starts the next attempt of a task. Members of a gang use the attempt number of the gang.
 func (p *schedulingPass) startTask(t *task, w *worker) {
 	t.attempts++
+	use := &p.pool(t.step.job.submission.Queue.Service).ready
+	use.used = use.used.Add(t.step.spec.Need)
+	t.step.roomSince, t.step.waitLog.waitingSince = time.Time{}, time.Time{}
 	n := t.attempts
 	if t.step.spec.Gang {
 		n = t.step.gangAttempts
--- a/internal/placer/node.go
+++ b/internal/placer/node.go
@@ -21,7 +21,9 @@
 	Labels        []string
 	Capacity      model.Resources
 	Free          model.Resources // resources available for the request, as computed by the caller
+	Unused        model.Resources // resources that no run uses, even if they are reserved or held
 	Unschedulable bool            // the worker accepts no new tasks
+	Quarantined   bool            // the worker is unschedulable only because tasks have failed on it
 	Occupied      bool            // the worker has runs
 	Suspicion     int             // number that grows with each sign of a fault; 0 means no suspicion
 	KnownHealthy  bool            // the worker has recently completed a task or made progress, without a failure since
@@ -82,6 +84,7 @@
 	Avoided             map[model.HostID]bool // workers that are used only if no other has room, such as those on which a task of the step has failed
 	WithheldNodes       int                   // nodes with a ServiceIndex below this are withheld for more urgent work
 	Isolated            bool                  // use only nodes without runs, each for one task
+	UseQuarantined      bool                  // use quarantined nodes, too, if no other has room
 	ExcludeSuspected    bool                  // use only nodes without suspicion
 	RequireKnownHealthy bool                  // use only nodes that are known to be healthy
 	SuccessAfter        time.Time             // use only nodes with a success after this time; zero means no such restriction
@@ -117,6 +120,15 @@
 	return min(limit, max(0, r.MaxPerWorker-r.RunningPerWorker[n.ID]))
 }
 
+// UnusedSlots returns how many tasks of the request, whatever its Count, fit into the unused resources of the node.
+func (r *Request) UnusedSlots(n *Node) int {
+	slots := tasksThatFit(n.Unused, r.Need)
+	if r.MaxPerWorker > 0 {
+		slots = min(slots, max(0, r.MaxPerWorker-r.RunningPerWorker[n.ID]))
+	}
+	return slots
+}
+
 // leftover returns the resources that remain free after one more task, as a weighted sum of fractions of the capacity.
 // Accelerators have twice the weight of cores and memory.
 func leftover(n *Node, free, need model.Resources) float64 {
