--- a/internal/dispatcher/idle_test.go
+++ b/internal/dispatcher/idle_test.go
@@ -86,6 +86,18 @@
 	}
 }
 
+// Guards against a gang of large members that waits beside a withheld half of the fleet.
+func TestGangStartsBesideWithheldHalfOfFleet(t *testing.T) {
+	is := is.New(t)
+	d := newLargeFleet(t, 5)
+	now := time.Now()
+	need := model.Resources{Cores: 52_000, MemoryMB: 140_000, Accelerators: 8}
+	d.fill("others", 1, need, 20, 40, now)
+	d.expectUrgentWork(20, now)
+	gang := d.addStep("gang", 1, model.Step{Count: 8, Need: need, Gang: true, Resumable: true}, now)
+	is.True(d.startsWithin(gang, maxIdleWait, now))
+}
+
 // Guards against headroom that counts a service as full because most of its workers get no tasks for a time.
 func TestNoHeadroomWhileUnreachableWorkersAreIdle(t *testing.T) {
 	is := is.New(t)
