--- a/internal/dispatcher/idle_random_test.go
+++ b/internal/dispatcher/idle_random_test.go
@@ -145,8 +145,8 @@
 func (f *randomFleet) isHalfIdle() bool {
 	var used, capacity model.Resources
 	for _, w := range f.workers {
-		active, _ := w.usedResources()
-		used, capacity = used.Add(active), capacity.Add(w.info.Capacity)
+		active, stopping := w.usedResources()
+		used, capacity = used.Add(active).Add(stopping), capacity.Add(w.info.Capacity)
 	}
 	each := 2*used.Cores < capacity.Cores && 2*used.MemoryMB < capacity.MemoryMB && 2*used.Accelerators < capacity.Accelerators
 	coreEquivalents := func(r model.Resources) int64 { return int64(r.Cores) + 8000*int64(r.Accelerators) }
