Start tasks in an outage of the log on workers that vouch for the leader

A worker that has accepted the leader's fence within the last second, and has not restarted since the last confirmed append, was not reached by a successor, and if one reaches it later, its leases end before the successor counts them as ended. Starts on such workers go on.

TestTasksStartOnBusyWorkersInOutageOfLog failed before.

--- a/internal/dispatcher/leaselimit.go
+++ b/internal/dispatcher/leaselimit.go
@@ -12,6 +12,12 @@
 	// MaxUnconfirmed is how long after its last confirmed append a leader grants worker leases of full length. It bridges a short
 	// outage of the log, and a successor waits longer by as much for workers that do not respond to it.
 	MaxUnconfirmed = 3 * time.Second
+	// vouchTime is how long after a report was requested a worker counts as one that no successor has reached. It allows for two reports
+	// of unconfirmedReportWait.
+	vouchTime = time.Second
+	// minStartLease is the shortest lease with which a task is started without a confirmation of the log. The next renewal needs time to
+	// extend it.
+	minStartLease = time.Second
 	// succession is what MaxUnconfirmed adds to the time for which a successor waits.
 	succession = MaxUnconfirmed - MinElectionTimeout
 )
@@ -26,7 +32,8 @@
 // has a successor, which relies on these bounds. Its methods may be called concurrently.
 type leaseLimit struct {
 	mu          sync.Mutex
-	startsUntil time.Time // no start request is sent from then on
+	confirmedAt time.Time // time at which the last append that has succeeded was sent
+	startsUntil time.Time // from then on, start requests are sent only to workers that vouch for this leader
 	leasesUntil time.Time // all worker leases have ended by then
 	resigned    bool      // the limits no longer move
 }
@@ -38,6 +45,7 @@
 	if l.resigned {
 		return
 	}
+	l.confirmedAt = latest(l.confirmedAt, sentAt)
 	l.startsUntil = latest(l.startsUntil, sentAt.Add(MinElectionTimeout))
 	l.leasesUntil = latest(l.leasesUntil, sentAt.Add(MaxUnconfirmed+leaseDuration))
 }
@@ -46,19 +54,37 @@
 func (l *leaseLimit) resign(now time.Time, leaseDuration time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.resigned, l.startsUntil = true, now
+	l.resigned, l.startsUntil, l.confirmedAt = true, now, time.Time{}
 	if end := now.Add(succession + leaseDuration); end.Before(l.leasesUntil) {
 		l.leasesUntil = end
 	}
 }
 
-// allowsStart reports whether a start request may be sent now.
+// vouching is what a worker says of this leader: when its last report without a restart was requested, and since when its incarnation is
+// known.
+type vouching struct {
+	reportedAt    time.Time
+	incarnationAt time.Time
+}
+
+// allowsStart reports whether a start request may be sent now, whatever worker it is for.
 func (l *leaseLimit) allowsStart(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return now.Before(l.startsUntil)
 }
 
+// allowsStartOn reports whether a start request may be sent now to a worker. Without a confirmation of the log, the worker must have
+// reported just now, and must not have restarted since the last one: it would have forgotten the fence of a successor.
+func (l *leaseLimit) allowsStartOn(v vouching, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Before(l.startsUntil) {
+		return true
+	}
+	return !v.incarnationAt.After(l.confirmedAt) && now.Sub(v.reportedAt) < vouchTime && l.leasesUntil.Sub(now) >= minStartLease
+}
+
 // cut returns the duration to request for a lease that is granted now, so that neither the given duration nor the limit is exceeded on
 // a clock that is behind its estimate by the given drift. It is 0 once the limit has passed.
 func (l *leaseLimit) cut(leaseDuration, drift time.Duration, now time.Time) time.Duration {
--- a/internal/dispatcher/rate.go
+++ b/internal/dispatcher/rate.go
@@ -14,12 +14,8 @@
 	return startOverhead + pacer.Bytes(len(j.submission.Payload))
 }
 
-// canStart reports whether the rate limit allows to send a start request now. If not, another pass follows soon. It also reports
-// false while the log does not confirm this leader's appends, so that there may be a successor.
+// canStart reports whether the rate limit allows to send a start request now. If not, another pass follows soon.
 func (p *schedulingPass) canStart() bool {
-	if !p.d.leaseLimit.allowsStart(p.now) {
-		return false
-	}
 	if p.d.pacer.CanStart(p.now) {
 		return true
 	}
