Count all members of a gang that end with one worker

The ledger of the fake workers missed members of a gang: the first one on a worker that ended took the others off it before they were counted.

The bound is unchanged.

--- a/internal/fake/worker/crash.go
+++ b/internal/fake/worker/crash.go
@@ -27,13 +27,20 @@
 
 // crash ends the process of a worker. It is back after crashDownTime. The caller holds f.mu.
 func (f *Fleet) crash(s *workerState, now time.Time) {
+	f.loseRuns(s, now)
+	s.reset(now)
+	s.downUntil = now.Add(crashDownTime)
+}
+
+// loseRuns ends all runs on a worker with its process. The caller holds f.mu.
+func (f *Fleet) loseRuns(s *workerState, now time.Time) {
 	for _, r := range s.runs {
 		f.ledger.lostRuns[r.ref.Task]++
+	}
+	for _, r := range s.runs {
 		f.removeRun(s, r)
 		f.endOtherGangMembers(r, model.EndGangMemberEnded, now)
 	}
-	s.reset(now)
-	s.downUntil = now.Add(crashDownTime)
 }
 
 // IsDown reports whether a worker has crashed and is not back yet.
--- a/internal/fake/worker/fleet.go
+++ b/internal/fake/worker/fleet.go
@@ -120,11 +120,7 @@
 	s := f.workers[id]
 	f.applyDueEnds(now)
 	f.nextEndTime = time.Time{}
-	for _, r := range s.runs {
-		f.ledger.lostRuns[r.ref.Task]++
-		f.removeRun(s, r)
-		f.endOtherGangMembers(r, model.EndGangMemberEnded, now)
-	}
+	f.loseRuns(s, now)
 	s.reset(now)
 }
 
