--- a/internal/coordinator/churn_test.go
+++ b/internal/coordinator/churn_test.go
@@ -48,12 +48,10 @@
 	{"trim-takeover", 1, (*churnRun).trimLogAtTakeover},
 }
 
-// outlivesRestart is the name of the fault under which a restarted worker carries out late requests that were sent to it before. The
-// users have not said whether the platform does that; see the questions in docs/platform.md.
+// outlivesRestart is the fault under which a restarted worker carries out late requests of before; question 1 of docs/platform.md.
 const outlivesRestart = "late-after-restart"
 
-// Guards against tasks that run twice while workers drain, leave, arrive and restart beside changes of the leader, with links that
-// fail one way, requests that are carried out late, hosts cut off from the log, lists that lapse, and trimmed logs.
+// Guards against tasks that run twice while workers come, go and restart beside changes of the leader, late requests and cuts.
 func TestRandomChurn(t *testing.T) {
 	for seed := *firstChurnSeed; seed < *firstChurnSeed+*churnSeeds; seed++ {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -46,8 +46,12 @@
 // startTermLocked starts a term of this host. The caller holds c.mu.
 func (c *Coordinator) startTermLocked(t journaler.Term, offset model.Offset) {
 	ctx, cancel := context.WithCancel(context.Background())
+	electedAt, ok := c.candidacies[t.FirstSeq]
+	if !ok {
+		electedAt = time.Unix(0, 0) // too long ago to rely on before the log confirms an append
+	}
 	d := &dispatcher.Dispatcher{
-		Term: t, TermOffset: offset, ElectedAt: c.candidacies[t.FirstSeq], Log: c.cfg.Log, Workers: &recoveringClient{client: c.cfg.Workers, recoverer: c.cfg.Recoverer}, Logger: c.cfg.Logger.With("fence", t.Fence), Metrics: c.cfg.Metrics, Recoverer: c.cfg.Recoverer,
+		Term: t, TermOffset: offset, ElectedAt: electedAt, Log: c.cfg.Log, Workers: &recoveringClient{client: c.cfg.Workers, recoverer: c.cfg.Recoverer}, Logger: c.cfg.Logger.With("fence", t.Fence), Metrics: c.cfg.Metrics, Recoverer: c.cfg.Recoverer,
 		LeaseDuration: c.cfg.LeaseDuration, MaxLease: c.cfg.MaxLease, LinkRate: c.cfg.LinkRate, JobRetention: c.cfg.JobRetention, LookupJob: c.replica.Job, OnViolation: c.cfg.Asserter.RecordViolation,
 	}
 	d.Init()
--- a/internal/dispatcher/journal.go
+++ b/internal/dispatcher/journal.go
@@ -38,7 +38,6 @@
 	appending      bool                      // an append is in flight
 	oldestChangeAt time.Time                 // time of the oldest change that is not in a batch yet; zero means none
 	lastAppendAt   time.Time                 // start time of the last append
-	confirmedAt    time.Time                 // time at which the last append that has succeeded was sent
 	nextRenewalAt  time.Time                 // time at which the next term record is due
 	resigning      bool                      // the next batch announces the resignation of the leader
 	removals       []removal                 // pending removals of ended jobs, in the order in which they are due
@@ -66,7 +65,6 @@
 	l.writerName = LeaderWriterName
 	l.dirty = map[model.JobID]*dirtyJob{}
 	l.seq = d.Term.FirstSeq
-	l.confirmedAt = d.ElectedAt
 }
 
 // markDirty schedules a new record of the job. With appendSoon, the record is part of the next append; otherwise it may be
@@ -146,12 +144,10 @@
 }
 
 // confirmAppend records that the log has accepted an append, so that this host was still the leader when it was sent.
-func (l *journal) confirmAppend(sentAt, now time.Time) {
-	d := l.d
+func (d *Dispatcher) confirmAppend(sentAt, now time.Time) {
 	if !d.leaseLimit.allowsStart(now) {
 		d.scheduleUpToDate = false // work has waited for this
 	}
-	l.confirmedAt = sentAt
 	d.leaseLimit.confirm(sentAt, d.LeaseDuration)
 }
 
@@ -168,13 +164,13 @@
 	default:
 		d.Metrics.Appends.Add("failed", 1)
 		d.Logger.Warn("append failed, retrying", "seq", e.batch.seq, "records", len(e.batch.records),
-			"confirmed-ms-ago", now.Sub(l.confirmedAt).Milliseconds(), "error", e.err)
+			"confirmed-ms-ago", d.leaseLimit.sinceConfirmed(now).Milliseconds(), "error", e.err)
 		l.sendBatch(e.batch, appendRetryDelay)
 		return
 	}
 	d.Metrics.Appends.Add("done", 1)
 	l.appending = false
-	l.confirmAppend(e.batch.sentAt, now)
+	d.confirmAppend(e.batch.sentAt, now)
 	if e.batch.resigns {
 		d.endTerm("resigned")
 		return
--- a/internal/dispatcher/leaselimit.go
+++ b/internal/dispatcher/leaselimit.go
@@ -54,7 +54,7 @@
 func (l *leaseLimit) resign(now time.Time, leaseDuration time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.resigned, l.startsUntil, l.confirmedAt = true, now, time.Time{}
+	l.resigned, l.startsUntil = true, now
 	if end := now.Add(succession + leaseDuration); end.Before(l.leasesUntil) {
 		l.leasesUntil = end
 	}
@@ -82,7 +82,14 @@
 	if now.Before(l.startsUntil) {
 		return true
 	}
-	return !v.incarnationAt.After(l.confirmedAt) && now.Sub(v.reportedAt) < vouchTime && l.leasesUntil.Sub(now) >= minStartLease
+	return !l.resigned && !v.incarnationAt.After(l.confirmedAt) && now.Sub(v.reportedAt) < vouchTime && l.leasesUntil.Sub(now) >= minStartLease
+}
+
+// sinceConfirmed returns how long ago the last append that has succeeded was sent.
+func (l *leaseLimit) sinceConfirmed(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Sub(l.confirmedAt)
 }
 
 // cut returns the duration to request for a lease that is granted now, so that neither the given duration nor the limit is exceeded on
