Start nothing without the log, whatever workers say

Callers could see a task run twice at once.

Starts end 1.2 s after the last confirmed append again, on all workers, and are planned up to 0.1 s before, so that a gang is sent whole or not at all. TestIsolatedLeaderStartsNothingOnRestartedWorkers failed before (5 of 7 phases) and passes.

--- a/internal/dispatcher/journal.go
+++ b/internal/dispatcher/journal.go
@@ -145,7 +145,7 @@
 
 // confirmAppend records that the log has accepted an append, so that this host was still the leader when it was sent.
 func (d *Dispatcher) confirmAppend(sentAt, now time.Time) {
-	if !d.leaseLimit.allowsStart(now) {
+	if !d.leaseLimit.allowsStart(now.Add(startMargin)) {
 		d.scheduleUpToDate = false // work has waited for this
 	}
 	d.leaseLimit.confirm(sentAt, d.LeaseDuration)
--- a/internal/dispatcher/leaselimit.go
+++ b/internal/dispatcher/leaselimit.go
@@ -12,12 +12,9 @@
 	// MaxUnconfirmed is how long after its last confirmed append a leader grants worker leases of full length. It bridges a short
 	// outage of the log, and a successor waits longer by as much for workers that do not respond to it.
 	MaxUnconfirmed = 3 * time.Second
-	// vouchTime is how long after a report was requested a worker counts as one that no successor has reached. It allows for two reports
-	// of unconfirmedReportWait.
-	vouchTime = time.Second
-	// minStartLease is the shortest lease with which a task is started without a confirmation of the log. The next renewal needs time to
-	// extend it.
-	minStartLease = time.Second
+	// startMargin is the time before the end of the permission to start tasks in which no more starts are planned, so that the members
+	// of a gang are sent together or not at all.
+	startMargin = 100 * time.Millisecond
 	// succession is what MaxUnconfirmed adds to the time for which a successor waits.
 	succession = MaxUnconfirmed - MinElectionTimeout
 )
@@ -33,7 +30,7 @@
 type leaseLimit struct {
 	mu          sync.Mutex
 	confirmedAt time.Time // time at which the last append that has succeeded was sent
-	startsUntil time.Time // from then on, start requests are sent only to workers that vouch for this leader
+	startsUntil time.Time // no start request is sent from then on
 	leasesUntil time.Time // all worker leases have ended by then
 	resigned    bool      // the limits no longer move
 }
@@ -60,31 +57,13 @@
 	}
 }
 
-// vouching is what a worker says of this leader: when its last report without a restart was requested, and since when its incarnation is
-// known.
-type vouching struct {
-	reportedAt    time.Time
-	incarnationAt time.Time
-}
-
-// allowsStart reports whether a start request may be sent now, whatever worker it is for.
+// allowsStart reports whether a start request may be sent at the given time.
 func (l *leaseLimit) allowsStart(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return now.Before(l.startsUntil)
 }
 
-// allowsStartOn reports whether a start request may be sent now to a worker. Without a confirmation of the log, the worker must have
-// reported just now, and must not have restarted since the last one: it would have forgotten the fence of a successor.
-func (l *leaseLimit) allowsStartOn(v vouching, now time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if now.Before(l.startsUntil) {
-		return true
-	}
-	return !l.resigned && !v.incarnationAt.After(l.confirmedAt) && now.Sub(v.reportedAt) < vouchTime && l.leasesUntil.Sub(now) >= minStartLease
-}
-
 // sinceConfirmed returns how long ago the last append that has succeeded was sent.
 func (l *leaseLimit) sinceConfirmed(now time.Time) time.Duration {
 	l.mu.Lock()
--- a/internal/dispatcher/plan.go
+++ b/internal/dispatcher/plan.go
@@ -147,8 +147,8 @@
 		free, unused := p.freeResources(w)
 		n := &placer.Node{
 			ID: w.info.ID, Service: w.info.Service, Domain: w.info.FailureDomain, Rack: w.info.Rack, Labels: w.info.Labels,
-			Capacity: w.info.Capacity, Free: free, Unused: unused, Unschedulable: !d.canStartOn(w, now) || w.hostsSuspect(), Occupied: len(w.runs) > 0, Suspicion: w.suspicion,
-			Quarantined: now.Before(w.quarantinedUntil) && w.canStartTasks() && d.leaseLimit.allowsStartOn(w.vouching(), now) && !w.hostsSuspect(), KnownHealthy: w.isKnownHealthy(now), LastSuccessAt: w.lastSuccessAt, Slowness: w.slowness,
+			Capacity: w.info.Capacity, Free: free, Unused: unused, Unschedulable: !w.isSchedulable(now) || w.hostsSuspect(), Occupied: len(w.runs) > 0, Suspicion: w.suspicion,
+			Quarantined: now.Before(w.quarantinedUntil) && w.canStartTasks() && !w.hostsSuspect(), KnownHealthy: w.isKnownHealthy(now), LastSuccessAt: w.lastSuccessAt, Slowness: w.slowness,
 		}
 		p.nodes = append(p.nodes, n)
 		p.workerOf[n], p.nodeOf[w] = w, n
--- a/internal/dispatcher/preemption.go
+++ b/internal/dispatcher/preemption.go
@@ -47,9 +47,6 @@
 	free := map[*worker]model.Resources{}
 	var startable []int
 	for i, w := range res.workers {
-		if !p.d.leaseLimit.allowsStartOn(w.vouching(), p.now) {
-			continue
-		}
 		if _, ok := free[w]; !ok {
 			free[w] = w.unoccupiedResources()
 		}
--- a/internal/dispatcher/rate.go
+++ b/internal/dispatcher/rate.go
@@ -14,8 +14,12 @@
 	return startOverhead + pacer.Bytes(len(j.submission.Payload))
 }
 
-// canStart reports whether the rate limit allows to send a start request now. If not, another pass follows soon.
+// canStart reports whether the rate limit allows to send a start request now. If not, another pass follows soon. It also reports
+// false while the log does not confirm this leader's appends, so that there may be a successor.
 func (p *schedulingPass) canStart() bool {
+	if !p.d.leaseLimit.allowsStart(p.now.Add(startMargin)) {
+		return false
+	}
 	if p.d.pacer.CanStart(p.now) {
 		return true
 	}
--- a/internal/dispatcher/requests.go
+++ b/internal/dispatcher/requests.go
@@ -34,7 +34,7 @@
 	w.recordStart(now)
 	w.recordStartLease(now, lease)
 	d.pacer.Spend(now, startBytes(t.step.job))
-	w.session.sendStart(w.info, req, w.vouching(), now.Add(lease), d.pacer.Timeout())
+	w.session.sendStart(w.info, req, now.Add(lease), d.pacer.Timeout())
 	d.updateSession(w)
 	d.journal.markDirty(t.step.job, false)
 	d.assertCapacity(w, r)
@@ -46,11 +46,6 @@
 	return d.leaseLimit.cut(d.LeaseDuration, clockDrift(now.Sub(w.clockAt)), now)
 }
 
-// canStartOn reports whether tasks may start on the worker now.
-func (d *Dispatcher) canStartOn(w *worker, now time.Time) bool {
-	return w.isSchedulable(now) && d.leaseLimit.allowsStartOn(w.vouching(), now)
-}
-
 // assertCapacity reports a violation if the runs of a worker need more than its capacity after run r was added.
 func (d *Dispatcher) assertCapacity(w *worker, r *run) {
 	if unoccupied := w.unoccupiedResources(); !unoccupied.CanFit(model.Resources{}) {
--- a/internal/dispatcher/session.go
+++ b/internal/dispatcher/session.go
@@ -13,9 +13,9 @@
 const (
 	// reportWait is the maximum time for which a worker may delay a report until a run ends. The platform allows at most 2 s.
 	reportWait = 2 * time.Second
-	// unconfirmedReportWait replaces reportWait while the log does not confirm this leader's appends. Workers then vouch for it, and
-	// leases are extended soon after the log responds again.
-	unconfirmedReportWait = 400 * time.Millisecond
+	// minReportWait is the wait while the leases that can be granted become short, so that they are extended soon after the log
+	// responds again.
+	minReportWait = 500 * time.Millisecond
 	// reportRetryDelay is the delay before a failed lease renewal is retried.
 	reportRetryDelay = 250 * time.Millisecond
 	// probeInterval is the delay before a renewal that only asks whether a worker without runs responds again.
@@ -190,10 +190,7 @@
 			req.LeaseUntil = state.clock + WorkerTime((now.Sub(state.clockAt) + lease).Milliseconds())
 		}
 		if state.hasReported && state.durableSeq >= state.processedSeq && !state.reportNow && s.incarnationKnown && !acknowledges {
-			req.MaxWait = reportWait
-			if !s.leaseLimit.allowsStart(now) {
-				req.MaxWait = unconfirmedReportWait
-			}
+			req.MaxWait = min(reportWait, max(lease/2, minReportWait))
 		}
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, req.MaxWait+state.callTimeout)
@@ -281,10 +278,10 @@
 
 // sendStart sends a start request in the background, unless it has to wait until its lease, which ends at the given time, is over or
 // this leader may have a successor.
-func (s *session) sendStart(info model.Worker, req StartRequest, v vouching, leaseEndsAt time.Time, timeout time.Duration) {
+func (s *session) sendStart(info model.Worker, req StartRequest, leaseEndsAt time.Time, timeout time.Duration) {
 	go s.sendRequest(timeout, func(ctx context.Context) event {
 		sentAt := time.Now()
-		if sentAt.After(leaseEndsAt) || !s.leaseLimit.allowsStartOn(v, sentAt) {
+		if sentAt.After(leaseEndsAt) || !s.leaseLimit.allowsStart(sentAt) {
 			return &startEvent{worker: info.ID, run: req.Run, err: errWithdrawn}
 		}
 		response, err := s.client.Start(ctx, info, req)
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -112,11 +112,6 @@
 	w.confirmedAt = latest(w.confirmedAt, sentAt)
 }
 
-// vouching returns what the worker says of this leader.
-func (w *worker) vouching() vouching {
-	return vouching{reportedAt: w.confirmedAt, incarnationAt: w.incarnationAt}
-}
-
 // latest returns the later of two times.
 func latest(a, b time.Time) time.Time {
 	if b.After(a) {
