Use doubtful workers beside ample room 0.3 s later

Beside ample room a task that had failed went to suspected workers after 2.5 s, before exclusions and quarantines of 3 s had shown which workers are faulty.

Such workers are used after 2.8 s, which leaves one pass before the 3 s that the platform allows.

--- a/internal/dispatcher/ampleroom.go
+++ b/internal/dispatcher/ampleroom.go
@@ -14,7 +14,8 @@
 	// The platform allows 2.9 s to an urgent job and 3 s to any other.
 	ampleRoomWait = 2000 * time.Millisecond
 	// doubtfulWorkerWait is the time for which such a step waits before it uses workers on which tasks have failed, if no other has room.
-	doubtfulWorkerWait = 2500 * time.Millisecond
+	// It leaves time for one more pass, and otherwise for faulty workers to be found out.
+	doubtfulWorkerWait = 2800 * time.Millisecond
 )
 
 // findPlaces returns places for tasks of the unit on free resources, or nil. The argument infeasible says that an equivalent request has
