Keep waits and isolation apart beside ample room

A task under which a worker has crashed starts alone on its worker. On a quarantined worker another task of the same pass joined it, because only the flag of usable workers was cleared. And the wait beside ample room went on while a step waited for its quota, so that it used excluded workers at once after it.

--- a/internal/dispatcher/ampleroom.go
+++ b/internal/dispatcher/ampleroom.go
@@ -43,7 +43,7 @@
 // of the service is in use; and its unit fits on the free resources twice over, whatever is withheld or held and in whatever rack.
 func (p *schedulingPass) ampleRoomTime(u *placementUnit, r *placer.Request) time.Duration {
 	s := u.step
-	if !p.hasAmpleRoom(r) || s.job.hasActiveRuns() && !s.spec.LongRunning {
+	if s.job.hasActiveRuns() && !s.spec.LongRunning || !p.hasAmpleRoom(r) {
 		s.roomSince = time.Time{}
 		return 0
 	}
--- a/internal/dispatcher/plan.go
+++ b/internal/dispatcher/plan.go
@@ -170,7 +170,11 @@
 	if u.dropStarted(); len(u.tasks) == 0 {
 		return
 	}
-	if !p.trimToQuota(u) || !p.trimToRate(u) {
+	if !p.trimToQuota(u) {
+		u.step.roomSince = time.Time{} // it waits for its quota, not for room
+		return
+	}
+	if !p.trimToRate(u) {
 		return
 	}
 	r := p.placementRequest(u)
@@ -311,7 +315,7 @@
 		p.startTask(u.tasks[i], p.workerOf[n])
 		placer.TakeResources(n, s.spec.Need)
 		n.Unused = n.Unused.Sub(s.spec.Need)
-		n.Occupied, n.Unschedulable = true, n.Unschedulable || u.isolated
+		n.Occupied, n.Unschedulable, n.Quarantined = true, n.Unschedulable || u.isolated, n.Quarantined && !u.isolated
 	}
 	p.d.Logger.Debug("tasks started", "job", s.ref.Job, "step", s.ref.Step, "tasks", len(places), "of", len(u.tasks), "rank", u.rank)
 }
