Test the lease limit on a dispatcher without sessions

The product changes the limit under its lock only.

Change: the test uses a dispatcher without workers. Its checks are the same.

With the time of the response in place of the time of the request in the product, it fails as before.

--- a/internal/dispatcher/leaselimit_test.go
+++ b/internal/dispatcher/leaselimit_test.go
@@ -39,11 +39,12 @@
 // Guards against a limit that counts from the response of an append, which a successor may have read long before.
 func TestLeaseLimitCountsFromFirstAttemptOfAppend(t *testing.T) {
 	is := is.New(t)
-	f := newFixture(t)
-	f.leaseLimit = leaseLimit{}
-	(&appendEvent{batch: &batch{sentAt: f.now}}).apply(f.Dispatcher, f.later(900))
-	is.True(f.leaseLimit.allowsStart(f.later(1100)))
-	is.True(!f.leaseLimit.allowsStart(f.later(1200)))
+	d := newDispatcher(t)
+	now := time.Now()
+	d.leaseLimit = leaseLimit{} // no session reads it yet
+	(&appendEvent{batch: &batch{sentAt: now}}).apply(d, now.Add(900*time.Millisecond))
+	is.True(d.leaseLimit.allowsStart(now.Add(1100 * time.Millisecond)))
+	is.True(!d.leaseLimit.allowsStart(now.Add(1200 * time.Millisecond)))
 }
 
 // Guards against the lease of a start that has reached a restarted worker and is forgotten with the next report.
