Count the suspension of a machine against its leader's limits

Cause: the time limits of a leader that the log does not confirm were compared by the monotonic clock, which stands still while a machine is suspended. A leader that woke without its way to the log could start tasks for up to 1.2 s and renew leases for as long as before, beside its successor.

Change: the limits are compared by the monotonic clock and by the wall clock, and the one that leaves less counts. A wall clock that is set forward only delays starts until the next append.

Result: TestLeaseLimitCountsSuspensionOfMachine failed before and passes.

--- a/internal/dispatcher/leaselimit.go
+++ b/internal/dispatcher/leaselimit.go
@@ -61,7 +61,7 @@
 func (l *leaseLimit) allowsStart(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return now.Before(l.startsUntil)
+	return timeLeft(l.startsUntil, now) > 0
 }
 
 // sinceConfirmed returns how long ago the last append that has succeeded was sent.
@@ -76,5 +76,11 @@
 func (l *leaseLimit) cut(leaseDuration, drift time.Duration, now time.Time) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return max(0, min(leaseDuration, l.leasesUntil.Sub(now))-drift)
+	return max(0, min(leaseDuration, timeLeft(l.leasesUntil, now))-drift)
+}
+
+// timeLeft returns the time until the deadline, by the clock that leaves less: the monotonic clock stands still while the machine is
+// suspended, the wall clock may be set back.
+func timeLeft(deadline, now time.Time) time.Duration {
+	return min(deadline.Sub(now), deadline.Round(0).Sub(now.Round(0)))
 }
--- a/internal/dispatcher/leaselimit_test.go
+++ b/internal/dispatcher/leaselimit_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 	"time"
+	"unsafe"
 
 	"github.com/matryer/is"
 )
@@ -56,3 +57,26 @@
 	f.worker.confirmIncarnation(false, f.later(20))
 	is.True(!f.worker.leaseEndsAt().Before(end))
 }
+
+// Guards against a leader whose machine was suspended and that takes its permission, and its leases, for as long as before.
+func TestLeaseLimitCountsSuspensionOfMachine(t *testing.T) {
+	is := is.New(t)
+	const lease = 8 * time.Second
+	var l leaseLimit
+	now := time.Now()
+	l.confirm(now, lease)
+	is.True(l.allowsStart(wakeAfter(now, time.Second)))
+	is.True(!l.allowsStart(wakeAfter(now, 2*time.Second)))
+	is.Equal(l.cut(lease, 0, wakeAfter(now, MaxUnconfirmed+time.Second)), lease-time.Second)
+	is.Equal(l.cut(lease, 0, wakeAfter(now, MaxUnconfirmed+lease)), time.Duration(0))
+	is.True(!l.allowsStart(now.Add(MinElectionTimeout)))                        // by the monotonic clock alone, too
+	is.True(!l.allowsStart(wakeAfter(now.Add(MinElectionTimeout), -time.Hour))) // the wall clock was set back
+}
+
+// wakeAfter returns the time t on a machine that was suspended for a number of whole seconds: its monotonic clock has stood still.
+func wakeAfter(t time.Time, suspended time.Duration) time.Time {
+	const wallSecondsBit = 30 // of the first word of a time with a monotonic reading
+	wall := (*uint64)(unsafe.Pointer(&t))
+	*wall += uint64(suspended/time.Second) << wallSecondsBit
+	return t
+}
