Don't serve as a relay while reading through another host

Cause: the first host of a group reads the log for the group. When its direct connection was down it read through a peer, which could be a host of its own group that waited for records at it. Both waited for each other until the age of their records ended the wait after 1.3 s.

Ruled out: slow appends (50 ms in both cases) and the time between learning of a job and starting it (equal).

Change: a host without its direct connection serves as a relay only if it reads through a relay itself.

--- a/internal/peerlog/relay.go
+++ b/internal/peerlog/relay.go
@@ -103,6 +103,14 @@
 	return relays[i], true
 }
 
+// canRelay reports whether this host gets records without the hosts that may read through it. While its direct connection is down
+// it reads through any other host, also through one that waits for its own records here.
+func (f *FallbackLog) canRelay() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.directDown || f.throughRelay
+}
+
 // delayRelay keeps this host from reading through a relay for a while.
 func (f *FallbackLog) delayRelay(addr string) {
 	f.mu.Lock()
--- a/internal/peerlog/relay_test.go
+++ b/internal/peerlog/relay_test.go
@@ -108,6 +108,46 @@
 	}
 }
 
+// Guards against two hosts that wait for records through each other while one of them can't reach the log.
+func TestRelayWithoutDirectConnectionReadsThroughItsReader(t *testing.T) {
+	is := is.New(t)
+	l, relay, reader := relayPair(t)
+	relay.log.Peers.Addresses = func() []string { return []string{reader.addr} }
+	follow := func(h *testHost) <-chan time.Time {
+		arrived := make(chan time.Time, 100)
+		go func() {
+			for next := model.Offset(0); t.Context().Err() == nil; {
+				b, err := h.log.Read(t.Context(), next, 800*time.Millisecond)
+				if err != nil {
+					time.Sleep(10 * time.Millisecond)
+					continue
+				}
+				for range b.Records {
+					next++
+					arrived <- time.Now()
+				}
+			}
+		}()
+		return arrived
+	}
+	atRelay, atReader := follow(relay), follow(reader)
+	time.Sleep(100 * time.Millisecond)
+	relay.fault.Store(log.FaultUnavailable)
+	time.Sleep(tailFreshness + peerBackoff) // the relay has noticed, and reads that waited then have ended
+	is.True(relay.log.DirectDown())
+	var latest time.Duration
+	for range 20 {
+		sentAt := time.Now()
+		_, err := l.Append("jobs", recordsWithKey("a"), journaler.AppendCondition{})
+		is.NoErr(err)
+		for _, arrived := range []<-chan time.Time{atRelay, atReader} {
+			latest = max(latest, (<-arrived).Sub(sentAt))
+		}
+		time.Sleep(150 * time.Millisecond)
+	}
+	is.True(latest < probeReadTimeout)
+}
+
 // Guards against a host that has a record, but keeps it from its neighbours because it did not read it from the log itself.
 func TestHostServesRecordsThatItGotThroughRelay(t *testing.T) {
 	is := is.New(t)
--- a/internal/peerlog/server.go
+++ b/internal/peerlog/server.go
@@ -144,6 +144,9 @@
 // connection. The response is small enough to reach a peer with a slow link before the peer gives up.
 func (f *FallbackLog) readForPeer(ctx context.Context, p readParams) (journaler.Batch, error) {
 	wait := time.Duration(p.WaitMS) * time.Millisecond
+	if p.Tail == tailOnly && !f.canRelay() {
+		return journaler.Batch{}, errLogNotReached
+	}
 	if p.Tail != tailNever {
 		if b, ok := f.tail.read(ctx, p.From, wait); ok {
 			return b, nil
