Count with the longest lease after a renewal that reached a restarted worker

Callers could see a task run twice at once. A renewal whose worker has restarted carries a time on the former clock, and the new process grants its longest lease. Once the report of that renewal had shown the restart and the next report confirmed a start, the leader counted with the lease that it had requested. A worker that then went silent lost its runs up to the difference too early (1.7 s with leases of 8 s beside a longest one of 10 s, by computation).

The first report after a restart now counts as one that has granted the longest lease, as the first report of a term does. The price: up to that difference more wait if a worker goes silent within it after a restart.

TestRenewalAcrossRestartMakesNoLeaseLonger (a renewal of an idle worker that reads its clock, a restart before it, then a cut) failed before: second start 6.7 s after the renewal, with a lease of 10 s. It passes now.

--- a/internal/dispatcher/report.go
+++ b/internal/dispatcher/report.go
@@ -32,9 +32,11 @@
 	}
 	restarted := d.updateIncarnation(w, e.report.Incarnation, e.respondedAt)
 	w.confirmIncarnation(restarted, e.sentAt)
-	if !w.hasReported {
-		// This leader has not renewed the worker lease yet, but a former leader may have.
+	if !w.hasReported || restarted {
+		// A former leader may have renewed the worker lease, or this one with a time on the clock of the former process.
 		w.recordStartLease(e.respondedAt, d.MaxLease)
+	}
+	if !w.hasReported {
 		w.hasReported = true
 		d.scheduleUpToDate = false
 	}
