Let work start on vacated workers beside ample room

Callers could see an accepted job wait with nothing running beside a half idle service. The workers that members of an interrupted gang have left are held until the gang can start again. If one member runs on a worker that does not respond, that takes until its lease has ended and 4 s more. Ample room lifted the hold on workers of waiting gangs but not this one: it was taken off the free resources without being noted as held.

Both are now noted by the same function. TestWorkStartsBesideVacatedWorkersOfIdleService failed before and passes; the tests of the package pass.

--- a/internal/dispatcher/headroom.go
+++ b/internal/dispatcher/headroom.go
@@ -195,18 +195,22 @@
 		}
 	}
 	for _, w := range s.heldWorkers {
-		n := p.nodeOf[w]
-		placer.TakeResources(n, s.spec.Need)
-		p.held[n] = p.held[n].Add(s.spec.Need)
+		p.hold(p.nodeOf[w], s.spec.Need)
 	}
 }
 
+// hold keeps resources of a node free of less urgent work, unless that finds ample room.
+func (p *schedulingPass) hold(n *placer.Node, need model.Resources) {
+	placer.TakeResources(n, need)
+	p.held[n] = p.held[n].Add(need)
+}
+
 // holdVacatedResources holds the resources that ended members of an interrupted gang have released, until the gang can start
 // again.
 func (p *schedulingPass) holdVacatedResources(s *step) {
 	for _, t := range s.tasks {
 		if n := p.nodeOf[t.lastWorker]; n != nil && t.activeRun == nil {
-			placer.TakeResources(n, s.spec.Need)
+			p.hold(n, s.spec.Need)
 		}
 	}
 }
--- a/internal/dispatcher/idle_test.go
+++ b/internal/dispatcher/idle_test.go
@@ -163,3 +163,24 @@
 		})
 	}
 }
+
+// Guards against work that waits beside the vacated workers of an interrupted gang, one member of which can't be stopped.
+func TestWorkStartsBesideVacatedWorkersOfIdleService(t *testing.T) {
+	is := is.New(t)
+	d := newLargeFleet(t, 1)
+	now := time.Now()
+	full := model.Resources{Accelerators: 8}
+	d.fill("others", 1, full, 0, 2, now)
+	gang := d.fill("gang", 1, full, 2, 8, now)
+	gang.spec.Gang = true
+	for i, task := range gang.tasks {
+		r := task.activeRun
+		r.state = runStopping
+		if i > 0 {
+			d.removeRun(r, now)
+		}
+	}
+	gang.tasks[0].activeRun.worker.isResponding = false
+	small := d.addStep("small", 1, model.Step{Count: 1, Need: full}, now)
+	is.True(d.startsWithin(small, maxIdleWait, now))
+}
