Ignore the clock of a process that has ended

The response to a start or stop request that a worker gave before it restarted set the clock of the worker when it was processed after the first report of the new process. The next lease then ended at a time on the former clock, so that the worker granted its longest lease where the leader counted the requested one.

Responses to requests that were sent before the first report of the incarnation set no clock now. TestResponseOfFormerProcessSetsNoClock failed before (clock of the former process) and passes.

--- a/internal/dispatcher/requests.go
+++ b/internal/dispatcher/requests.go
@@ -105,7 +105,8 @@
 	d.pacer.Observe(now, e.respondedAt.Sub(e.sentAt), hasResponded(e.err))
 	w.recordStart(e.sentAt)
 	if e.err == nil {
-		w.clock, w.clockAt, w.isResponding = e.response.Clock, e.respondedAt, true
+		w.isResponding = true
+		w.recordClock(e.response.Clock, e.sentAt, e.respondedAt)
 		w.recordResponse()
 		if r != nil {
 			if r.state == runStarting {
@@ -207,7 +208,8 @@
 		d.sendStop(r, 0) // the process that has confirmed it may have ended
 		return
 	case e.err == nil:
-		w.clock, w.clockAt, w.isResponding = e.response.Clock, e.respondedAt, true
+		w.isResponding = true
+		w.recordClock(e.response.Clock, e.sentAt, e.respondedAt)
 		w.recordResponse()
 		r.stopConfirmedAt = e.respondedAt
 		d.updateSession(w)
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -47,6 +47,15 @@
 // leaseMargin is added to the computed end of a lease, to cover the error of the estimated time on a worker's clock.
 const leaseMargin = 150 * time.Millisecond
 
+// recordClock notes the clock in the response to a start or stop request. A response to a request that was sent before the first report
+// of this incarnation may come from the former process, whose clock is another one.
+func (w *worker) recordClock(clock WorkerTime, sentAt, respondedAt time.Time) {
+	if sentAt.Before(w.incarnationAt) {
+		return
+	}
+	w.clock, w.clockAt = clock, respondedAt
+}
+
 // leaseUntil returns the estimated time on the worker's clock at which a lease granted now expires.
 func (w *worker) leaseUntil(now time.Time, leaseDuration time.Duration) WorkerTime {
 	return w.clock + WorkerTime((now.Sub(w.clockAt) + leaseDuration).Milliseconds())
