--- a/internal/dispatcher/ampleroom.go
+++ b/internal/dispatcher/ampleroom.go
@@ -80,7 +80,6 @@
 		n.Free = n.Free.Sub(held)
 	}
 	if len(places) > 0 {
-		clear(p.slots)
 		p.d.Logger.Info("step starts beside its usual workers", "job", u.step.ref.Job, "step", u.step.ref.Step, "rank", u.rank, "tasks", len(places),
 			"one-rack", r.OneRack, "doubtful-workers", r.UseQuarantined, "for-ms", p.now.Sub(u.step.roomSince).Milliseconds())
 	}
--- /dev/null
+++ b/internal/dispatcher/ampleroom_pass_test.go
@@ -0,0 +1,33 @@
+package dispatcher
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chestnutmux.example/chestnutmux/pkg/model"
+)
+
+// Guards against a step that uses withheld workers because it counts room that an earlier unit of the pass has taken.
+func TestRoomTakenInPassIsNoAmpleRoom(t *testing.T) {
+	is := is.New(t)
+	d := newLargeFleet(t, 4)
+	now := time.Now()
+	full := model.Resources{Cores: 128_000, MemoryMB: 262_144, Accelerators: 8}
+	d.fill("cores", 1, model.Resources{Cores: 128_000}, 4, 18, now)
+	d.fill("accelerators", 1, model.Resources{Accelerators: 8}, 18, 32, now)
+	d.expectUrgentWork(16, now)
+	d.addStep("large", 1, model.Step{Count: 20, Need: full, Gang: true}, now)
+	bound := d.addStep("bound", 1, model.Step{Count: 1, Need: full, NearRack: "r00"}, now)
+	bound.notBefore = now.Add(ampleRoomWait)
+	waiting := d.addStep("waiting", 1, model.Step{Count: 2, Need: full, Gang: true}, now)
+	for at := time.Duration(0); at < ampleRoomWait; at += maxPassInterval {
+		d.schedule(now.Add(at))
+	}
+	is.True(waiting.isIdle())
+	is.True(!waiting.roomSince.IsZero())
+	d.schedule(now.Add(ampleRoomWait))
+	is.True(!bound.isIdle())
+	is.True(waiting.isIdle()) // it fits once, not twice
+}
