Test held resources and quarantined workers beside ample room

Two gaps: no test failed without the line that forgets held resources when a pass recomputes the free ones, nor without the check of the log before starts on quarantined workers. Each of the new tests fails without its line.

--- a/internal/dispatcher/ampleroom_pass_test.go
+++ b/internal/dispatcher/ampleroom_pass_test.go
@@ -31,3 +31,38 @@
 	is.True(!bound.isIdle())
 	is.True(waiting.isIdle()) // it fits once, not twice
 }
+
+// Guards against a start on a worker whose resources were given back to the free ones twice.
+func TestHeldResourcesAreForgottenOncePassRecomputesThem(t *testing.T) {
+	is := is.New(t)
+	d := newLargeFleet(t, 1)
+	now := time.Now()
+	p := newSchedulingPass(d, now)
+	p.updateDemand(nil)
+	n := p.nodes[0]
+	p.held[n] = model.Resources{Accelerators: 8}
+	n.Free = n.Free.Sub(p.held[n])
+	p.refreshFree()
+	s := d.addStep("step", 1, model.Step{Count: 2, Need: model.Resources{Accelerators: 8}, Label: "one", Gang: true}, now)
+	p.workerOf[n].info.Labels, n.Labels = []string{"one"}, []string{"one"}
+	u := &placementUnit{step: s, tasks: s.tasks}
+	is.Equal(len(p.placeAnywhere(u, p.placementRequest(u))), 0) // one fits
+}
+
+// Guards against a start beside ample room on a quarantined worker while the leader may have a successor.
+func TestNothingStartsOnQuarantinedWorkerWithoutLog(t *testing.T) {
+	for _, confirmed := range []bool{true, false} {
+		is := is.New(t)
+		d := newLargeFleet(t, 1)
+		now := time.Now()
+		for _, w := range d.workers {
+			w.quarantinedUntil = now.Add(maxQuarantine)
+		}
+		s := d.addStep("step", 1, model.Step{Count: 1, Need: model.Resources{Accelerators: 8}}, now)
+		d.schedule(now)
+		if !confirmed {
+			d.leaseLimit.startsUntil = now.Add(ampleRoomWait)
+		}
+		is.Equal(d.startsWithin(s, 2*maxIdleWait, now), confirmed)
+	}
+}
