--- a/internal/dispatcher/ampleroom_pass_test.go
+++ b/internal/dispatcher/ampleroom_pass_test.go
@@ -59,9 +59,8 @@
 			w.quarantinedUntil = now.Add(maxQuarantine)
 		}
 		s := d.addStep("step", 1, model.Step{Count: 1, Need: model.Resources{Accelerators: 8}}, now)
-		d.schedule(now)
 		if !confirmed {
-			d.leaseLimit.startsUntil = now.Add(ampleRoomWait)
+			d.leaseLimit.forget()
 		}
 		is.Equal(d.startsWithin(s, 2*maxIdleWait, now), confirmed)
 	}
--- a/internal/dispatcher/leaselimit_test.go
+++ b/internal/dispatcher/leaselimit_test.go
@@ -36,11 +36,18 @@
 	is.Equal(l.cut(lease, 0, now.Add(formerLeaseDuration(lease, lease))), time.Duration(0))
 }
 
+// forget removes all confirmations while the sessions may use the limit.
+func (l *leaseLimit) forget() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.confirmedAt, l.startsUntil, l.leasesUntil = time.Time{}, time.Time{}, time.Time{}
+}
+
 // Guards against a limit that counts from the response of an append, which a successor may have read long before.
 func TestLeaseLimitCountsFromFirstAttemptOfAppend(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t)
-	f.leaseLimit = leaseLimit{}
+	f.leaseLimit.forget()
 	(&appendEvent{batch: &batch{sentAt: f.now}}).apply(f.Dispatcher, f.later(900))
 	is.True(f.leaseLimit.allowsStart(f.later(1100)))
 	is.True(!f.leaseLimit.allowsStart(f.later(1200)))
