Let work start beside an unconfirmed start of its job

Callers could see an accepted job wait with nothing running beside a half idle service: if the start request of one of its tasks got no response, the others waited behind headroom until that run was known to have ended, which takes its longest lease and 4 s more on a silent worker. Ample room took the unconfirmed start for a run.

Only confirmed runs, and starts that may still get a response, end the wait now.

--- a/internal/dispatcher/ampleroom_pass_test.go
+++ b/internal/dispatcher/ampleroom_pass_test.go
@@ -65,3 +65,23 @@
 		is.Equal(d.startsWithin(s, 2*maxIdleWait, now), confirmed)
 	}
 }
+
+// Guards against work that waits behind headroom beside ample room while another task of its job has only an unconfirmed start.
+func TestWorkStartsBesideUnconfirmedStartOfItsJob(t *testing.T) {
+	is := is.New(t)
+	d := newLargeFleet(t, 4)
+	now := time.Now()
+	full := model.Resources{Cores: 128_000, MemoryMB: 262_144, Accelerators: 8}
+	d.fill("cores", 1, model.Resources{Cores: 128_000}, 4, 18, now)
+	d.fill("accelerators", 1, model.Resources{Accelerators: 8}, 18, 31, now)
+	d.expectUrgentWork(16, now)
+	s := d.addStep("waiting", 1, model.Step{Count: 2, Need: full}, now)
+	silent := d.workers["w031"]
+	d.startRun(s.tasks[0], silent, 1, now)
+	s.tasks[0].activeRun.state = runUnconfirmed
+	silent.isResponding = false
+	for at := time.Duration(0); at < maxIdleWait; at += maxPassInterval {
+		d.schedule(now.Add(at))
+	}
+	is.True(s.tasks[1].activeRun != nil)
+}
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -228,6 +228,18 @@
 	return false
 }
 
+// hasConfirmedRuns reports whether the job has active runs other than those whose start request got no response.
+func (j *job) hasConfirmedRuns() bool {
+	for _, s := range j.steps {
+		for _, t := range s.tasks {
+			if t.activeRun != nil && t.activeRun.state != runUnconfirmed {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // tasksLeft returns the number of tasks that are not done.
 func (j *job) tasksLeft() int {
 	n := 0
