Test when the wait beside ample room begins anew

No test failed without the lines that end the wait at a start and while there is no ample room. TestWaitBesideAmpleRoomBeginsAnew fails without either.

--- a/internal/dispatcher/ampleroom_pass_test.go
+++ b/internal/dispatcher/ampleroom_pass_test.go
@@ -85,3 +85,38 @@
 	}
 	is.True(s.tasks[1].activeRun != nil)
 }
+
+// Guards against a wait beside ample room that counts the time before the last start, or a time without ample room.
+func TestWaitBesideAmpleRoomBeginsAnew(t *testing.T) {
+	for _, reason := range []string{"started", "no-room"} {
+		t.Run(reason, func(t *testing.T) {
+			is := is.New(t)
+			d := newLargeFleet(t, 1)
+			now := time.Now()
+			full := model.Resources{Cores: 128_000, MemoryMB: 262_144, Accelerators: 8}
+			s := d.addStep("step", 1, model.Step{Count: 1, Need: full}, now)
+			for _, w := range d.workers {
+				s.excludeWorker(w, now)
+				s.excludeWorker(w, now)
+				s.excludeWorker(w, now) // 12 s
+			}
+			d.schedule(now)
+			is.True(!s.roomSince.IsZero())
+			later := now.Add(5 * time.Second)
+			if reason == "started" {
+				is.True(d.startsWithin(s, maxIdleWait, now))
+				d.removeRun(s.tasks[0].activeRun, later)
+			} else {
+				others := d.fill("others", 1, full, 0, 8, now)
+				d.schedule(now.Add(time.Second))
+				for _, task := range others.tasks {
+					d.removeRun(task.activeRun, later)
+					task.markDone()
+				}
+			}
+			d.schedule(later)
+			is.True(s.isIdle())
+			is.Equal(s.roomSince, later)
+		})
+	}
+}
