Start no reserved task beside one that may crash its worker

Cause: a step that has preempted starts on its reserved workers without the checks of a pass. A task under which a worker had crashed could have started there alone meanwhile; a further crash was then counted against both.

Change: a reserved start waits until the other task is proven or has ended.

Result: TestReservedStartWaitsForSuspect failed before and passes.

--- a/internal/dispatcher/preemption.go
+++ b/internal/dispatcher/preemption.go
@@ -50,7 +50,7 @@
 		if _, ok := free[w]; !ok {
 			free[w] = w.unoccupiedResources()
 		}
-		if free[w].CanFit(u.step.spec.Need) {
+		if free[w].CanFit(u.step.spec.Need) && !w.hostsSuspect() {
 			free[w] = free[w].Sub(u.step.spec.Need)
 			startable = append(startable, i)
 		}
