Let the wait for preemption go on with the next leader

Cause: a job of priority 1 or less urgent preempts once it has waited for 0.6 of its slack, counted from the moment at which the leader learned of it. A new leader learns of all older jobs at its takeover, so with terms shorter than that wait the job never preempted.

Change: each host notes, on its steady clock, when its replica learned of a job, and the leader counts from there. The time of acceptance in the log is not used, because it comes from the time of day of another host, which may jump. A host that was started later than the job counts from its start.

Older jobs still wait until the runs of former leaders are known, so nothing is preempted in haste.

--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -21,7 +21,7 @@
 	reason              string
 	predatesTerm        bool               // the job was accepted before this term, so former leaders may have started its tasks
 	arrival             int64              // position in the order in which this leader learned of the jobs
-	seenAt              time.Time          // time at which this leader learned of the job
+	seenAt              time.Time          // time at which this host learned of the job, as a follower or as the leader
 	maxStepAccelerators model.Accelerators // accelerators needed by all tasks of the step that needs the most
 }
 
@@ -102,6 +102,9 @@
 	out := &job{
 		submission: s, cancelled: j.Cancelled, state: j.State(), arrival: int64(j.AcceptedOffset), seenAt: now,
 	}
+	if !j.LearnedAt.IsZero() {
+		out.seenAt = j.LearnedAt
+	}
 	for k := range s.Occurrences() {
 		for i := range s.Steps {
 			out.steps = append(out.steps, newStep(out, k, i, j.Progress.Steps[journaler.StepKey(k, i)]))
--- a/internal/dispatcher/metrics.go
+++ b/internal/dispatcher/metrics.go
@@ -8,8 +8,8 @@
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
-// Metrics holds the counters and histograms of the leader. A new leader learns of older jobs when its term starts, so their times
-// are measured from the takeover.
+// Metrics holds the counters and histograms of the leader. The times of jobs are measured from the moment at which its host learned of
+// them, which for older jobs than its process is the load of its first snapshot.
 type Metrics struct {
 	Jobs           *expvar.Map            // number of accepted jobs, and of ended jobs by final state
 	Runs           *expvar.Map            // number of events of runs, such as started, adopted or stop, and of run ends by kind
--- a/internal/journaler/job.go
+++ b/internal/journaler/job.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
@@ -12,6 +13,7 @@
 type Job struct {
 	Submission     *model.Submission
 	AcceptedOffset model.Offset // offset of the first submission record; 0 when loaded from a snapshot
+	LearnedAt      time.Time    // time at which this host learned of the job, by its steady clock
 	Cancelled      bool         // whether the job was cancelled before a final state was written
 	Progress       Progress     // newest progress record
 
--- a/internal/journaler/replica.go
+++ b/internal/journaler/replica.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -23,6 +24,7 @@
 	term            Term                                        // newest term
 	leaderRecords   uint64                                      // number of applied records that leaders have written
 	loadingSnapshot bool                                        // whether a snapshot is being applied
+	learnedAt       map[model.JobID]time.Time                   // Job.LearnedAt of the jobs before the snapshot that is being applied
 	fleet           []FleetWorker                               // newest list of the workers that a leader uses
 	hosts           map[model.HostID]HostAddress                // addresses of the entry hosts
 	hostList        []HostAddress                               // values of hosts, see HostAddresses; nil after a change
@@ -147,7 +149,10 @@
 		rep.jobs[id] = j
 	}
 	rep.updateJob(j, func() {
-		j.Submission, j.submissionOffset = s, r.Offset
+		j.Submission, j.submissionOffset, j.LearnedAt = s, r.Offset, time.Now()
+		if at, ok := rep.learnedAt[id]; ok {
+			j.LearnedAt = at
+		}
 		if !rep.loadingSnapshot {
 			j.AcceptedOffset = r.Offset
 		}
@@ -250,6 +255,12 @@
 // addresses; next is the offset of the next record to apply.
 func (rep *Replica) LoadSnapshot(records []Record, next model.Offset) {
 	rep.mu.Lock()
+	rep.learnedAt = make(map[model.JobID]time.Time, len(rep.jobs))
+	for id, j := range rep.jobs {
+		if j.Submission != nil {
+			rep.learnedAt[id] = j.LearnedAt
+		}
+	}
 	rep.jobs, rep.cancellations, rep.queuedCounts, rep.fleet = nil, nil, nil, nil
 	rep.loadingSnapshot = true
 	rep.mu.Unlock()
@@ -258,7 +269,7 @@
 		rep.Apply(r)
 	}
 	rep.mu.Lock()
-	rep.loadingSnapshot = false
+	rep.loadingSnapshot, rep.learnedAt = false, nil
 	rep.init()
 	rep.nextOffset = next
 	rep.mu.Unlock()
--- a/internal/journaler/replica_test.go
+++ b/internal/journaler/replica_test.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -235,3 +237,20 @@
 		}
 	})
 }
+
+// Guards against waits that begin anew because a snapshot replaces the jobs, and against one that the retry of a submission shortens.
+func TestSnapshotKeepsWhenJobsWereLearned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		rep := &Replica{}
+		learnedAt := time.Now()
+		applyInOrder(rep, submissionRecord(t, "a"))
+		time.Sleep(time.Second)
+		applyInOrder(rep, submissionRecord(t, "a"))
+		rep.LoadSnapshot([]Record{submissionRecord(t, "a"), submissionRecord(t, "b")}, 9)
+		a, _ := rep.Job("a")
+		is.Equal(a.LearnedAt, learnedAt)
+		b, _ := rep.Job("b")
+		is.Equal(b.LearnedAt, learnedAt.Add(time.Second))
+	})
+}
