--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -21,7 +21,7 @@
 	reason              string
 	predatesTerm        bool               // the job was accepted before this term, so former leaders may have started its tasks
 	arrival             int64              // position in the order in which this leader learned of the jobs
-	seenAt              time.Time          // time at which this leader learned of the job
+	seenAt              time.Time          // time at which this host learned of the job, as a follower or as the leader
 	maxStepAccelerators model.Accelerators // accelerators needed by all tasks of the step that needs the most
 }
 
@@ -40,6 +40,7 @@
 	heldWorkers  []*worker                // workers held for the waiting gang; they get no less urgent work
 	heldUntil    time.Time                // time after which other workers may be held instead
 	notBefore    time.Time                // earliest start time of the next attempt
+	preemptedAt  time.Time                // time at which tasks of the step were last preempted in this term; zero before that
 	exclusions   exclusions               // workers on which the step has failed
 	allStartedAt time.Time                // time at which all tasks were first seen started; zero before that
 	roomSince    time.Time                // start of the first pass since which the step waits beside ample room; zero while it does not
@@ -102,6 +103,9 @@
 	out := &job{
 		submission: s, cancelled: j.Cancelled, state: j.State(), arrival: int64(j.AcceptedOffset), seenAt: now,
 	}
+	if !j.LearnedAt.IsZero() {
+		out.seenAt = j.LearnedAt
+	}
 	for k := range s.Occurrences() {
 		for i := range s.Steps {
 			out.steps = append(out.steps, newStep(out, k, i, j.Progress.Steps[journaler.StepKey(k, i)]))
