Count a crash only under a run that has begun

Cause: the end of a worker counted as a crash under each run that was lost with it, also if the start request had only been sent, and a closed connection counted as the end of a process.

A crash now counts once it is proven, by another incarnation, another worker at the address or a missing entry, and against runs that a response or report has shown. A start request whose connection was closed counts if the next process started soon after that; a process that answers after it rules that out. Ends of draining workers don't count.

--- a/internal/dispatcher/crash.go
+++ b/internal/dispatcher/crash.go
@@ -18,16 +18,22 @@
 	provenTime = 1500 * time.Millisecond
 	// isolationWait is how long a task under which a worker has crashed waits for a worker without other runs.
 	isolationWait = 2 * time.Second
+	// maxDownTime is the longest time from the crash of a worker to the start of its next process. A process that starts later may have
+	// replaced one that lived on behind a cut of the network.
+	maxDownTime = 4 * time.Second
+	// freshTime is the maximum age of a response of a worker that shows it was not cut off when a start request was sent.
+	freshTime = time.Second
 )
 
-// recordCallError notes whether a failed call shows that the process of a worker has ended: its connection was closed or refused,
-// or another worker uses its address. A worker that is cut off gives no such sign.
+// recordCallError notes whether a failed call suggests that the process of a worker has ended: its connection was closed or refused,
+// or another worker uses its address. Only the last of these is a proof, since a network may close and refuse connections, too.
 func (w *worker) recordCallError(err error) {
 	w.lastError = err
 	var refused *RefusedError
 	switch {
 	case errors.As(err, &refused):
-		w.hasCrashed = refused.Reason == RefusedWrongWorker
+		w.isReplaced = refused.Reason == RefusedWrongWorker
+		w.hasCrashed = w.isReplaced
 	case isConnectionClosed(err):
 		w.hasCrashed = true
 	}
@@ -39,22 +45,14 @@
 }
 
 // recordResponse notes that a worker has responded, so that it has not crashed.
-func (w *worker) recordResponse() { w.lastError, w.hasCrashed = nil, false }
+func (w *worker) recordResponse() { w.lastError, w.hasCrashed, w.isReplaced = nil, false, false }
 
 // attributeCrash counts the crash of a worker against the tasks that may have caused it: those of the runs that had not worked
-// for provenTime, or of all if there is no such run. A job whose task has crashed maxCrashes workers fails.
-func (d *Dispatcher) attributeCrash(lost []*run, now time.Time) {
-	var suspects []*run
-	for _, r := range lost {
-		if !r.isProven() {
-			suspects = append(suspects, r)
-		}
-	}
-	if len(suspects) == 0 {
-		suspects = lost
-	}
-	for _, r := range suspects {
-		if r.task == nil || r.crashCounted {
+// for provenTime, or of all if there is no such run. A job whose task has crashed maxCrashes workers fails. The next process of the
+// worker started at restartedAt, which is zero if unknown.
+func (d *Dispatcher) attributeCrash(lost []*run, restartedAt, now time.Time) {
+	for _, r := range crashSuspects(lost) {
+		if r.task == nil || r.crashCounted || r.worker.info.State == model.WorkerDraining || !r.hasBegunBefore(restartedAt) {
 			continue
 		}
 		r.crashCounted = true
@@ -66,6 +64,37 @@
 	}
 }
 
+// crashSuspects returns the runs that had not worked for provenTime when their worker ended, or all if there is no such run. A run
+// that may not have begun is among them, so that its worker's crash is not attributed to a run that has worked for long.
+func crashSuspects(lost []*run) []*run {
+	var out []*run
+	for _, r := range lost {
+		if !r.isProven() {
+			out = append(out, r)
+		}
+	}
+	if len(out) == 0 {
+		return lost
+	}
+	return out
+}
+
+// hasBegunBefore reports whether the run is known to have begun in the process that has ended. A response or report has shown it, or
+// the worker ended while it carried out the start request: the connection of the request was closed, and the next process
+// started soon after that. If the time of that is unknown, the worker must have responded shortly before the request instead; a
+// worker that was cut off before, and ended behind the cut, has not.
+func (r *run) hasBegunBefore(restartedAt time.Time) bool {
+	switch {
+	case r.hasBegun:
+		return true
+	case r.startCutOffAt.IsZero():
+		return false
+	case restartedAt.IsZero():
+		return r.startSentAt.Sub(r.workerSeenAt) <= freshTime
+	}
+	return !restartedAt.Before(r.startSentAt) && restartedAt.Sub(r.startCutOffAt) <= maxDownTime
+}
+
 // isProven reports whether the worker has responded while the run had worked for provenTime.
 func (r *run) isProven() bool {
 	return r.state != runStarting && r.state != runUnconfirmed && !r.startConfirmedAt.IsZero() && r.worker.clockAt.Sub(r.startConfirmedAt) >= provenTime
@@ -88,9 +117,9 @@
 	}
 }
 
-// isSuspect reports whether a worker has crashed under the task. It runs alone until its run is proven, so that it takes no other
+// isSuspect reports whether a worker has crashed, or may have crashed, under the task. It runs alone until its run is proven, so that it takes no other
 // work with it and a further crash can be attributed. Members of a gang are exempt, because they start together.
-func (t *task) isSuspect() bool { return t.crashes > 0 && !t.step.spec.Gang }
+func (t *task) isSuspect() bool { return t.crashes+t.possibleCrashes > 0 && !t.step.spec.Gang }
 
 // needsIsolation reports whether the task may only start on a worker without other runs.
 func (t *task) needsIsolation(now time.Time) bool {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -57,6 +57,7 @@
 	jobs              map[model.JobID]*job
 	endedJobs         map[model.JobID]bool // jobs that ended in this term; the log may still show an earlier state
 	workers           map[model.HostID]*worker
+	possibleCrashes   map[model.HostID]*possibleCrash
 	fleetDirty        bool // the fleet record in the log is outdated
 	entitlements      Entitlements
 	journal           journal
@@ -82,6 +83,7 @@
 	d.jobs = map[model.JobID]*job{}
 	d.endedJobs = map[model.JobID]bool{}
 	d.workers = map[model.HostID]*worker{}
+	d.possibleCrashes = map[model.HostID]*possibleCrash{}
 	d.demand = map[model.ServiceID]*priorityDemand{}
 	d.pacer.LinkRate = d.LinkRate
 	d.MaxLease = max(d.MaxLease, d.LeaseDuration)
@@ -282,6 +284,7 @@
 	if !d.formerRunsKnown {
 		d.checkFormerRuns(now)
 	}
+	d.checkPossibleCrashes(now)
 	d.stopIncompleteGangs(now)
 }
 
@@ -291,7 +294,7 @@
 		"last-answer-ms", now.Sub(w.clockAt).Milliseconds())
 	w.raiseSuspicion(now, 1)
 	if w.hasCrashed {
-		d.attributeCrash(slices.Collect(maps.Values(w.runs)), now)
+		d.notePossibleCrash(w, slices.Collect(maps.Values(w.runs)), now)
 	}
 	for _, r := range w.runs {
 		d.Metrics.Runs.Add("lapsed", 1)
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -49,20 +49,21 @@
 
 // task is one task of a step.
 type task struct {
-	step          *step
-	index         int
-	done          bool
-	attempts      int                      // number of starts in this term
-	failedRuns    map[model.RunNumber]bool // numbers of the failed runs, including those of former terms
-	crashes       int                      // number of workers that have crashed under the task, in all terms
-	lastCrashAt   time.Time                // time at which the last crash was noticed in this term
-	checkpoint    model.Checkpoint         // last checkpoint; empty if there is none
-	activeRun     *run                     // nil if the task has no run
-	lastWorker    *worker                  // worker of the last run that was started in this term
-	failedOn      map[model.HostID]bool    // workers on which the task has failed in this term
-	lastFailureAt time.Time                // time of the last failure in this term
-	formerWorker  model.HostID             // worker to which a former leader sent the task; empty once its runs are known or have ended
-	notBefore     time.Time                // earliest start time of the next run
+	step            *step
+	index           int
+	done            bool
+	attempts        int                      // number of starts in this term
+	failedRuns      map[model.RunNumber]bool // numbers of the failed runs, including those of former terms
+	crashes         int                      // number of workers that have crashed under the task, in all terms
+	possibleCrashes int                      // number of runs that were lost with a worker that may have crashed
+	lastCrashAt     time.Time                // time at which the last crash was noticed in this term
+	checkpoint      model.Checkpoint         // last checkpoint; empty if there is none
+	activeRun       *run                     // nil if the task has no run
+	lastWorker      *worker                  // worker of the last run that was started in this term
+	failedOn        map[model.HostID]bool    // workers on which the task has failed in this term
+	lastFailureAt   time.Time                // time of the last failure in this term
+	formerWorker    model.HostID             // worker to which a former leader sent the task; empty once its runs are known or have ended
+	notBefore       time.Time                // earliest start time of the next run
 }
 
 // run is one execution of a task on a worker. A run without a task was started by a former leader, is not needed, and is
@@ -81,8 +82,11 @@
 	percentDone      int       // progress of the run in percent
 	lastProgressAt   time.Time // time at which percentDone last increased, or the run started
 	incarnation      int64     // incarnation of the worker, as known when the start request was sent
-	startCutOff      bool      // the connection was closed during the start request, as if the worker had crashed under the run
+	hasBegun         bool      // a response or report of the worker has shown the run
+	startCutOffAt    time.Time // time at which the connection of the start request was closed, as if the worker had crashed; else zero
+	workerSeenAt     time.Time // time of the last response of the worker before the start request was sent
 	crashCounted     bool      // the crash of the worker was counted against the task
+	suspected        bool      // the run counts in possibleCrashes of the task
 	fromCheckpoint   bool      // the run resumes from a checkpoint
 	stopReason       string    // why the run is being stopped
 }
--- a/internal/dispatcher/report.go
+++ b/internal/dispatcher/report.go
@@ -30,7 +30,7 @@
 	if !e.sentAt.Before(w.restartListedAt) {
 		w.restartListedAt = time.Time{}
 	}
-	restarted := d.updateIncarnation(w, e.report.Incarnation, e.respondedAt)
+	restarted := d.updateIncarnation(w, e)
 	w.confirmIncarnation(restarted, e.sentAt)
 	if !w.hasReported {
 		// This leader has not renewed the worker lease yet, but a former leader may have.
@@ -39,9 +39,10 @@
 		d.scheduleUpToDate = false
 	}
 	if restarted {
-		d.attributeCrash(w.runsLostIn(e), now)
+		d.attributeCrash(w.runsLostIn(e), w.startedAt, now)
 		d.repeatStops(w)
 	}
+	d.settlePossibleCrash(w, e, now)
 	for _, progress := range e.report.Running {
 		d.updateRun(w, progress, now)
 	}
@@ -94,7 +95,7 @@
 	}
 	var out []*run
 	for id, r := range w.runs {
-		if !listed[id] && (r.startSentAt.Before(e.sentAt) || r.startCutOff) {
+		if !listed[id] && (r.startSentAt.Before(e.sentAt) || !r.startCutOffAt.IsZero()) {
 			out = append(out, r)
 		}
 	}
@@ -103,7 +104,8 @@
 
 // updateIncarnation detects a restart of the worker, which loses all its runs and restarts the sequence numbers of its run ends at
 // 1. It reports whether the worker has restarted.
-func (d *Dispatcher) updateIncarnation(w *worker, n int64, now time.Time) bool {
+func (d *Dispatcher) updateIncarnation(w *worker, e *reportEvent) bool {
+	n := e.report.Incarnation
 	if n == w.incarnation {
 		return false
 	}
@@ -112,11 +114,16 @@
 		d.Logger.Info("worker restarted", "worker", w.info.ID, "incarnation", n, "before", w.incarnation, "runs", len(w.runs))
 		w.processedSeq, w.durableSeq, w.ackedSeq = 0, 0, 0
 	}
-	w.incarnation, w.incarnationAt = n, now
+	w.incarnation, w.incarnationAt, w.startedAt = n, e.respondedAt, e.processStartedAt()
 	d.fleetDirty = d.fleetDirty || known
 	return known
 }
 
+// processStartedAt returns the latest time at which the process that has reported may have started. Its clock counts from its start.
+func (e *reportEvent) processStartedAt() time.Time {
+	return e.respondedAt.Add(-time.Duration(e.report.Clock) * time.Millisecond)
+}
+
 // repeatStops sends the stop requests of unconfirmed runs again after the worker has restarted. The new process would carry out a
 // start request that is still under way.
 func (d *Dispatcher) repeatStops(w *worker) {
@@ -139,6 +146,7 @@
 		d.markRunStarted(r, now)
 		d.updateJobAfterStart(r, now)
 	}
+	r.hasBegun = true
 	r.recordProgress(progress.PercentDone, now)
 }
 
--- a/internal/dispatcher/requests.go
+++ b/internal/dispatcher/requests.go
@@ -19,7 +19,7 @@
 func (d *Dispatcher) startRun(t *task, w *worker, n model.RunNumber, now time.Time) {
 	r := &run{
 		id: model.RunRef{Task: t.ref(), Number: n}, task: t, worker: w, need: t.step.spec.Need, state: runStarting,
-		incarnation: w.incarnation, startSentAt: now, lastProgressAt: now, fromCheckpoint: t.resumeCheckpoint() != "",
+		incarnation: w.incarnation, startSentAt: now, workerSeenAt: w.clockAt, lastProgressAt: now, fromCheckpoint: t.resumeCheckpoint() != "",
 	}
 	t.activeRun, t.lastWorker = r, w
 	w.runs[r.id] = r
@@ -112,7 +112,7 @@
 				d.markRunStarted(r, now)
 				d.updateJobAfterStart(r, now)
 			}
-			r.startConfirmedAt = e.respondedAt
+			r.startConfirmedAt, r.hasBegun = e.respondedAt, true
 		}
 		d.updateSession(w)
 		return
@@ -131,7 +131,7 @@
 		d.Logger.Warn("worker unreachable, start request not sent", "worker", w.info.ID, "task", e.run.Task.String(), "run", e.run.Number)
 		d.requeueUnstarted(r, now)
 	default:
-		d.handleUnconfirmedStart(r, e.err, now)
+		d.handleUnconfirmedStart(r, e, now)
 	}
 	d.updateSession(w)
 }
@@ -168,16 +168,19 @@
 
 // handleUnconfirmedStart stops a run whose start request got no response. Once the worker has received the stop request, it
 // refuses the start request, which may still arrive.
-func (d *Dispatcher) handleUnconfirmedStart(r *run, err error, now time.Time) {
+func (d *Dispatcher) handleUnconfirmedStart(r *run, e *startEvent, now time.Time) {
 	if r.state == runRunning {
 		return // a report has confirmed the start
 	}
-	d.Logger.Warn("no response to start request", "worker", r.worker.info.ID, "task", r.id.Task.String(), "run", r.id.Number, "error", err)
+	d.Logger.Warn("no response to start request", "worker", r.worker.info.ID, "task", r.id.Task.String(), "run", r.id.Number, "error", e.err)
 	d.Metrics.Runs.Add("doubtful", 1)
 	r.worker.raiseSuspicion(now, 1)
-	r.startCutOff = isConnectionClosed(err)
-	if r.startCutOff && r.worker.incarnation != r.incarnation {
-		d.attributeCrash([]*run{r}, now) // a report has shown the restart already
+	hasRestarted := r.worker.incarnation != r.incarnation
+	if isConnectionClosed(e.err) && (hasRestarted || !e.respondedAt.Before(r.worker.confirmedAt)) {
+		r.startCutOffAt = e.respondedAt
+	}
+	if hasRestarted {
+		d.attributeCrash([]*run{r}, r.worker.startedAt, now) // a report has shown the restart already
 	}
 	r.state = runUnconfirmed
 	r.stopReason = "no response to start request"
--- a/internal/dispatcher/takeover.go
+++ b/internal/dispatcher/takeover.go
@@ -187,7 +187,7 @@
 // adoptRun adds a run that a worker reports and that this leader does not know. It stops the run if it is not needed.
 func (d *Dispatcher) adoptRun(w *worker, progress model.RunProgress, now time.Time) {
 	r := &run{
-		id: progress.Run, worker: w, state: runRunning, startSentAt: now, startConfirmedAt: now, percentDone: progress.PercentDone, lastProgressAt: now,
+		id: progress.Run, worker: w, state: runRunning, hasBegun: true, startSentAt: now, startConfirmedAt: now, percentDone: progress.PercentDone, lastProgressAt: now,
 	}
 	w.runs[progress.Run] = r
 	j := d.jobs[progress.Run.Task.Job]
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -15,7 +15,8 @@
 	formerLeaseEndsAt time.Time // time at which any lease granted by a former leader has certainly ended
 	isResponding      bool      // the worker responded to the last call
 	lastError         error     // error of the last call; nil after a response
-	hasCrashed        bool      // the last calls show that the process of the worker has ended
+	hasCrashed        bool      // the last calls suggest that the process of the worker has ended
+	isReplaced        bool      // the last calls show that another worker uses the address
 	runsRecorded      bool      // a former leader gave the worker no new tasks, and the log lists all its runs
 	openInLog         bool      // the newest fleet record in the log says that the worker may get new tasks
 
@@ -33,6 +34,7 @@
 
 	incarnation   int64     // incarnation in the last report; 0 before the first report
 	incarnationAt time.Time // time of the first report with this incarnation
+	startedAt     time.Time // latest time at which the process with this incarnation may have started
 	processedSeq  int64     // sequence number of the last run end that was processed
 	durableSeq    int64     // sequence number of the last run end whose effect is in the log
 	ackedSeq      int64     // sequence number of the last run end that was acknowledged to the worker
@@ -110,6 +112,11 @@
 		return
 	}
 	w.confirmedAt = latest(w.confirmedAt, sentAt)
+	for _, r := range w.runs {
+		if r.startCutOffAt.Before(sentAt) {
+			r.startCutOffAt = time.Time{} // the worker has survived the start request
+		}
+	}
 }
 
 // latest returns the later of two times.
