Count a crash once across leaders, and only if the run had begun

Cause: the record of a job names the worker of a running task and no more, so the next leader counted any restart of that worker: also if the crash was counted before, or the start had only been sent. A worker that closed its connections until its lease had ended counted as crashed though it lived.

The record now lists the running tasks under which the end of their worker is no crash, as "blameless"; mostly there is none. Closed connections are a possible crash, settled by what the worker shows next. A cut-off start is recorded, so that the next leader counts it if the worker has restarted.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -294,7 +294,7 @@
 		"last-answer-ms", now.Sub(w.clockAt).Milliseconds())
 	w.raiseSuspicion(now, 1)
 	if w.hasCrashed {
-		d.notePossibleCrash(w, slices.Collect(maps.Values(w.runs)), now)
+		d.notePossibleCrash(w, slices.Collect(maps.Values(w.runs)), w.incarnation, w.leaseEndsAt(), now)
 	}
 	for _, r := range w.runs {
 		d.Metrics.Runs.Add("lapsed", 1)
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -63,6 +63,7 @@
 	failedOn        map[model.HostID]bool    // workers on which the task has failed in this term
 	lastFailureAt   time.Time                // time of the last failure in this term
 	formerWorker    model.HostID             // worker to which a former leader sent the task; empty once its runs are known or have ended
+	formerBlameless bool                     // the end of formerWorker is no crash to count
 	notBefore       time.Time                // earliest start time of the next run
 }
 
@@ -146,6 +147,11 @@
 			}
 		}
 	}
+	for _, n := range p.BlamelessTasks {
+		if n >= 0 && n < len(s.tasks) {
+			s.tasks[n].formerBlameless = true
+		}
+	}
 	return s
 }
 
@@ -285,6 +291,9 @@
 				p.RunningTasks = map[model.HostID][]int{}
 			}
 			p.RunningTasks[id] = append(p.RunningTasks[id], t.index)
+			if t.isBlameless() {
+				p.BlamelessTasks = append(p.BlamelessTasks, t.index)
+			}
 		}
 		for r := range t.failedRuns {
 			if p.FailedRuns == nil {
@@ -316,6 +325,14 @@
 	return t.formerWorker
 }
 
+// isBlameless reports whether the end of the worker on which the task has a run is no crash to count against it.
+func (t *task) isBlameless() bool {
+	if r := t.activeRun; r != nil {
+		return r.crashCounted || !r.hasBegun && r.startCutOffAt.IsZero()
+	}
+	return t.formerBlameless
+}
+
 // resumeCheckpoint returns the checkpoint from which the next run resumes, or an empty one if there is none. All members of a
 // gang resume from the same checkpoint.
 func (t *task) resumeCheckpoint() model.Checkpoint {
--- a/internal/dispatcher/possiblecrash.go
+++ b/internal/dispatcher/possiblecrash.go
@@ -19,20 +19,24 @@
 	missingSince time.Time // time since which the worker is not listed; zero while it is
 }
 
-// notePossibleCrash notes that runs were dropped with a worker whose connections were closed. A crash is counted once it is known.
-func (d *Dispatcher) notePossibleCrash(w *worker, runs []*run, now time.Time) {
+// notePossibleCrash notes that runs were lost in a process of a worker whose connections were closed, and whose leases have ended at
+// leaseEndsAt. A crash is counted once it is known. It never is if the incarnation of the process is not known.
+func (d *Dispatcher) notePossibleCrash(w *worker, runs []*run, incarnation int64, leaseEndsAt, now time.Time) {
 	if w.isReplaced {
 		d.attributeCrash(runs, time.Time{}, now)
 		return
 	}
+	if incarnation == 0 {
+		return
+	}
 	p := d.possibleCrashes[w.info.ID]
-	if p == nil || p.incarnation != w.incarnation {
+	if p == nil || p.incarnation != incarnation {
 		d.dropPossibleCrash(w.info.ID)
-		p = &possibleCrash{incarnation: w.incarnation}
+		p = &possibleCrash{incarnation: incarnation}
 		d.possibleCrashes[w.info.ID] = p
 	}
 	p.runs = append(p.runs, runs...)
-	p.lostAt, p.leaseEndsAt = now, w.leaseEndsAt()
+	p.lostAt, p.leaseEndsAt = now, leaseEndsAt
 	for _, r := range crashSuspects(runs) {
 		if r.task != nil && (r.hasBegun || !r.startCutOffAt.IsZero()) {
 			r.task.possibleCrashes++
--- a/internal/dispatcher/takeover.go
+++ b/internal/dispatcher/takeover.go
@@ -157,12 +157,23 @@
 		return true
 	}
 	t.formerWorker = ""
-	if w != nil && t.activeRun == nil && (!w.hasReported && w.hasCrashed || w.hasRestartedSinceFormerLeader()) {
-		d.countCrash(t, w, 1, now)
+	if w != nil && t.activeRun == nil && !t.formerBlameless {
+		d.attributeFormerCrash(t, w, now)
 	}
 	return false
 }
 
+// attributeFormerCrash counts the crash of a worker against a task whose run a former leader started there, once the crash is known.
+func (d *Dispatcher) attributeFormerCrash(t *task, w *worker, now time.Time) {
+	switch {
+	case w.hasRestartedSinceFormerLeader():
+		d.countCrash(t, w, 1, now)
+	case !w.hasReported && w.hasCrashed:
+		r := &run{id: model.RunRef{Task: t.ref()}, task: t, worker: w, hasBegun: true}
+		d.notePossibleCrash(w, []*run{r}, w.formerIncarnation, w.formerLeaseEndsAt, now)
+	}
+}
+
 // stopIfIncomplete stops an adopted gang if only some of its members have a run with the latest run number.
 func (d *Dispatcher) stopIfIncomplete(s *step, now time.Time) {
 	var latest model.RunNumber
--- a/internal/journaler/record.go
+++ b/internal/journaler/record.go
@@ -74,6 +74,9 @@
 	Crashes      map[int]int               `json:"crashes,omitempty"`     // number of workers that have crashed under each task
 	Checkpoints  map[int]model.Checkpoint  `json:"checkpoints,omitempty"` // newest checkpoint of each task
 	RunningTasks map[model.HostID][]int    `json:"running,omitempty"`     // tasks that have a run, by worker
+	// BlamelessTasks lists tasks in RunningTasks under which the end of the worker is no crash to count: the run is not known to have
+	// begun, or the crash is counted in Crashes.
+	BlamelessTasks []int `json:"blameless,omitempty"`
 }
 
 // StepKey returns the key "occurrence.step" of a step in a progress record.
