Judge by reports of a process whether its runs had worked for long

The response that shows a restart comes from the next process, so after a crash all runs were proven, and those that had worked for long counted like the one that had just begun.

If the worker ended under a start request, its crash counts against that run only now.

Measured: TestCrashCountsAgainstNewestRun fails before: 1 != 0. TestCrashCountsAgainstStartThatWasCutOff fails with the first part alone.

--- a/internal/dispatcher/crash.go
+++ b/internal/dispatcher/crash.go
@@ -47,9 +47,8 @@
 // recordResponse notes that a worker has responded, so that it has not crashed.
 func (w *worker) recordResponse() { w.lastError, w.hasCrashed, w.isReplaced = nil, false, false }
 
-// attributeCrash counts the crash of a worker against the tasks that may have caused it: those of the runs that had not worked
-// for provenTime, or of all if there is no such run. A job whose task has crashed maxCrashes workers fails. The next process of the
-// worker started at restartedAt, which is zero if unknown.
+// attributeCrash counts the crash of a worker against the tasks that may have caused it, if their runs had begun. A job whose task has
+// crashed maxCrashes workers fails. The next process of the worker started at restartedAt, which is zero if unknown.
 func (d *Dispatcher) attributeCrash(lost []*run, restartedAt, now time.Time) {
 	for _, r := range crashSuspects(lost) {
 		if r.task == nil || r.crashCounted || r.worker.info.State == model.WorkerDraining || !r.hasBegunBefore(restartedAt) {
@@ -64,19 +63,26 @@
 	}
 }
 
-// crashSuspects returns the runs that had not worked for provenTime when their worker ended, or all if there is no such run. A run
-// that may not have begun is among them, so that its worker's crash is not attributed to a run that has worked for long.
+// crashSuspects returns the runs under whose start requests the worker seems to have ended. If there is none, it returns the runs that
+// had not worked for provenTime, or all if there is no such run, either. A run that may not have begun is among them, so that its
+// worker's crash is not attributed to a run that has worked for long.
 func crashSuspects(lost []*run) []*run {
-	var out []*run
+	var cutOff, unproven []*run
 	for _, r := range lost {
+		if !r.hasBegun && !r.startCutOffAt.IsZero() {
+			cutOff = append(cutOff, r)
+		}
 		if !r.isProven() {
-			out = append(out, r)
+			unproven = append(unproven, r)
 		}
 	}
-	if len(out) == 0 {
-		return lost
+	switch {
+	case len(cutOff) > 0:
+		return cutOff
+	case len(unproven) > 0:
+		return unproven
 	}
-	return out
+	return lost
 }
 
 // hasBegunBefore reports whether the run is known to have begun in the process that has ended. A response or report has shown it, or
@@ -95,9 +101,9 @@
 	return !restartedAt.Before(r.startSentAt) && restartedAt.Sub(r.startCutOffAt) <= maxDownTime
 }
 
-// isProven reports whether the worker has responded while the run had worked for provenTime.
+// isProven reports whether the worker has listed the run after it had worked for provenTime.
 func (r *run) isProven() bool {
-	return r.state != runStarting && r.state != runUnconfirmed && !r.startConfirmedAt.IsZero() && r.worker.clockAt.Sub(r.startConfirmedAt) >= provenTime
+	return r.state != runStarting && r.state != runUnconfirmed && !r.startConfirmedAt.IsZero() && r.listedAt.Sub(r.startConfirmedAt) >= provenTime
 }
 
 // countCrash counts a crash of a worker against a task, and fails the job after the last one.
--- a/internal/dispatcher/crash_evidence_test.go
+++ b/internal/dispatcher/crash_evidence_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"chestnutmux.example/chestnutmux/internal/journaler"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
@@ -191,3 +192,37 @@
 	f.checkWorkers(f.later(60_000))
 	is.Equal(f.task.crashes, 0)
 }
+
+// Guards against a crash that counts against a run that has worked for long, beside one that has just begun. The response of the next
+// process showed the leader that time had passed, so the run that had crashed the worker counted as proven, too.
+func TestCrashCountsAgainstNewestRun(t *testing.T) {
+	is := is.New(t)
+	f := crashFixture{newFixture(t)}
+	f.confirmStart(10)
+	old := f.task
+	f.task = f.addJob(journaler.Job{Submission: newSubmission("other", 1, 1)}, f.now).steps[0].tasks[0]
+	e := &reportEvent{
+		worker: "w0", sentAt: f.later(2900), respondedAt: f.later(3000), handled: make(chan struct{}),
+		report: Report{Incarnation: 1, Running: []model.RunProgress{{Run: model.RunRef{Task: old.ref(), Number: 1}}}},
+	}
+	e.apply(f.Dispatcher, f.later(3000))
+	f.startRun(f.task, f.worker, 1, f.later(3000))
+	f.confirmStart(3010)
+	f.report(6000, 2, 100)
+	is.Equal(f.task.crashes, 1)
+	is.Equal(old.crashes, 0)
+}
+
+// Guards against a crash that counts against a run that has begun a moment before, beside the start request under which the worker ended.
+func TestCrashCountsAgainstStartThatWasCutOff(t *testing.T) {
+	is := is.New(t)
+	f := crashFixture{newFixture(t)}
+	f.confirmStart(10)
+	old := f.task
+	f.task = f.addJob(journaler.Job{Submission: newSubmission("other", 1, 1)}, f.now).steps[0].tasks[0]
+	f.startRun(f.task, f.worker, 1, f.later(500))
+	f.failStart(510, syscall.ECONNRESET)
+	f.report(3500, 2, 100)
+	is.Equal(f.task.crashes, 1)
+	is.Equal(old.crashes, 0)
+}
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -84,6 +84,7 @@
 	lastProgressAt   time.Time // time at which percentDone last increased, or the run started
 	incarnation      int64     // incarnation of the worker, as known when the start request was sent
 	hasBegun         bool      // a response or report of the worker has shown the run
+	listedAt         time.Time // time of the last report that listed the run as running
 	startCutOffAt    time.Time // time at which the connection of the start request was closed, as if the worker had crashed; else zero
 	workerSeenAt     time.Time // time of the last response of the worker before the start request was sent
 	crashCounted     bool      // the crash of the worker was counted against the task
--- a/internal/dispatcher/report.go
+++ b/internal/dispatcher/report.go
@@ -146,7 +146,7 @@
 		d.markRunStarted(r, now)
 		d.updateJobAfterStart(r, now)
 	}
-	r.hasBegun = true
+	r.hasBegun, r.listedAt = true, w.lastReportAt
 	r.recordProgress(progress.PercentDone, now)
 }
 
