--- a/internal/dispatcher/takeover.go
+++ b/internal/dispatcher/takeover.go
@@ -157,12 +157,23 @@
 		return true
 	}
 	t.formerWorker = ""
-	if w != nil && t.activeRun == nil && (!w.hasReported && w.hasCrashed || w.hasRestartedSinceFormerLeader()) {
-		d.countCrash(t, w, 1, now)
+	if w != nil && t.activeRun == nil && !t.formerBlameless {
+		d.attributeFormerCrash(t, w, now)
 	}
 	return false
 }
 
+// attributeFormerCrash counts the crash of a worker against a task whose run a former leader started there, once the crash is known.
+func (d *Dispatcher) attributeFormerCrash(t *task, w *worker, now time.Time) {
+	switch {
+	case w.hasRestartedSinceFormerLeader():
+		d.countCrash(t, w, 1, now)
+	case !w.hasReported && w.hasCrashed:
+		r := &run{id: model.RunRef{Task: t.ref()}, task: t, worker: w, hasBegun: true}
+		d.notePossibleCrash(w, []*run{r}, w.formerIncarnation, w.formerLeaseEndsAt, now)
+	}
+}
+
 // stopIfIncomplete stops an adopted gang if only some of its members have a run with the latest run number.
 func (d *Dispatcher) stopIfIncomplete(s *step, now time.Time) {
 	var latest model.RunNumber
@@ -187,7 +198,7 @@
 // adoptRun adds a run that a worker reports and that this leader does not know. It stops the run if it is not needed.
 func (d *Dispatcher) adoptRun(w *worker, progress model.RunProgress, now time.Time) {
 	r := &run{
-		id: progress.Run, worker: w, state: runRunning, startSentAt: now, startConfirmedAt: now, percentDone: progress.PercentDone, lastProgressAt: now,
+		id: progress.Run, worker: w, state: runRunning, hasBegun: true, startSentAt: now, startConfirmedAt: now, percentDone: progress.PercentDone, lastProgressAt: now,
 	}
 	w.runs[progress.Run] = r
 	j := d.jobs[progress.Run.Task.Job]
