Prefer peers with a direct connection for reads that wait

Cause: hosts that lose their direct connections at once read through each other: a peer serves its tail for 1.3 s after that was confirmed, so each took the first of its nearest peers for good and waited there. Only hosts that serve as relays refused such reads.

Change: the response to a read says whether the peer has no direct connection. A host waits at such a peer only once it has asked each other peer that is not in backoff; until then it asks without waiting, up to three more peers a read. A host that reaches only such peers reads through them as before. A peer of an earlier version does not say it and is taken as before.

--- a/internal/peerlog/client.go
+++ b/internal/peerlog/client.go
@@ -47,6 +47,8 @@
 	conns    map[string]*peerConn // by address
 	backoffs map[string]backoff   // of the peers that have failed, by address
 	lastGood string               // address of the peer that served the last read; empty if it has failed since
+	// probed holds the peers that were asked for a read since lastGood has said that it has no direct connection; nil if it has one.
+	probed map[string]bool
 }
 
 // backoff says until when a peer is not called.
@@ -76,10 +78,15 @@
 func (p *Peers) pickPeers() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.pickPeersExcept(nil)
+}
+
+// pickPeersExcept is pickPeers without some peers. The caller holds p.mu.
+func (p *Peers) pickPeersExcept(excluded map[string]bool) []string {
 	now := time.Now()
 	var out []string
 	for _, addr := range p.Addresses() {
-		if now.After(p.backoffs[addr].until) {
+		if now.After(p.backoffs[addr].until) && !excluded[addr] {
 			out = append(out, addr)
 		}
 	}
@@ -166,55 +173,96 @@
 
 // read reads from a log through the peer that served the last read, or through the first other peer that responds. The first
 // read through a peer does not wait for records, so that peers that do not respond are soon passed over.
+//
+// A peer without a direct connection may itself wait for records of this host. So a read waits at such a peer only once all others
+// were asked.
 func (p *Peers) read(ctx context.Context, params readParams) (journaler.Batch, error) {
-	if addr := p.lastGoodPeer(); addr != "" {
+	lastGood, probes := p.pickReadPeers()
+	if lastGood != "" && len(probes) == 0 {
 		readCtx, cancel := limitTransfer(ctx, time.Duration(params.WaitMS)*time.Millisecond+probeReadTimeout)
-		b, err := p.readAt(readCtx, addr, params)
+		b, _, err := p.readAt(readCtx, lastGood, params)
 		cancel()
 		if isLogResponse(err) || ctx.Err() != nil {
 			return b, err
 		}
+		probes = p.pickPeers()
+	} else if lastGood != "" {
+		probes = append([]string{lastGood}, probes...)
 	}
 	params.WaitMS = 0
+	return p.probe(ctx, params, probes)
+}
+
+// pickReadPeers returns the peer that served the last read, and the peers to ask without waiting: if the first one has no direct
+// connection, some of those that were not asked since; if there is none, some of all.
+func (p *Peers) pickReadPeers() (lastGood string, probes []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.lastGood != "" && p.probed == nil {
+		return p.lastGood, nil
+	}
+	return p.lastGood, p.pickPeersExcept(p.probed)
+}
+
+// probe reads through the first peer that has records or a direct connection, or else through the first one that responds.
+func (p *Peers) probe(ctx context.Context, params readParams, addrs []string) (journaler.Batch, error) {
+	start := time.Now()
+	var indirect *journaler.Batch // response of a peer without a direct connection
 	err := errors.Mark(errors.New("peerlog: no peer is known"), errLogNotReached)
-	for _, addr := range p.pickPeers() {
+	for _, addr := range addrs {
 		probeCtx, cancel := limitTransfer(ctx, probeReadTimeout)
 		var b journaler.Batch
-		b, err = p.readAt(probeCtx, addr, params)
+		var noDirect bool
+		b, noDirect, err = p.readAt(probeCtx, addr, params)
 		cancel()
-		if isLogResponse(err) || ctx.Err() != nil {
+		switch {
+		case err == nil && noDirect && len(b.Records) == 0:
+			if indirect == nil {
+				indirect = &b
+			}
+		case isLogResponse(err):
 			return b, err
 		}
+		if ctx.Err() != nil || indirect != nil && time.Since(start) >= probeReadTimeout {
+			break // at most one peer that does not respond delays a read that another one serves
+		}
+	}
+	if indirect != nil {
+		return *indirect, nil
 	}
 	return journaler.Batch{}, err
 }
 
-// readAt reads from a log through one peer and records whether that peer is good for further reads.
-func (p *Peers) readAt(ctx context.Context, addr string, params readParams) (journaler.Batch, error) {
+// readAt reads from a log through one peer and records whether that peer is good for further reads. It reports whether the peer has no
+// direct connection.
+func (p *Peers) readAt(ctx context.Context, addr string, params readParams) (b journaler.Batch, noDirect bool, err error) {
 	sentAt := time.Now()
 	resp, err := p.callPeer(ctx, addr, methodRead, params)
-	var b journaler.Batch
 	if err == nil {
 		b, err = resp.batch(sentAt)
 	}
 	if errors.Is(err, errLogNotReached) {
 		p.delayPeer(addr)
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	switch {
-	case isLogResponse(err):
-		p.lastGood = addr
-	case p.lastGood == addr:
-		p.lastGood = ""
-	}
-	return b, err
+	noDirect = resp.Batch != nil && resp.Batch.NoDirect
+	p.recordRead(addr, isLogResponse(err), noDirect)
+	return b, noDirect, err
 }
 
-func (p *Peers) lastGoodPeer() string {
+// recordRead records whether a peer has served a read and whether it has no direct connection.
+func (p *Peers) recordRead(addr string, served, noDirect bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.lastGood
+	switch {
+	case served && !noDirect:
+		p.lastGood, p.probed = addr, nil
+	case served && (p.lastGood == "" || p.lastGood == addr && p.probed == nil):
+		p.lastGood, p.probed = addr, map[string]bool{addr: true}
+	case !served && p.lastGood == addr:
+		p.lastGood, p.probed = "", nil
+	case p.probed != nil:
+		p.probed[addr] = true
+	}
 }
 
 // connect returns the open connection to a peer, or opens a new one.
--- a/internal/peerlog/server.go
+++ b/internal/peerlog/server.go
@@ -105,7 +105,9 @@
 		arrivedAt := time.Now()
 		b, err := f.readForPeer(ctx, p)
 		f.Metrics.countServed(f.Name, b.Records)
-		return errors.CombineErrors(err, resp.setBatch(b, arrivedAt))
+		err = errors.CombineErrors(err, resp.setBatch(b, arrivedAt))
+		resp.Batch.NoDirect = !f.canRelay()
+		return err
 	case methodNewest:
 		var p newestParams
 		f, err := s.decodeParams(params, &p, func() string { return p.Log })
--- a/internal/peerlog/wire.go
+++ b/internal/peerlog/wire.go
@@ -82,6 +82,7 @@
 // batchHeader describes a batch whose records are in an attachment.
 type batchHeader struct {
 	EndOffset model.Offset `json:"end"`
+	NoDirect  bool         `json:"no-direct,omitempty"` // the peer gets its records through a host that may read through it
 	confirmation
 }
 
