Read through the next relay when one refuses

Cause: the first host of a group refuses reads while it has no direct connection. Each host of the group asks it once a second, and after the refusal made its next read directly, up to 0.6 s long, although the next host of the group served all others. A record that is appended meanwhile crossed the link between regions once for each of them.

Change: a read that a relay can't serve goes on at the next relay of the group while some of its wait is left, so no read takes longer than before. Later failures lead to a direct read as before.

--- a/internal/peerlog/cycle_test.go
+++ b/internal/peerlog/cycle_test.go
@@ -112,3 +112,32 @@
 	is.NoErr(err)
 	is.True(reads < records+records/2) // most reads wait for a record
 }
+
+// Guards against hosts that each read the log themselves once a second, because the first host of their group has lost the log.
+func TestReadersUseNextRelayWhenFirstRefuses(t *testing.T) {
+	is := is.New(t)
+	l := log.New(log.Options{})
+	live := newHost(t, l, func() []string { return nil })
+	first := newHost(t, l, func() []string { return []string{live.addr} })
+	second := newHost(t, l, func() []string { return nil })
+	third := newHost(t, l, func() []string { return nil })
+	second.log.Relays = func() []string { return []string{first.addr} }
+	third.log.Relays = func() []string { return []string{first.addr, second.addr} }
+	for _, h := range []*testHost{live, first, second, third} {
+		h.log.Metrics = NewMetrics()
+		h.follow(t.Context())
+	}
+	first.fault.Store(log.FaultUnavailable)
+	for !first.log.DirectDown() {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(tailFreshness + peerBackoff) // reads that waited at the first host, or before the others had read, have ended
+	third.log.Metrics.Reads.Init()
+	for range 20 {
+		_, err := l.Append("jobs", recordsWithKey("a"), journaler.AppendCondition{})
+		is.NoErr(err)
+		time.Sleep(150 * time.Millisecond)
+	}
+	is.True(third.readCount(sourceRelay) != "0")
+	is.Equal(third.readCount(sourceDirect), "0")
+}
--- a/internal/peerlog/relay.go
+++ b/internal/peerlog/relay.go
@@ -63,11 +63,23 @@
 // errNoRelay reports that this host has no relay, or none that responds.
 var errNoRelay = errors.New("peerlog: no relay to read the log through")
 
+// tryRelay reads through the first relay that serves the read before its wait is over.
 func (f *FallbackLog) tryRelay(ctx context.Context, from model.Offset, wait time.Duration) (journaler.Batch, error) {
-	addr, ok := f.pickRelay()
-	if !ok {
-		return journaler.Batch{}, errNoRelay
+	start := time.Now()
+	for {
+		addr, ok := f.pickRelay()
+		if !ok {
+			return journaler.Batch{}, errNoRelay
+		}
+		b, err := f.readAtRelay(ctx, addr, from, wait-time.Since(start))
+		if err == nil || !errors.Is(err, errLogNotReached) || time.Since(start) >= wait {
+			return b, err
+		}
 	}
+}
+
+// readAtRelay reads from the tail of one relay, and delays the next read there if it fails.
+func (f *FallbackLog) readAtRelay(ctx context.Context, addr string, from model.Offset, wait time.Duration) (journaler.Batch, error) {
 	ctx, cancel := limitTransfer(ctx, wait+relayResponseTimeout)
 	defer cancel()
 	start := time.Now()
@@ -75,7 +87,7 @@
 	f.Metrics.countRead(f.Name, sourceRelay, b.Records, time.Since(start), err)
 	if err != nil {
 		f.delayRelay(addr)
-		f.Logger.Debug("relay can't serve a read, reading the log directly", "log", f.Name, "relay", addr, "from", from, "error", err)
+		f.Logger.Debug("relay can't serve a read", "log", f.Name, "relay", addr, "from", from, "error", err)
 	}
 	return b, err
 }
