End the reads that wait at a relay when it loses the log

Cause: a host refused new reads of its group once its direct connection was lost, but reads that waited there went on for up to 0.6 s. Meanwhile it could read through one of these readers, so that neither got records.

Change: reads of the group that wait end when the host can't relay any more; the readers go on at the next relay or directly.

--- a/internal/peerlog/cycle_test.go
+++ b/internal/peerlog/cycle_test.go
@@ -141,3 +141,20 @@
 	is.True(third.readCount(sourceRelay) != "0")
 	is.Equal(third.readCount(sourceDirect), "0")
 }
+
+// Guards against readers that wait at a relay after that has lost its direct connection and may read through them.
+func TestReadsThatWaitAtRelayEndWhenItLosesTheLog(t *testing.T) {
+	is := is.New(t)
+	l, relay, reader := relayPair(t)
+	_, err := relay.log.Read(t.Context(), 0, 0)
+	is.NoErr(err)
+	arrived := reader.follow(t.Context())
+	time.Sleep(100 * time.Millisecond)
+	relay.fault.Store(log.FaultUnavailable)
+	_, err = relay.log.Append(t.Context(), recordsWithKey("a"), journaler.AppendCondition{})
+	is.True(err != nil && relay.log.DirectDown())
+	sentAt := time.Now()
+	_, err = l.Append("jobs", recordsWithKey("a"), journaler.AppendCondition{})
+	is.NoErr(err)
+	is.True((<-arrived).Sub(sentAt) < probeReadTimeout)
+}
--- a/internal/peerlog/fallback.go
+++ b/internal/peerlog/fallback.go
@@ -44,8 +44,9 @@
 
 	mu           sync.Mutex
 	directDown   bool
-	throughRelay bool                 // the last long poll was served by a relay
-	relayRetryAt map[string]time.Time // by address, for relays that could not serve a read
+	throughRelay bool                             // the last long poll was served by a relay
+	relayRetryAt map[string]time.Time             // by address, for relays that could not serve a read
+	groupReads   map[*context.CancelFunc]struct{} // of the reads that readForGroup serves
 	// goodNeighbour is the address of the neighbour that served the last page of newest records; empty if none did.
 	goodNeighbour string
 }
@@ -72,6 +73,7 @@
 		return
 	}
 	f.directDown = true
+	f.endGroupReads()
 	f.Logger.Warn("connection lost", "dependency", "direct connection to the log "+f.Name, "error", err)
 	go f.probe()
 }
--- a/internal/peerlog/relay.go
+++ b/internal/peerlog/relay.go
@@ -57,6 +57,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.throughRelay = err == nil
+	f.endGroupReads()
 	return b, err == nil
 }
 
@@ -120,7 +121,43 @@
 func (f *FallbackLog) canRelay() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return !f.directDown || f.throughRelay
+	return f.canRelayLocked()
+}
+
+func (f *FallbackLog) canRelayLocked() bool { return !f.directDown || f.throughRelay }
+
+// readForGroup serves a read of a host of the group from the tail, until this host can't relay any more.
+func (f *FallbackLog) readForGroup(ctx context.Context, from model.Offset, wait time.Duration) (journaler.Batch, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.mu.Lock()
+	if f.groupReads == nil {
+		f.groupReads = map[*context.CancelFunc]struct{}{}
+	}
+	canRelay := f.canRelayLocked()
+	f.groupReads[&cancel] = struct{}{}
+	f.mu.Unlock()
+	defer func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.groupReads, &cancel)
+	}()
+	if canRelay {
+		if b, ok := f.tail.read(ctx, from, wait); ok {
+			return b, nil
+		}
+	}
+	return journaler.Batch{}, errLogNotReached
+}
+
+// endGroupReads ends the reads of the group that wait if this host can't relay any more. The caller holds f.mu.
+func (f *FallbackLog) endGroupReads() {
+	if f.canRelayLocked() {
+		return
+	}
+	for cancel := range f.groupReads {
+		(*cancel)()
+	}
 }
 
 // delayRelay keeps this host from reading through a relay for a while.
--- a/internal/peerlog/server.go
+++ b/internal/peerlog/server.go
@@ -146,8 +146,8 @@
 // connection. The response is small enough to reach a peer with a slow link before the peer gives up.
 func (f *FallbackLog) readForPeer(ctx context.Context, p readParams) (journaler.Batch, error) {
 	wait := time.Duration(p.WaitMS) * time.Millisecond
-	if p.Tail == tailOnly && !f.canRelay() {
-		return journaler.Batch{}, errLogNotReached
+	if p.Tail == tailOnly {
+		return f.readForGroup(ctx, p.From, wait)
 	}
 	if p.Tail != tailNever {
 		if b, ok := f.tail.read(ctx, p.From, wait); ok {
@@ -155,8 +155,8 @@
 		}
 	}
 	direct, err := f.direct()
-	if err != nil || p.Tail == tailOnly {
-		return journaler.Batch{}, errLogNotReached
+	if err != nil {
+		return journaler.Batch{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
