Let work start beside an unanswered stop of its job

Cause: as for unconfirmed starts, a run that is being stopped on a worker that does not respond counted as a run of its job, so the job's other tasks waited behind headroom beside a half idle service until the run was known to have ended.

Change: such a run no longer ends the wait beside ample room. A stop on a worker that responds does, as before.

The two tests share their fleet; the checks of TestWorkStartsBesideUnconfirmedStartOfItsJob are unchanged.

--- a/internal/dispatcher/ampleroom_pass_test.go
+++ b/internal/dispatcher/ampleroom_pass_test.go
@@ -68,7 +68,19 @@
 
 // Guards against work that waits behind headroom beside ample room while another task of its job has only an unconfirmed start.
 func TestWorkStartsBesideUnconfirmedStartOfItsJob(t *testing.T) {
+	is.New(t).True(startsBesideRunOnSilentWorker(t, runUnconfirmed))
+}
+
+// Guards against work that waits behind headroom beside ample room while another task of its job is being stopped on a silent worker.
+func TestWorkStartsBesideUnansweredStopOfItsJob(t *testing.T) {
 	is := is.New(t)
+	is.True(startsBesideRunOnSilentWorker(t, runStopping))
+	is.True(!startsBesideRunOnSilentWorker(t, runRunning))
+}
+
+// startsBesideRunOnSilentWorker reports whether a task starts beside ample room, of which headroom withholds all, while another one of
+// its job has a run in the given state on a worker that does not respond.
+func startsBesideRunOnSilentWorker(t *testing.T, state runState) bool {
 	d := newLargeFleet(t, 4)
 	now := time.Now()
 	full := model.Resources{Cores: 128_000, MemoryMB: 262_144, Accelerators: 8}
@@ -78,12 +90,12 @@
 	s := d.addStep("waiting", 1, model.Step{Count: 2, Need: full}, now)
 	silent := d.workers["w031"]
 	d.startRun(s.tasks[0], silent, 1, now)
-	s.tasks[0].activeRun.state = runUnconfirmed
+	s.tasks[0].activeRun.state = state
 	silent.isResponding = false
 	for at := time.Duration(0); at < maxIdleWait; at += maxPassInterval {
 		d.schedule(now.Add(at))
 	}
-	is.True(s.tasks[1].activeRun != nil)
+	return s.tasks[1].activeRun != nil
 }
 
 // Guards against a wait beside ample room that counts the time before the last start, or a time without ample room.
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -228,11 +228,13 @@
 	return false
 }
 
-// hasConfirmedRuns reports whether the job has active runs other than those whose start request got no response.
+// hasConfirmedRuns reports whether the job has active runs other than those whose start request got no response and those that are
+// being stopped on a worker that does not respond.
 func (j *job) hasConfirmedRuns() bool {
 	for _, s := range j.steps {
 		for _, t := range s.tasks {
-			if t.activeRun != nil && t.activeRun.state != runUnconfirmed {
+			r := t.activeRun
+			if r != nil && r.state != runUnconfirmed && (r.state != runStopping || r.worker.isResponding) {
 				return true
 			}
 		}
