--- a/internal/peerlog/relay.go
+++ b/internal/peerlog/relay.go
@@ -57,17 +57,30 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.throughRelay = err == nil
+	f.endGroupReads()
 	return b, err == nil
 }
 
 // errNoRelay reports that this host has no relay, or none that responds.
 var errNoRelay = errors.New("peerlog: no relay to read the log through")
 
+// tryRelay reads through the first relay that serves the read before its wait is over.
 func (f *FallbackLog) tryRelay(ctx context.Context, from model.Offset, wait time.Duration) (journaler.Batch, error) {
-	addr, ok := f.pickRelay()
-	if !ok {
-		return journaler.Batch{}, errNoRelay
+	start := time.Now()
+	for {
+		addr, ok := f.pickRelay()
+		if !ok {
+			return journaler.Batch{}, errNoRelay
+		}
+		b, err := f.readAtRelay(ctx, addr, from, wait-time.Since(start))
+		if err == nil || !errors.Is(err, errLogNotReached) || time.Since(start) >= wait {
+			return b, err
+		}
 	}
+}
+
+// readAtRelay reads from the tail of one relay, and delays the next read there if it fails.
+func (f *FallbackLog) readAtRelay(ctx context.Context, addr string, from model.Offset, wait time.Duration) (journaler.Batch, error) {
 	ctx, cancel := limitTransfer(ctx, wait+relayResponseTimeout)
 	defer cancel()
 	start := time.Now()
@@ -75,7 +88,7 @@
 	f.Metrics.countRead(f.Name, sourceRelay, b.Records, time.Since(start), err)
 	if err != nil {
 		f.delayRelay(addr)
-		f.Logger.Debug("relay can't serve a read, reading the log directly", "log", f.Name, "relay", addr, "from", from, "error", err)
+		f.Logger.Debug("relay can't serve a read", "log", f.Name, "relay", addr, "from", from, "error", err)
 	}
 	return b, err
 }
@@ -108,7 +121,43 @@
 func (f *FallbackLog) canRelay() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return !f.directDown || f.throughRelay
+	return f.canRelayLocked()
+}
+
+func (f *FallbackLog) canRelayLocked() bool { return !f.directDown || f.throughRelay }
+
+// readForGroup serves a read of a host of the group from the tail, until this host can't relay any more.
+func (f *FallbackLog) readForGroup(ctx context.Context, from model.Offset, wait time.Duration) (journaler.Batch, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.mu.Lock()
+	if f.groupReads == nil {
+		f.groupReads = map[*context.CancelFunc]struct{}{}
+	}
+	canRelay := f.canRelayLocked()
+	f.groupReads[&cancel] = struct{}{}
+	f.mu.Unlock()
+	defer func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.groupReads, &cancel)
+	}()
+	if canRelay {
+		if b, ok := f.tail.read(ctx, from, wait); ok {
+			return b, nil
+		}
+	}
+	return journaler.Batch{}, errLogNotReached
+}
+
+// endGroupReads ends the reads of the group that wait if this host can't relay any more. The caller holds f.mu.
+func (f *FallbackLog) endGroupReads() {
+	if f.canRelayLocked() {
+		return
+	}
+	for cancel := range f.groupReads {
+		(*cancel)()
+	}
 }
 
 // delayRelay keeps this host from reading through a relay for a while.
