Judge announced ends by what the list showed during the run

Cause: the end of a draining worker was told from a crash by the state of the worker when the end was noticed. If it starts again under its id, the list may show the next process, as ready, before a report does; then the announced end counted. The next leader knew nothing of it, either. And a worker that only the record of the fleet names has the state draining without being listed so, so crashes under its runs never counted.

Change: a run notes that the list has shown its worker as draining; the record names its task as blameless then. Such a run is no suspect either.

TestEndOfDrainingWorkerIsNoCrash set the state directly; it now gets it from a list, as in operation, with the same checks.

--- a/internal/dispatcher/crash.go
+++ b/internal/dispatcher/crash.go
@@ -51,7 +51,7 @@
 // crashed maxCrashes workers fails. The next process of the worker started at restartedAt, which is zero if unknown.
 func (d *Dispatcher) attributeCrash(lost []*run, restartedAt, now time.Time) {
 	for _, r := range crashSuspects(lost) {
-		if r.task == nil || r.crashCounted || r.worker.info.State == model.WorkerDraining || !r.hasBegunBefore(restartedAt) {
+		if r.task == nil || r.crashCounted || r.endAnnounced || !r.hasBegunBefore(restartedAt) {
 			continue
 		}
 		r.crashCounted = true
@@ -106,6 +106,20 @@
 	return r.state != runStarting && r.state != runUnconfirmed && !r.startConfirmedAt.IsZero() && r.listedAt.Sub(r.startConfirmedAt) >= provenTime
 }
 
+// announceEnd notes that a worker drains, so that its end is no crash under its runs. The list may show its next process before a
+// report does, so that the state of the worker says nothing about these runs by then.
+func (d *Dispatcher) announceEnd(w *worker) {
+	for _, r := range w.runs {
+		if r.endAnnounced {
+			continue
+		}
+		r.endAnnounced = true
+		if r.task != nil && !r.task.step.job.state.IsFinal() {
+			d.journal.markDirty(r.task.step.job, false) // the record tells the next leader
+		}
+	}
+}
+
 // countCrash counts a crash of a worker against a task, and fails the job after the last one.
 func (d *Dispatcher) countCrash(t *task, w *worker, runs int, now time.Time) {
 	j := t.step.job
--- a/internal/dispatcher/crash_evidence_test.go
+++ b/internal/dispatcher/crash_evidence_test.go
@@ -186,7 +186,7 @@
 	is := is.New(t)
 	f := crashFixture{newFixture(t)}
 	f.confirmStart(10)
-	f.worker.info.State = model.WorkerDraining
+	f.list(100, model.WorkerDraining, 1)
 	f.failReport(3000, syscall.ECONNREFUSED)
 	f.lose(6500)
 	f.checkWorkers(f.later(60_000))
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -89,6 +89,7 @@
 	startCutOffAt    time.Time // time at which the connection of the start request was closed, as if the worker had crashed; else zero
 	workerSeenAt     time.Time // time of the last response of the worker before the start request was sent
 	crashCounted     bool      // the crash of the worker was counted against the task
+	endAnnounced     bool      // the list has shown the worker as draining during the run, so its end is no crash
 	suspected        bool      // the run counts in possibleCrashes of the task
 	fromCheckpoint   bool      // the run resumes from a checkpoint
 	stopReason       string    // why the run is being stopped
@@ -345,7 +346,7 @@
 // isBlameless reports whether the end of the worker on which the task has a run is no crash to count against it.
 func (t *task) isBlameless() bool {
 	if r := t.activeRun; r != nil {
-		return r.crashCounted || !r.hasBegun && r.startCutOffAt.IsZero()
+		return r.crashCounted || r.endAnnounced || !r.hasBegun && r.startCutOffAt.IsZero()
 	}
 	return t.formerBlameless
 }
--- a/internal/dispatcher/possiblecrash.go
+++ b/internal/dispatcher/possiblecrash.go
@@ -38,7 +38,7 @@
 	p.runs = append(p.runs, runs...)
 	p.lostAt, p.leaseEndsAt = now, leaseEndsAt
 	for _, r := range crashSuspects(runs) {
-		if r.task != nil && (r.hasBegun || !r.startCutOffAt.IsZero()) {
+		if r.task != nil && !r.endAnnounced && (r.hasBegun || !r.startCutOffAt.IsZero()) {
 			r.task.possibleCrashes++
 			r.task.lastCrashAt = now
 			r.suspected = true
--- a/internal/dispatcher/takeover.go
+++ b/internal/dispatcher/takeover.go
@@ -87,6 +87,7 @@
 			d.updateSession(w)
 		}
 		if info.State == model.WorkerDraining {
+			d.announceEnd(w)
 			d.stopRunsOnDrainingWorker(w, now)
 		}
 	}
@@ -199,6 +200,7 @@
 func (d *Dispatcher) adoptRun(w *worker, progress model.RunProgress, now time.Time) {
 	r := &run{
 		id: progress.Run, worker: w, state: runRunning, hasBegun: true, startSentAt: now, startConfirmedAt: now, percentDone: progress.PercentDone, lastProgressAt: now,
+		endAnnounced: w.listed && w.info.State == model.WorkerDraining,
 	}
 	w.runs[progress.Run] = r
 	j := d.jobs[progress.Run.Task.Job]
