Write a record when a run no longer tells of a crash

Cause: a run that was gone, lost or not started, or whose worker had survived its cut-off start request, stayed in the record of its job as it was until the task started again. On a full fleet that takes long. If the leader and the worker ended meanwhile, the next leader counted a crash under a task that had no run there.

--- a/internal/dispatcher/crash.go
+++ b/internal/dispatcher/crash.go
@@ -114,12 +114,28 @@
 			continue
 		}
 		r.endAnnounced = true
-		if r.task != nil && !r.task.step.job.state.IsFinal() {
-			d.journal.markDirty(r.task.step.job, false) // the record tells the next leader
+		d.recordEvidence(r.task)
+	}
+}
+
+// acquitStarts notes that a worker has survived the start requests whose connections were closed before it was asked for a report.
+func (d *Dispatcher) acquitStarts(w *worker, askedAt time.Time) {
+	for _, r := range w.runs {
+		if !r.startCutOffAt.IsZero() && r.startCutOffAt.Before(askedAt) {
+			r.startCutOffAt = time.Time{}
+			d.recordEvidence(r.task)
 		}
 	}
 }
 
+// recordEvidence writes a new record of the job of a task, which tells the next leader whether a later end of the worker counts
+// against the task. The task is nil for a run that is not needed.
+func (d *Dispatcher) recordEvidence(t *task) {
+	if t != nil && !t.step.job.state.IsFinal() {
+		d.journal.markDirty(t.step.job, false)
+	}
+}
+
 // countCrash counts a crash of a worker against a task, and fails the job after the last one.
 func (d *Dispatcher) countCrash(t *task, w *worker, runs int, now time.Time) {
 	j := t.step.job
--- a/internal/dispatcher/report.go
+++ b/internal/dispatcher/report.go
@@ -43,6 +43,8 @@
 	if restarted {
 		d.attributeCrash(w.runsLostIn(e), w.startedAt, now)
 		d.repeatStops(w)
+	} else {
+		d.acquitStarts(w, e.sentAt)
 	}
 	d.settlePossibleCrash(w, e, now)
 	for _, progress := range e.report.Running {
@@ -308,6 +310,7 @@
 	d.releaseRun(r)
 	if t := r.task; t != nil && t.activeRun == r {
 		t.activeRun = nil
+		d.recordEvidence(t)
 		d.removeEndedJob(t.step.job)
 	}
 	d.scheduleUpToDate = false
--- a/internal/dispatcher/requests.go
+++ b/internal/dispatcher/requests.go
@@ -180,9 +180,7 @@
 	if isConnectionClosed(e.err) && (hasRestarted || !e.respondedAt.Before(r.worker.confirmedAt)) {
 		r.startCutOffAt = e.respondedAt
 	}
-	if r.task != nil && !r.task.step.job.state.IsFinal() {
-		d.journal.markDirty(r.task.step.job, false) // the record tells the next leader what the end of the worker means
-	}
+	d.recordEvidence(r.task)
 	if hasRestarted {
 		d.attributeCrash([]*run{r}, r.worker.startedAt, now) // a report has shown the restart already
 	}
--- a/internal/dispatcher/takeover.go
+++ b/internal/dispatcher/takeover.go
@@ -158,6 +158,7 @@
 		return true
 	}
 	t.formerWorker = ""
+	d.recordEvidence(t)
 	if w != nil && t.activeRun == nil && !t.formerBlameless {
 		d.attributeFormerCrash(t, w, now)
 	}
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -121,11 +121,6 @@
 		return
 	}
 	w.confirmedAt = latest(w.confirmedAt, sentAt)
-	for _, r := range w.runs {
-		if r.startCutOffAt.Before(sentAt) {
-			r.startCutOffAt = time.Time{} // the worker has survived the start request
-		}
-	}
 }
 
 // latest returns the later of two times.
