Write a record when a run is known to have begun

Cause: a record that was written between a start request and its response names the task as blameless, and the response scheduled no other record, except if it was the first of its job. If the leader and the worker ended then, the crash did not count. An adopted run stayed blameless, too.

Change: the first response or report that shows a run schedules a record, delayed like that of its start, so that mostly one record tells both.

Measured: TestRecordShowsThatRunHasBegun and TestRecordShowsThatAdoptedRunHasBegun fail before and pass.

--- a/internal/dispatcher/crash_record_test.go
+++ b/internal/dispatcher/crash_record_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"chestnutmux.example/chestnutmux/internal/journaler"
+	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
 // Guards against a record that says for long that the end of a worker counts against a task, although the task has no run there.
@@ -64,3 +65,30 @@
 	is.True(next.journal.dirty["job"] != nil)
 	is.Equal(len(next.task.step.progressRecord().RunningTasks), 0)
 }
+
+// Guards against a task whose crashes are not counted across leaders, because its record was written before its start was confirmed.
+func TestRecordShowsThatRunHasBegun(t *testing.T) {
+	is := is.New(t)
+	f := crashFixture{newFixture(t)}
+	j := f.task.step.job
+	j.state = model.JobRunning
+	p := j.progressRecord(1)
+	clear(f.journal.dirty)
+	f.confirmStart(10)
+	if f.journal.dirty[j.submission.ID] != nil {
+		p = j.progressRecord(1)
+	}
+	is.True(!newJob(journaler.Job{Submission: j.submission, Progress: *p}, f.now).steps[0].tasks[0].formerBlameless)
+}
+
+// Guards against the same where the next leader adopts the run, and dies before the worker ends.
+func TestRecordShowsThatAdoptedRunHasBegun(t *testing.T) {
+	is := is.New(t)
+	next := crashFixture{newFixture(t)}.succeed(t)
+	is.True(next.task.formerBlameless) // recorded before the start was confirmed
+	clear(next.journal.dirty)
+	next.task.step.job.state = model.JobRunning
+	next.updateRun(next.worker, model.RunProgress{Run: next.runID(1)}, next.later(300))
+	is.True(next.journal.dirty["job"] != nil)
+	is.True(!next.task.isBlameless())
+}
--- a/internal/dispatcher/report.go
+++ b/internal/dispatcher/report.go
@@ -150,7 +150,8 @@
 		d.markRunStarted(r, now)
 		d.updateJobAfterStart(r, now)
 	}
-	r.hasBegun, r.listedAt = true, w.lastReportAt
+	r.listedAt = w.lastReportAt
+	d.markRunBegun(r)
 	r.recordProgress(progress.PercentDone, now)
 }
 
@@ -160,6 +161,14 @@
 	r.startConfirmedAt, r.lastProgressAt = now, now
 }
 
+// markRunBegun notes that a run has begun, which a record that was written before does not tell.
+func (d *Dispatcher) markRunBegun(r *run) {
+	if !r.hasBegun {
+		r.hasBegun = true
+		d.recordEvidence(r.task)
+	}
+}
+
 // removeVanishedRuns removes runs that a report lists neither as running nor as ended, although the worker had confirmed their
 // start request or stop request before the report was requested.
 func (d *Dispatcher) removeVanishedRuns(w *worker, e *reportEvent, now time.Time) {
--- a/internal/dispatcher/requests.go
+++ b/internal/dispatcher/requests.go
@@ -113,7 +113,8 @@
 				d.markRunStarted(r, now)
 				d.updateJobAfterStart(r, now)
 			}
-			r.startConfirmedAt, r.hasBegun = e.respondedAt, true
+			r.startConfirmedAt = e.respondedAt
+			d.markRunBegun(r)
 		}
 		d.updateSession(w)
 		return
--- a/internal/dispatcher/takeover.go
+++ b/internal/dispatcher/takeover.go
@@ -225,8 +225,8 @@
 		d.stopRun(r, "task runs elsewhere", now)
 	default:
 		r.task = t
-		if t.formerWorker != w.info.ID {
-			d.journal.markDirty(j, false) // the former leader did not record the run
+		if t.formerWorker != w.info.ID || t.formerBlameless {
+			d.journal.markDirty(j, false) // the former leader did not record the run, or not that it had begun
 		}
 		t.activeRun, t.formerWorker = r, ""
 		d.markJobRunning(j)
