Ask a worker before a task that may crash it is sent there

Cause: a start request under which the connection was closed counts as a crash of a worker that then stays away only if the worker had responded less than 1 s before. An idle worker is asked once in 2 minutes, so a task that crashed idle workers for good before they responded was never given up.

Change: a task under which a worker has crashed, or may have, is sent to a worker that has not responded for 0.9 s only after a report. It waits for at most five reports before each start, and not at all once it has waited for 2 s beside ample room.

--- a/internal/dispatcher/crash.go
+++ b/internal/dispatcher/crash.go
@@ -23,6 +23,10 @@
 	maxDownTime = 4 * time.Second
 	// freshTime is the maximum age of a response of a worker that shows it was not cut off when a start request was sent.
 	freshTime = time.Second
+	// askTime is how long a task that may crash its worker waits for a report of it, and how long its start request may wait to be sent.
+	askTime = 100 * time.Millisecond
+	// maxAsks is how often a task waits for such a report before a start, so that it soon starts beside room for it.
+	maxAsks = 5
 )
 
 // recordCallError notes whether a failed call suggests that the process of a worker has ended: its connection was closed or refused,
@@ -162,6 +166,23 @@
 	return t.isSuspect() && now.Sub(t.lastCrashAt) < isolationWait
 }
 
+// needsFreshWorker reports whether the worker is to be asked for a report before the task, which may crash it, is sent there. Nothing else
+// tells a crash before the response from a cut of the network, if the worker then never comes back. After maxAsks, and after
+// ampleRoomWait beside ample room, the task is sent in any case.
+func (t *task) needsFreshWorker(w *worker, now time.Time) bool {
+	if since := t.step.roomSince; t.asks >= maxAsks || !since.IsZero() && now.Sub(since) >= ampleRoomWait {
+		return false
+	}
+	return t.isSuspect() && now.Sub(w.clockAt) > freshTime-askTime
+}
+
+// askBeforeStart asks a worker for a report, and lets the task wait for it.
+func (d *Dispatcher) askBeforeStart(t *task, w *worker, now time.Time) {
+	t.asks++
+	t.notBefore = now.Add(askTime)
+	w.session.updateRenewalState(func(state *renewalState) { state.reportNow = true })
+}
+
 // hostsSuspect reports whether the worker runs a task that may crash it, so that it should get no other tasks.
 func (w *worker) hostsSuspect() bool {
 	for _, r := range w.runs {
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -58,6 +58,7 @@
 	crashes         int                      // number of workers that have crashed under the task, in all terms
 	possibleCrashes int                      // number of runs that were lost with a worker that may have crashed
 	lastCrashAt     time.Time                // time at which the last crash was noticed in this term
+	asks            int                      // number of workers asked for a report before the next start
 	checkpoint      model.Checkpoint         // last checkpoint; empty if there is none
 	activeRun       *run                     // nil if the task has no run
 	lastWorker      *worker                  // worker of the last run that was started in this term
--- a/internal/dispatcher/plan.go
+++ b/internal/dispatcher/plan.go
@@ -312,7 +312,11 @@
 		s.gangAttempts++
 	}
 	for i, n := range places {
-		p.startTask(u.tasks[i], p.workerOf[n])
+		if t, w := u.tasks[i], p.workerOf[n]; t.needsFreshWorker(w, p.now) {
+			p.d.askBeforeStart(t, w, p.now)
+		} else {
+			p.startTask(t, w)
+		}
 		placer.TakeResources(n, s.spec.Need)
 		n.Unused = n.Unused.Sub(s.spec.Need)
 		n.Occupied, n.Unschedulable, n.Quarantined = true, n.Unschedulable || u.isolated, n.Quarantined && !u.isolated
--- a/internal/dispatcher/requests.go
+++ b/internal/dispatcher/requests.go
@@ -21,7 +21,7 @@
 		id: model.RunRef{Task: t.ref(), Number: n}, task: t, worker: w, need: t.step.spec.Need, state: runStarting,
 		incarnation: w.incarnation, startSentAt: now, workerSeenAt: w.clockAt, lastProgressAt: now, fromCheckpoint: t.resumeCheckpoint() != "",
 	}
-	t.activeRun, t.lastWorker = r, w
+	t.activeRun, t.lastWorker, t.asks = r, w, 0
 	w.runs[r.id] = r
 	lease := min(maxStartLease, d.grantableLease(w, now))
 	req := StartRequest{
