Limit the pauses of a step that is preempted again and again

Cause: each preemption began a pause of 2 s in which the step preempts nothing. If one of its tasks is preempted more often than that, because it runs where an urgent job of a label is due each second, the step never preempts: a task waited for over 40 s, past its slack of 10 s, beside less urgent work.

Change: pauses that follow each other end 6 s after the first preemption.

Measured: TestStepThatIsPreemptedAgainAndAgainPreempts fails before and passes.

--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -41,6 +41,7 @@
 	heldUntil    time.Time                // time after which other workers may be held instead
 	notBefore    time.Time                // earliest start time of the next attempt
 	preemptedAt  time.Time                // time at which tasks of the step were last preempted in this term; zero before that
+	pausingSince time.Time                // time of the first preemption of those that were each followed by another within preemptionPause
 	exclusions   exclusions               // workers on which the step has failed
 	allStartedAt time.Time                // time at which all tasks were first seen started; zero before that
 	roomSince    time.Time                // start of the first pass since which the step waits beside ample room; zero while it does not
--- a/internal/dispatcher/preemption.go
+++ b/internal/dispatcher/preemption.go
@@ -22,6 +22,9 @@
 // step made room for. Before, its new runs would soon be preempted as well, and what was stopped for them would have been stopped in vain.
 const preemptionPause = 4 * demandRiseTime
 
+// maxPreemptionPause limits the pauses of a step that is preempted again and again, so that it does not wait for good.
+const maxPreemptionPause = 3 * preemptionPause
+
 // planPreemption returns places for the tasks of the unit, and the victims to preempt for them.
 //
 // It returns nil until the job has waited for preemptionSlackShare of its slack, and in the pause after the step was preempted. Jobs of
@@ -42,9 +45,7 @@
 	}
 	patience := time.Duration(preemptionSlackShare * float64(j.slack()))
 	preemptsAt := j.seenAt.Add(patience)
-	if at := s.preemptedAt.Add(min(preemptionPause, j.slack()-patience)); at.After(preemptsAt) {
-		preemptsAt = at
-	}
+	preemptsAt = latest(preemptsAt, s.pauseEndsAt(j.slack()-patience))
 	if p.now.After(preemptsAt) {
 		return 0
 	}
@@ -115,14 +116,31 @@
 	gang *step
 }
 
+// notePreemption begins the pause of a preempted step anew.
+func (s *step) notePreemption(now time.Time) {
+	if now.Sub(s.preemptedAt) >= preemptionPause {
+		s.pausingSince = now
+	}
+	s.preemptedAt = now
+}
+
+// pauseEndsAt returns the end of the pause of a preempted step, which lasts no longer than the given time.
+func (s *step) pauseEndsAt(longest time.Duration) time.Time {
+	end, last := s.preemptedAt.Add(min(preemptionPause, longest)), s.pausingSince.Add(maxPreemptionPause)
+	if last.Before(end) {
+		return last
+	}
+	return end
+}
+
 // stopTarget stops a preempted run, or all runs of a preempted gang.
 func (p *schedulingPass) stopTarget(target preemptionTarget) {
 	if target.gang != nil {
-		target.gang.preemptedAt = p.now
+		target.gang.notePreemption(p.now)
 		p.d.stopStep(target.gang, "preempted", p.now)
 		return
 	}
-	target.run.task.step.preemptedAt = p.now
+	target.run.task.step.notePreemption(p.now)
 	p.d.stopRun(target.run, "preempted", p.now)
 }
 
