--- a/internal/dispatcher/crash.go
+++ b/internal/dispatcher/crash.go
@@ -23,6 +23,10 @@
 	maxDownTime = 4 * time.Second
 	// freshTime is the maximum age of a response of a worker that shows it was not cut off when a start request was sent.
 	freshTime = time.Second
+	// askTime is how long a task that may crash its worker waits for a report of it, and how long its start request may wait to be sent.
+	askTime = 100 * time.Millisecond
+	// maxAsks is how often a task waits for such a report before a start, so that it soon starts beside room for it.
+	maxAsks = 5
 )
 
 // recordCallError notes whether a failed call suggests that the process of a worker has ended: its connection was closed or refused,
@@ -51,7 +55,7 @@
 // crashed maxCrashes workers fails. The next process of the worker started at restartedAt, which is zero if unknown.
 func (d *Dispatcher) attributeCrash(lost []*run, restartedAt, now time.Time) {
 	for _, r := range crashSuspects(lost) {
-		if r.task == nil || r.crashCounted || r.worker.info.State == model.WorkerDraining || !r.hasBegunBefore(restartedAt) {
+		if r.task == nil || r.crashCounted || r.endAnnounced || !r.hasBegunBefore(restartedAt) {
 			continue
 		}
 		r.crashCounted = true
@@ -106,6 +110,36 @@
 	return r.state != runStarting && r.state != runUnconfirmed && !r.startConfirmedAt.IsZero() && r.listedAt.Sub(r.startConfirmedAt) >= provenTime
 }
 
+// announceEnd notes that a worker drains, so that its end is no crash under its runs. The list may show its next process before a
+// report does, so that the state of the worker says nothing about these runs by then.
+func (d *Dispatcher) announceEnd(w *worker) {
+	for _, r := range w.runs {
+		if r.endAnnounced {
+			continue
+		}
+		r.endAnnounced = true
+		d.recordEvidence(r.task)
+	}
+}
+
+// acquitStarts notes that a worker has survived the start requests whose connections were closed before it was asked for a report.
+func (d *Dispatcher) acquitStarts(w *worker, askedAt time.Time) {
+	for _, r := range w.runs {
+		if !r.startCutOffAt.IsZero() && r.startCutOffAt.Before(askedAt) {
+			r.startCutOffAt = time.Time{}
+			d.recordEvidence(r.task)
+		}
+	}
+}
+
+// recordEvidence writes a new record of the job of a task, which tells the next leader whether a later end of the worker counts
+// against the task. The task is nil for a run that is not needed.
+func (d *Dispatcher) recordEvidence(t *task) {
+	if t != nil && !t.step.job.state.IsFinal() {
+		d.journal.markDirty(t.step.job, false)
+	}
+}
+
 // countCrash counts a crash of a worker against a task, and fails the job after the last one.
 func (d *Dispatcher) countCrash(t *task, w *worker, runs int, now time.Time) {
 	j := t.step.job
@@ -132,6 +166,23 @@
 	return t.isSuspect() && now.Sub(t.lastCrashAt) < isolationWait
 }
 
+// needsFreshWorker reports whether the worker is to be asked for a report before the task, which may crash it, is sent there. Nothing else
+// tells a crash before the response from a cut of the network, if the worker then never comes back. After maxAsks, and after
+// ampleRoomWait beside ample room, the task is sent in any case.
+func (t *task) needsFreshWorker(w *worker, now time.Time) bool {
+	if since := t.step.roomSince; t.asks >= maxAsks || !since.IsZero() && now.Sub(since) >= ampleRoomWait {
+		return false
+	}
+	return t.isSuspect() && now.Sub(w.clockAt) > freshTime-askTime
+}
+
+// askBeforeStart asks a worker for a report, and lets the task wait for it.
+func (d *Dispatcher) askBeforeStart(t *task, w *worker, now time.Time) {
+	t.asks++
+	t.notBefore = now.Add(askTime)
+	w.session.updateRenewalState(func(state *renewalState) { state.reportNow = true })
+}
+
 // hostsSuspect reports whether the worker runs a task that may crash it, so that it should get no other tasks.
 func (w *worker) hostsSuspect() bool {
 	for _, r := range w.runs {
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -41,6 +41,7 @@
 	heldUntil    time.Time                // time after which other workers may be held instead
 	notBefore    time.Time                // earliest start time of the next attempt
 	preemptedAt  time.Time                // time at which tasks of the step were last preempted in this term; zero before that
+	pausingSince time.Time                // time of the first preemption of those that were each followed by another within preemptionPause
 	exclusions   exclusions               // workers on which the step has failed
 	allStartedAt time.Time                // time at which all tasks were first seen started; zero before that
 	roomSince    time.Time                // start of the first pass since which the step waits beside ample room; zero while it does not
@@ -58,6 +59,7 @@
 	crashes         int                      // number of workers that have crashed under the task, in all terms
 	possibleCrashes int                      // number of runs that were lost with a worker that may have crashed
 	lastCrashAt     time.Time                // time at which the last crash was noticed in this term
+	asks            int                      // number of workers asked for a report before the next start
 	checkpoint      model.Checkpoint         // last checkpoint; empty if there is none
 	activeRun       *run                     // nil if the task has no run
 	lastWorker      *worker                  // worker of the last run that was started in this term
@@ -89,6 +91,7 @@
 	startCutOffAt    time.Time // time at which the connection of the start request was closed, as if the worker had crashed; else zero
 	workerSeenAt     time.Time // time of the last response of the worker before the start request was sent
 	crashCounted     bool      // the crash of the worker was counted against the task
+	endAnnounced     bool      // the list has shown the worker as draining during the run, so its end is no crash
 	suspected        bool      // the run counts in possibleCrashes of the task
 	fromCheckpoint   bool      // the run resumes from a checkpoint
 	stopReason       string    // why the run is being stopped
@@ -347,7 +350,7 @@
 // isBlameless reports whether the end of the worker on which the task has a run is no crash to count against it.
 func (t *task) isBlameless() bool {
 	if r := t.activeRun; r != nil {
-		return r.crashCounted || !r.hasBegun && r.startCutOffAt.IsZero()
+		return r.crashCounted || r.endAnnounced || !r.hasBegun && r.startCutOffAt.IsZero()
 	}
 	return t.formerBlameless
 }
--- a/internal/dispatcher/requests.go
+++ b/internal/dispatcher/requests.go
@@ -21,7 +21,7 @@
 		id: model.RunRef{Task: t.ref(), Number: n}, task: t, worker: w, need: t.step.spec.Need, state: runStarting,
 		incarnation: w.incarnation, startSentAt: now, workerSeenAt: w.clockAt, lastProgressAt: now, fromCheckpoint: t.resumeCheckpoint() != "",
 	}
-	t.activeRun, t.lastWorker = r, w
+	t.activeRun, t.lastWorker, t.asks = r, w, 0
 	w.runs[r.id] = r
 	lease := min(maxStartLease, d.grantableLease(w, now))
 	req := StartRequest{
@@ -113,7 +113,8 @@
 				d.markRunStarted(r, now)
 				d.updateJobAfterStart(r, now)
 			}
-			r.startConfirmedAt, r.hasBegun = e.respondedAt, true
+			r.startConfirmedAt = e.respondedAt
+			d.markRunBegun(r)
 		}
 		d.updateSession(w)
 		return
@@ -180,9 +181,7 @@
 	if isConnectionClosed(e.err) && (hasRestarted || !e.respondedAt.Before(r.worker.confirmedAt)) {
 		r.startCutOffAt = e.respondedAt
 	}
-	if r.task != nil && !r.task.step.job.state.IsFinal() {
-		d.journal.markDirty(r.task.step.job, false) // the record tells the next leader what the end of the worker means
-	}
+	d.recordEvidence(r.task)
 	if hasRestarted {
 		d.attributeCrash([]*run{r}, r.worker.startedAt, now) // a report has shown the restart already
 	}
--- a/internal/dispatcher/takeover.go
+++ b/internal/dispatcher/takeover.go
@@ -87,6 +87,7 @@
 			d.updateSession(w)
 		}
 		if info.State == model.WorkerDraining {
+			d.announceEnd(w)
 			d.stopRunsOnDrainingWorker(w, now)
 		}
 	}
@@ -157,6 +158,7 @@
 		return true
 	}
 	t.formerWorker = ""
+	d.recordEvidence(t)
 	if w != nil && t.activeRun == nil && !t.formerBlameless {
 		d.attributeFormerCrash(t, w, now)
 	}
@@ -199,6 +201,7 @@
 func (d *Dispatcher) adoptRun(w *worker, progress model.RunProgress, now time.Time) {
 	r := &run{
 		id: progress.Run, worker: w, state: runRunning, hasBegun: true, startSentAt: now, startConfirmedAt: now, percentDone: progress.PercentDone, lastProgressAt: now,
+		endAnnounced: w.listed && w.info.State == model.WorkerDraining,
 	}
 	w.runs[progress.Run] = r
 	j := d.jobs[progress.Run.Task.Job]
@@ -222,8 +225,8 @@
 		d.stopRun(r, "task runs elsewhere", now)
 	default:
 		r.task = t
-		if t.formerWorker != w.info.ID {
-			d.journal.markDirty(j, false) // the former leader did not record the run
+		if t.formerWorker != w.info.ID || t.formerBlameless {
+			d.journal.markDirty(j, false) // the former leader did not record the run, or not that it had begun
 		}
 		t.activeRun, t.formerWorker = r, ""
 		d.markJobRunning(j)
