--- a/internal/coordinator/dial_test.go
+++ b/internal/coordinator/dial_test.go
@@ -33,39 +33,51 @@
 	for _, dial := range []time.Duration{22, 400, 590} {
 		for _, phase := range []time.Duration{25, 75, 125} {
 			t.Run(fmt.Sprint(int(dial), "-", int(phase)), func(t *testing.T) {
-				runInCluster(t, 1, 3, 2, 4, func(c *cluster, is *is.I) {
-					for _, w := range c.workers {
-						c.fleet.SetClockRate(w.ID, 0.98)
-					}
-					var isolated *testHost
-					for _, h := range c.hosts {
-						h.restartWith(func() {
-							direct := &worker.DirectClient{Fleet: c.fleet, InjectFault: h.workerFault}
-							h.workers = &slowDialClient{WorkerClient: direct, dial: dial * time.Millisecond, isSlow: func() bool { return h == isolated }}
-						})
-					}
-					time.Sleep(12 * time.Second)
-					s := job("timed", 1, 20*time.Second, model.Step{Count: 8, Need: accelerators(8)})
-					due := time.Now().Add(5700*time.Millisecond + phase*time.Millisecond)
-					s.ScheduledOccurrences, s.FirstAtMS = 1, due.UnixMilli()
-					c.submit(s)
-					time.Sleep(4900 * time.Millisecond)
-					isolated = c.leader()
-					c.cutOff(isolated, c.workers[0].ID, c.workers[1].ID, c.workers[2].ID, c.workers[3].ID)
-					time.Sleep(time.Until(due) + 10*time.Millisecond)
-					for _, w := range c.workers[:4] {
-						c.fleet.RestartWorker(w.ID, time.Now())
-					}
-					time.Sleep(40 * time.Second)
-					c.heal()
-					c.awaitEnd(3*time.Minute, "timed")
-					is.Equal(c.state("timed"), model.JobFinished)
+				playIsolatedStart(t, phase*time.Millisecond, false, func(c dispatcher.WorkerClient, isSlow func() bool) dispatcher.WorkerClient {
+					return &slowDialClient{WorkerClient: c, dial: dial * time.Millisecond, isSlow: isSlow}
 				})
 			})
 		}
 	}
 }
 
+// playIsolatedStart lets a leader that has just lost its log start a job on workers that restart, through clients that are slow while it
+// is isolated. The job is due at a phase of the leader's renewals. If warm is set, the clients have measured their calls before.
+func playIsolatedStart(t *testing.T, phase time.Duration, warm bool, newClient func(c dispatcher.WorkerClient, isSlow func() bool) dispatcher.WorkerClient) {
+	runInCluster(t, 1, 3, 2, 4, func(c *cluster, is *is.I) {
+		for _, w := range c.workers {
+			c.fleet.SetClockRate(w.ID, 0.98)
+		}
+		var isolated *testHost
+		for _, h := range c.hosts {
+			h.restartWith(func() {
+				direct := &worker.DirectClient{Fleet: c.fleet, InjectFault: h.workerFault}
+				h.workers = newClient(direct, func() bool { return h == isolated })
+			})
+		}
+		time.Sleep(12 * time.Second)
+		if warm {
+			c.submit(job("warm", 1, 2*time.Second, model.Step{Count: 8, Need: accelerators(8)}))
+			c.awaitEnd(time.Minute, "warm")
+		}
+		s := job("timed", 1, 20*time.Second, model.Step{Count: 8, Need: accelerators(8)})
+		due := time.Now().Add(5700*time.Millisecond + phase)
+		s.ScheduledOccurrences, s.FirstAtMS = 1, due.UnixMilli()
+		c.submit(s)
+		time.Sleep(4900 * time.Millisecond)
+		isolated = c.leader()
+		c.cutOff(isolated, c.workers[0].ID, c.workers[1].ID, c.workers[2].ID, c.workers[3].ID)
+		time.Sleep(time.Until(due) + 10*time.Millisecond)
+		for _, w := range c.workers[:4] {
+			c.fleet.RestartWorker(w.ID, time.Now())
+		}
+		time.Sleep(40 * time.Second)
+		c.heal()
+		c.awaitEnd(3*time.Minute, "timed")
+		is.Equal(c.state("timed"), model.JobFinished)
+	})
+}
+
 // Guards against a second run of a task while a restarted worker holds the lease of a start request that took long to connect.
 func TestSlowDialOfIdleRestartStartsNoTaskTwice(t *testing.T) {
 	runInCluster(t, 1, 2, 1, 2, func(c *cluster, is *is.I) {
