--- a/internal/coordinator/dial_test.go
+++ b/internal/coordinator/dial_test.go
@@ -41,8 +41,7 @@
 	}
 }
 
-// playIsolatedStart lets a leader that has just lost its log start a job on workers that restart, through clients that are slow while it
-// is isolated. The job is due at a phase of the leader's renewals. If warm is set, the clients have measured their calls before.
+// playIsolatedStart lets a leader that has just lost its log start a job, due at a phase of its renewals, on workers that restart.
 func playIsolatedStart(t *testing.T, phase time.Duration, warm bool, newClient func(c dispatcher.WorkerClient, isSlow func() bool) dispatcher.WorkerClient) {
 	runInCluster(t, 1, 3, 2, 4, func(c *cluster, is *is.I) {
 		for _, w := range c.workers {
--- a/internal/journaler/record.go
+++ b/internal/journaler/record.go
@@ -75,7 +75,7 @@
 	Checkpoints  map[int]model.Checkpoint  `json:"checkpoints,omitempty"` // newest checkpoint of each task
 	RunningTasks map[model.HostID][]int    `json:"running,omitempty"`     // tasks that have a run, by worker
 	// BlamelessTasks lists tasks in RunningTasks under which the end of the worker is no crash to count: the run is not known to have
-	// begun, or the crash is counted in Crashes.
+	// begun, the end was announced, or the crash is counted in Crashes.
 	BlamelessTasks []int `json:"blameless,omitempty"`
 }
 
