Review: three runner crashes end an accepted job as failed

A job of one task loses its runner three times, in 8 runners, and is shown as failed without any end failed. Nothing is fixed.

--- /dev/null
+++ b/review/standin2/cases.go
@@ -0,0 +1,289 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	kindA = "zimo35f"
+	kindB = "kuda21b"
+)
+
+// Results of a case, which are the exit codes of its script.
+const (
+	held     = 0
+	broken   = 1
+	couldNot = 2
+)
+
+// caseOf returns the kinds of the runners and the function of a case.
+var cases = map[string]struct {
+	kinds []string
+	play  func(s *site, trouble bool) int
+}{
+	"crashes": {kinds: repeatKind(kindA, 8), play: playCrashes},
+	"entry":   {kinds: repeatKind(kindA, 8), play: playEntry},
+	"lasting": {kinds: repeatKind(kindA, 8), play: playLasting},
+	"kind":    {kinds: append(repeatKind(kindA, 4), repeatKind(kindB, 4)...), play: playKind},
+}
+
+func repeatKind(kind string, n int) []string { return slices.Repeat([]string{kind}, n) }
+
+// playCrashes hands in a job of one task. Three times, the runner of the task crashes and starts again. The job may not be shown as
+// failed, because none of its runs has ended so.
+func playCrashes(s *site, trouble bool) int {
+	const (
+		work     = 24 * time.Second
+		workedMS = 3000 * time.Millisecond // time of work before each crash
+		downTime = time.Second
+		crashes  = 3
+		timeout  = 100 * time.Second
+	)
+	id := newJobID()
+	step := map[string]any{"count": 1, "cpu": 4000, "mem_mb": 8000, "gpu": 1, "est_runtime_ms": work.Milliseconds()}
+	if !s.submit(id, []map[string]any{step}, fmt.Sprint(work.Milliseconds())) {
+		return couldNot
+	}
+	crashed := 0
+	last := ""
+	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		for r, u := range s.fleet.running(s.runners, id) {
+			if trouble && crashed < crashes && time.Since(u.startedAt) >= workedMS {
+				crashed++
+				r.crash()
+				go restart(s, r, downTime)
+			}
+		}
+		state := s.state(id)
+		if state != last {
+			s.record.printf("client: the job is %q", state)
+			last = state
+		}
+		switch state {
+		case "failed":
+			return judgeFailed(s, id)
+		case "completed":
+			return held
+		}
+	}
+	s.record.printf("the job is %q after %v", last, timeout)
+	return couldNot
+}
+
+// judgeFailed returns broken unless runs of the job's task have ended failed as often as the queue allows.
+func judgeFailed(s *site, id string) int {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	n := 0
+	for _, e := range s.fleet.ends {
+		if strings.HasPrefix(e.task, id) && e.how == "failed" {
+			n++
+		}
+	}
+	s.record.printf("verdict: the job is shown as failed after %d ends failed; max_attempts is %d", n, maxAttempts)
+	if n < maxAttempts {
+		return broken
+	}
+	return held
+}
+
+// restart starts the process of a runner again after a time.
+func restart(s *site, r *runner, after time.Duration) {
+	time.Sleep(after)
+	if err := r.boot(); err != nil {
+		s.record.printf("runner %s can't start: %v", r.id, err)
+	}
+}
+
+// playKind keeps the runners of one kind busy with jobs that are bound to this kind. One after the other, these runners crash and
+// start again as another kind, under the same id, and later again as before. No task may start on a runner of another kind.
+func playKind(s *site, trouble bool) int {
+	const (
+		jobs     = 60
+		work     = 1500 * time.Millisecond
+		downTime = 500 * time.Millisecond
+		stay     = 4 * time.Second // time for which a runner is of the other kind
+		timeout  = 90 * time.Second
+	)
+	step := map[string]any{"count": 1, "cpu": 30000, "mem_mb": 100000, "gpu": 8, "est_runtime_ms": work.Milliseconds(), "constraints": kindA}
+	var ids []string
+	for range jobs {
+		id := newJobID()
+		if !s.submit(id, []map[string]any{step}, fmt.Sprint(work.Milliseconds())) {
+			return couldNot
+		}
+		ids = append(ids, id)
+	}
+	if trouble {
+		go func() {
+			for _, r := range slices.Concat(s.runners[:4], s.runners[:4]) {
+				s.restartAs(r, kindB, downTime)
+				time.Sleep(stay)
+				s.restartAs(r, kindA, downTime)
+				time.Sleep(time.Second)
+			}
+		}()
+	}
+	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
+		open := 0
+		for _, id := range ids {
+			if state := s.state(id); state != "completed" {
+				open++
+			}
+		}
+		if open == 0 {
+			break
+		}
+	}
+	return judgeKind(s)
+}
+
+// restartAs lets the process of a runner crash and start again as another kind.
+func (s *site) restartAs(r *runner, kind string, downTime time.Duration) {
+	r.crash()
+	time.Sleep(downTime)
+	s.fleet.mu.Lock()
+	r.kind = kind
+	s.fleet.mu.Unlock()
+	if err := r.boot(); err != nil {
+		s.record.printf("runner %s can't start: %v", r.id, err)
+	}
+}
+
+// judgeKind returns broken if a task has started on a runner without the label that its step demands.
+func judgeKind(s *site) int {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	n := 0
+	for _, st := range s.fleet.starts {
+		if !slices.Contains(st.labels, kindA) {
+			n++
+			s.record.printf("verdict: %s run %d started on %s, whose labels are %v, without %s", st.task, st.run, st.runner.id, st.labels, kindA)
+		}
+	}
+	s.record.printf("verdict: %d of %d starts on a runner without the label", n, len(s.fleet.starts))
+	if n > 0 {
+		return broken
+	}
+	return held
+}
+
+// playEntry has an entry of another writer in the store, whose service no configuration names and behind which nothing listens. The
+// leader is killed while the only job is in its first step. The second step has to start although the entry's address does not answer.
+func playEntry(s *site, trouble bool) int {
+	const (
+		firstWork  = 9 * time.Second
+		secondWork = 2 * time.Second
+		killAfter  = 8 * time.Second
+		downTime   = 500 * time.Millisecond
+		finish     = 14 * time.Second // finish_s
+		idleLimit  = 3 * time.Second
+		timeout    = 60 * time.Second
+	)
+	if os.Getenv("ENTRY") != "0" {
+		s.putForeignEntry(s.addr(150, 8080))
+	}
+	time.Sleep(2 * time.Second)
+	id := newJobID()
+	step := func(work time.Duration, after ...int) map[string]any {
+		return map[string]any{"count": 1, "cpu": 4000, "mem_mb": 8000, "gpu": 1, "est_runtime_ms": work.Milliseconds(), "after": after}
+	}
+	if !s.submit(id, []map[string]any{step(firstWork), step(secondWork, 0)}, fmt.Sprint(firstWork.Milliseconds())) {
+		return couldNot
+	}
+	trafficEnd := time.Now()
+	if trouble {
+		go func() {
+			time.Sleep(killAfter)
+			if h := s.leader(); h != nil {
+				h.killFor(downTime)
+			}
+		}()
+	}
+	var idleSince time.Time
+	for time.Since(trafficEnd) < timeout {
+		time.Sleep(50 * time.Millisecond)
+		if s.state(id) == "completed" {
+			return held
+		}
+		if len(s.fleet.running(s.runners, id)) > 0 || !s.fleet.hasEnded(id+".0.0.0") {
+			idleSince = time.Time{}
+			continue
+		}
+		if idleSince.IsZero() {
+			idleSince = time.Now()
+		}
+		if time.Since(trafficEnd) >= finish+idleLimit && time.Since(idleSince) >= idleLimit {
+			s.record.printf("verdict: %v after the end of the traffic, the job has had nothing running for %v, beside 8 free runners",
+				time.Since(trafficEnd).Round(time.Millisecond), time.Since(idleSince).Round(time.Millisecond))
+			return broken
+		}
+	}
+	return couldNot
+}
+
+// putForeignEntry writes an entry of another writer, which names a service that is not in the configuration.
+func (s *site) putForeignEntry(addr string) {
+	data, _ := json.Marshal(map[string]any{
+		"service": "kepo77c", "address": addr, "zone": zoneNames[0], "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
+		"capacity": map[string]any{"cpu": 32000, "mem_mb": 131072, "gpu": 8}, "labels": []string{kindA, "r1-1"}, "clock_ms": 1000, "seq": 1,
+		"born": time.Now().UnixMilli(),
+	})
+	s.store.put("keyed.servers", "i-0badc0de", data)
+	s.record.printf("store: another writer's entry i-0badc0de of the unknown service kepo77c at %s", addr)
+}
+
+// hasEnded reports whether a run of a task has ended done.
+func (f *fleet) hasEnded(task string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.ContainsFunc(f.ends, func(e end) bool { return e.task == task && e.how == "done" })
+}
+
+// playLasting hands in a job with one task that lasts. The runner of the task is lost for good soon after the start. From 6 s after
+// that on, the task may not be without a run for 3 s.
+func playLasting(s *site, trouble bool) int {
+	const (
+		workedMS  = 800 * time.Millisecond // time between the start and the crash
+		grace     = 6 * time.Second        // time after the last run of a task that lasts
+		idleLimit = 3 * time.Second
+		watchTime = 25 * time.Second
+	)
+	id := newJobID()
+	step := map[string]any{"count": 1, "cpu": 4000, "mem_mb": 8000, "gpu": 1, "est_runtime_ms": 1000, "long_running": true}
+	if !s.submit(id, []map[string]any{step}, lastsSpec) {
+		return couldNot
+	}
+	var lostAt, idleSince time.Time
+	result := held
+	for end := time.Now().Add(watchTime); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		active := s.fleet.running(s.runners, id)
+		for r, u := range active {
+			if trouble && lostAt.IsZero() && time.Since(u.startedAt) >= workedMS {
+				r.crash()
+				lostAt = time.Now()
+			}
+		}
+		if len(active) > 0 || lostAt.IsZero() || time.Since(lostAt) < grace {
+			idleSince = time.Time{}
+			continue
+		}
+		if idleSince.IsZero() {
+			idleSince = time.Now()
+		}
+		if result == held && time.Since(idleSince) >= idleLimit {
+			s.record.printf("verdict: the task has no run %v after its last one, and had none in the %v before, beside 7 free runners",
+				time.Since(lostAt).Round(time.Millisecond), idleLimit)
+			result = broken
+		}
+	}
+	if trouble && lostAt.IsZero() {
+		return couldNot
+	}
+	return result
+}
