--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -39,7 +39,7 @@
 func playCrashes(s *site, trouble bool) int {
 	const (
 		work     = 24 * time.Second
-		workedMS = 3000 * time.Millisecond // time of work before each crash
+		workTime = 3000 * time.Millisecond // time of work before each crash
 		downTime = time.Second
 		crashes  = 3
 		timeout  = 100 * time.Second
@@ -53,7 +53,7 @@
 	last := ""
 	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		for r, u := range s.fleet.running(s.runners, id) {
-			if trouble && crashed < crashes && time.Since(u.startedAt) >= workedMS {
+			if trouble && crashed < crashes && time.Since(u.startedAt) >= workTime {
 				crashed++
 				r.crash()
 				go restart(s, r, downTime)
@@ -249,7 +249,7 @@
 // that on, the task may not be without a run for 3 s.
 func playLasting(s *site, trouble bool) int {
 	const (
-		workedMS  = 800 * time.Millisecond // time between the start and the crash
+		workTime  = 800 * time.Millisecond // time between the start and the crash
 		grace     = 6 * time.Second        // time after the last run of a task that lasts
 		idleLimit = 3 * time.Second
 		watchTime = 25 * time.Second
@@ -264,7 +264,7 @@
 	for end := time.Now().Add(watchTime); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		active := s.fleet.running(s.runners, id)
 		for r, u := range active {
-			if trouble && lostAt.IsZero() && time.Since(u.startedAt) >= workedMS {
+			if trouble && lostAt.IsZero() && time.Since(u.startedAt) >= workTime {
 				r.crash()
 				lostAt = time.Now()
 			}
