Review: a late start request runs a task twice after its runner has restarted

A start request gets no answer and arrives 6 s later, after its runner has restarted under its id; the task runs there beside its second run for 4.9 s. The leader knew of the restart 2 s before.

--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"os"
 	"slices"
 	"strings"
@@ -26,10 +27,12 @@
 	kinds []string
 	play  func(s *site, trouble bool) int
 }{
-	"crashes": {kinds: repeatKind(kindA, 8), play: playCrashes},
-	"entry":   {kinds: repeatKind(kindA, 8), play: playEntry},
-	"lasting": {kinds: repeatKind(kindA, 8), play: playLasting},
-	"kind":    {kinds: append(repeatKind(kindA, 4), repeatKind(kindB, 4)...), play: playKind},
+	"crashes":  {kinds: repeatKind(kindA, 8), play: playCrashes},
+	"takeover": {kinds: repeatKind(kindA, 8), play: playTakeover},
+	"entry":    {kinds: repeatKind(kindA, 8), play: playEntry}, // not a case of its own
+	"lasting":  {kinds: repeatKind(kindA, 8), play: playLasting},
+	"late":     {kinds: repeatKind(kindA, 8), play: playLate},
+	"kind":     {kinds: append(repeatKind(kindA, 4), repeatKind(kindB, 4)...), play: playKind},
 }
 
 func repeatKind(kind string, n int) []string { return slices.Repeat([]string{kind}, n) }
@@ -173,22 +176,34 @@
 	return held
 }
 
-// playEntry has an entry of another writer in the store, whose service no configuration names and behind which nothing listens. The
-// leader is killed while the only job is in its first step. The second step has to start although the entry's address does not answer.
+// playTakeover kills the leader while the only job is in its first step. 0.3 s before that, an idle runner is lost for good. The second
+// step has to start although that runner does not answer the new leader.
+func playTakeover(s *site, trouble bool) int {
+	return s.watchSecondStep(trouble, func() { s.runners[len(s.runners)-1].crash() })
+}
+
+// playEntry is a variant of playTakeover. No runner is lost, but the store has an entry of another writer, whose service no configuration
+// names and behind which nothing listens.
 func playEntry(s *site, trouble bool) int {
+	s.putForeignEntry(s.addr(150, 8080))
+	return s.watchSecondStep(trouble, func() {})
+}
+
+// watchSecondStep hands in a job of two steps of one task each, and kills the leader before the first one ends. It returns broken if the
+// job has nothing running for idleLimit after the first step, and that is so at the time at which jobs are asked for.
+func (s *site) watchSecondStep(trouble bool, beforeKill func()) int {
 	const (
 		firstWork  = 9 * time.Second
 		secondWork = 2 * time.Second
 		killAfter  = 8 * time.Second
+		crashLead  = 300 * time.Millisecond
 		downTime   = 500 * time.Millisecond
 		finish     = 14 * time.Second // finish_s
 		idleLimit  = 3 * time.Second
+		settleTime = 2 * time.Second
 		timeout    = 60 * time.Second
 	)
-	if os.Getenv("ENTRY") != "0" {
-		s.putForeignEntry(s.addr(150, 8080))
-	}
-	time.Sleep(2 * time.Second)
+	time.Sleep(settleTime)
 	id := newJobID()
 	step := func(work time.Duration, after ...int) map[string]any {
 		return map[string]any{"count": 1, "cpu": 4000, "mem_mb": 8000, "gpu": 1, "est_runtime_ms": work.Milliseconds(), "after": after}
@@ -199,7 +214,9 @@
 	trafficEnd := time.Now()
 	if trouble {
 		go func() {
-			time.Sleep(killAfter)
+			time.Sleep(killAfter - crashLead)
+			beforeKill()
+			time.Sleep(crashLead)
 			if h := s.leader(); h != nil {
 				h.killFor(downTime)
 			}
@@ -219,7 +236,7 @@
 			idleSince = time.Now()
 		}
 		if time.Since(trafficEnd) >= finish+idleLimit && time.Since(idleSince) >= idleLimit {
-			s.record.printf("verdict: %v after the end of the traffic, the job has had nothing running for %v, beside 8 free runners",
+			s.record.printf("verdict: %v after the end of the traffic, the job has had nothing running for %v, with all runners that are up free",
 				time.Since(trafficEnd).Round(time.Millisecond), time.Since(idleSince).Round(time.Millisecond))
 			return broken
 		}
@@ -287,3 +304,89 @@
 	}
 	return result
 }
+
+// playLate can be limited to one of its disruptions by ONLY=late or ONLY=crash. It holds back one start request of many for some seconds. Meanwhile its runner restarts under its id, so that it has forgotten
+// the stop that the leader has sent. No task may run twice at the same time.
+func playLate(s *site, trouble bool) int {
+	const (
+		others     = 24 // jobs beside the one whose start is late
+		otherPause = 150 * time.Millisecond
+		otherWork  = 2500 * time.Millisecond
+		work       = 14 * time.Second
+		delay      = 6 * time.Second
+		crashAfter = 3 * time.Second // after the start request was held back
+		downTime   = time.Second
+		watchTime  = 30 * time.Second
+	)
+	need := map[string]any{"count": 1, "cpu": 4000, "mem_mb": 8000, "gpu": 1}
+	steps := func(work time.Duration) []map[string]any {
+		step := maps.Clone(need)
+		step["est_runtime_ms"] = work.Milliseconds()
+		return []map[string]any{step}
+	}
+	for range others {
+		if !s.submit(newJobID(), steps(otherWork), fmt.Sprint(otherWork.Milliseconds())) {
+			return couldNot
+		}
+		time.Sleep(otherPause)
+	}
+	id := newJobID()
+	if trouble && os.Getenv("ONLY") != "crash" {
+		s.fleet.mu.Lock()
+		l := &lateStart{taskPrefix: id, delay: delay}
+		for _, r := range s.runners {
+			r.late = l
+		}
+		s.fleet.mu.Unlock()
+	}
+	if !s.submit(id, steps(work), fmt.Sprint(work.Milliseconds())) {
+		return couldNot
+	}
+	return s.watchLate(id, trouble, crashAfter, downTime, watchTime)
+}
+
+// watchLate restarts the runner whose start request is held back, and returns broken if two runs of the job's task are at work at once.
+func (s *site) watchLate(id string, trouble bool, crashAfter, downTime, watchTime time.Duration) int {
+	crashed := false
+	result := held
+	for end := time.Now().Add(watchTime); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if r := s.heldBackAt(crashAfter); trouble && !crashed && r != nil && os.Getenv("ONLY") != "late" {
+			crashed = true
+			r.crash()
+			go restart(s, r, downTime)
+		}
+		active := s.fleet.running(s.runners, id)
+		for r, u := range active {
+			if os.Getenv("ONLY") == "crash" && trouble && !crashed && time.Since(u.startedAt) >= crashAfter {
+				crashed = true
+				r.crash()
+				go restart(s, r, downTime)
+			}
+		}
+		if len(active) > 1 && result == held {
+			for r, u := range active {
+				s.record.printf("verdict: %s run %d is at work on %s since %v", u.task, u.number, r.id, time.Since(u.startedAt).Round(time.Millisecond))
+			}
+			result = broken
+		}
+		if len(active) == 0 && s.state(id) == "completed" {
+			break
+		}
+	}
+	if trouble && !crashed && os.Getenv("ONLY") == "" {
+		return couldNot
+	}
+	return result
+}
+
+// heldBackAt returns the runner whose start request has been held back for a time; nil if there is none.
+func (s *site) heldBackAt(since time.Duration) *runner {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	for _, r := range s.runners {
+		if r.late != nil && r.heldBack && time.Since(r.late.heldAt) >= since {
+			return r
+		}
+	}
+	return nil
+}
--- a/review/standin2/runner.go
+++ b/review/standin2/runner.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -70,6 +72,16 @@
 	lastEnd  int64
 	highest  map[string]int64 // highest run stopped or ended, by task
 	changed  chan struct{}
+	late     *lateStart // the start that the network holds back, shared by all runners; nil if there is none
+	heldBack bool       // it was sent to this runner
+}
+
+// lateStart says which start request to a runner the network holds back. The caller gets no answer, and the request arrives later.
+type lateStart struct {
+	taskPrefix string
+	delay      time.Duration
+	heldAt     time.Time // zero while no request was held back
+	delivered  bool
 }
 
 // run is a task at work.
@@ -109,8 +121,15 @@
 	mux := http.NewServeMux()
 	handle := func(path string, serve func(w http.ResponseWriter, body callBody)) {
 		mux.HandleFunc("POST /chestnutmux/"+path, func(w http.ResponseWriter, req *http.Request) {
+			raw, err := io.ReadAll(req.Body)
+			if err != nil {
+				return
+			}
+			if r.holdBack(path, req, raw) {
+				return
+			}
 			var body callBody
-			if json.NewDecoder(req.Body).Decode(&body) != nil {
+			if json.Unmarshal(raw, &body) != nil {
 				w.WriteHeader(http.StatusBadRequest)
 				return
 			}
@@ -138,6 +157,40 @@
 	return nil
 }
 
+// holdBack plays the network in front of the runner: it keeps a start request that is to arrive late, and delivers it to the process that
+// serves the address by then. The connection of the caller stays silent.
+func (r *runner) holdBack(path string, req *http.Request, raw []byte) bool {
+	f := r.fleet
+	f.mu.Lock()
+	l := r.late
+	if l == nil || path != "run-start" || !l.heldAt.IsZero() || !bytes.Contains(raw, []byte(l.taskPrefix)) {
+		f.mu.Unlock()
+		return false
+	}
+	l.heldAt, r.heldBack = time.Now(), true
+	f.record.printf("network: a start request to %s is held back: %s", r.id, raw)
+	f.mu.Unlock()
+	go func() {
+		time.Sleep(l.delay)
+		again, err := http.NewRequest(http.MethodPost, "http://"+r.addr+req.URL.Path, bytes.NewReader(raw))
+		if err != nil {
+			return
+		}
+		again.Header = req.Header.Clone()
+		status := 0
+		if resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(again); err == nil {
+			status = resp.StatusCode
+			_ = resp.Body.Close()
+		}
+		f.mu.Lock()
+		l.delivered = true
+		f.record.printf("network: the start request arrives at %s; its answer, %d, is lost", r.id, status)
+		f.mu.Unlock()
+	}()
+	<-req.Context().Done()
+	return true
+}
+
 // crash ends the process: its runs end unseen, and its connections are closed.
 func (r *runner) crash() {
 	f := r.fleet
