--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -45,7 +45,7 @@
 		workTime = 3000 * time.Millisecond // time of work before each crash
 		downTime = time.Second
 		crashes  = 3
-		timeout  = 100 * time.Second
+		timeout  = 90 * time.Second
 	)
 	id := newJobID()
 	step := map[string]any{"count": 1, "cpu": 4000, "mem_mb": 8000, "gpu": 1, "est_runtime_ms": work.Milliseconds()}
@@ -111,7 +111,7 @@
 		work     = 1500 * time.Millisecond
 		downTime = 500 * time.Millisecond
 		stay     = 4 * time.Second // time for which a runner is of the other kind
-		timeout  = 90 * time.Second
+		timeout  = 80 * time.Second
 	)
 	step := map[string]any{"count": 1, "cpu": 30000, "mem_mb": 100000, "gpu": 8, "est_runtime_ms": work.Milliseconds(), "constraints": kindA}
 	var ids []string
--- a/review/standin2/runner.go
+++ b/review/standin2/runner.go
@@ -267,7 +267,9 @@
 	return true
 }
 
+// refuse answers that the call is refused. The caller holds fleet.mu.
 func (r *runner) refuse(w http.ResponseWriter, reason string) {
+	r.fleet.record.printf("runner %s refuses a call: %s", r.id, reason)
 	writeJSON(w, http.StatusConflict, map[string]any{"clock_ms": r.clock().Milliseconds(), "reason": reason})
 }
 
@@ -315,6 +317,7 @@
 	}
 	r.advance()
 	r.highest[b.Task] = max(r.highest[b.Task], b.Run)
+	f.record.printf("runner %s confirms a stop of %s run %d, fence %d", r.id, b.Task, b.Run, b.Fence)
 	if u := r.runs[runKey(b.Task, b.Run)]; u != nil && u.stopAt.IsZero() {
 		u.stopAt = time.Now().Add(stopTime)
 	}
