Review: drop the disputed case of three crashes, put the foreign entry in its place

Cases now: 6 late start (TWICE), 7 takeover (LOST), 8 lasting task (LOST), 9 foreign entry (LOST), 10 label (ROUTE).

--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -27,9 +27,9 @@
 	kinds []string
 	play  func(s *site, trouble bool) int
 }{
-	"crashes":  {kinds: repeatKind(kindA, 8), play: playCrashes},
+	"crashes":  {kinds: repeatKind(kindA, 8), play: playCrashes}, // not a case, see REPORT-2.md
 	"takeover": {kinds: repeatKind(kindA, 8), play: playTakeover},
-	"entry":    {kinds: repeatKind(kindA, 8), play: playEntry}, // not a case of its own
+	"entry":    {kinds: repeatKind(kindA, 8), play: playEntry},
 	"lasting":  {kinds: repeatKind(kindA, 8), play: playLasting},
 	"late":     {kinds: repeatKind(kindA, 8), play: playLate},
 	"kind":     {kinds: append(repeatKind(kindA, 4), repeatKind(kindB, 4)...), play: playKind},
@@ -183,9 +183,11 @@
 }
 
 // playEntry is a variant of playTakeover. No runner is lost, but the store has an entry of another writer, whose service no configuration
-// names and behind which nothing listens.
+// names and behind which nothing listens. ENTRY=0 leaves out the entry.
 func playEntry(s *site, trouble bool) int {
-	s.putForeignEntry(s.addr(150, 8080))
+	if os.Getenv("ENTRY") != "0" {
+		s.putForeignEntry(s.addr(150, 8080))
+	}
 	return s.watchSecondStep(trouble, func() {})
 }
 
