Stop late start requests on restarted workers after their runs are gone

Callers saw a task run on two workers at once (TWICE): a start request that got no response arrived seconds later, after its worker had restarted under its id.

Cause: the leader forgot the start request with its run. It repeated stop requests after a restart, but only for runs that it still had; a confirmed stop and a report without the run remove it, as do a cancelled job and the end of the lease, with the worker itself.

The leader now remembers each start request until it is answered, is shown by a report, or can no longer arrive (12 s, as long as the platform delays a call, and the time to connect), by worker id. Each process that reports under the id and is not the one that the request was meant for gets the stop request, until it confirms it. Nothing waits for that. A start request of a former leader was refused before, since the new leader asks each process that it finds listed.

--- a/internal/coordinator/cluster_test.go
+++ b/internal/coordinator/cluster_test.go
@@ -36,6 +36,7 @@
 	rng   *rand.Rand
 
 	logs           logBuffer
+	all            []model.Worker // workers of the fleet, listed or not
 	mu             sync.Mutex
 	workers        []model.Worker
 	hosts          []*testHost
@@ -83,6 +84,7 @@
 			c.fleet.AddWorker(info.ID, capacity, time.Now())
 		}
 	}
+	c.all = c.workers
 	for i := range hosts {
 		c.hosts = append(c.hosts, &testHost{cluster: c, id: model.HostID(fmt.Sprint("h", i))})
 		c.hosts[i].start()
--- /dev/null
+++ b/internal/coordinator/late_start_test.go
@@ -0,0 +1,133 @@
+package coordinator
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chestnutmux.example/chestnutmux/internal/dispatcher"
+	"chestnutmux.example/chestnutmux/internal/fake/worker"
+	"chestnutmux.example/chestnutmux/pkg/model"
+)
+
+// heldStartClient holds back the first start request after hold was set. Its caller gets no response, and the request arrives after a
+// delay, at the process that the worker has by then.
+type heldStartClient struct {
+	worker.DirectClient
+	delay   time.Duration
+	hold    *atomic.Bool      // shared by all hosts
+	sentTo  chan model.HostID // receives the worker of the request
+	arrived chan error        // receives the refusal of the request, or nil
+}
+
+// Start implements dispatcher.WorkerClient.
+func (c *heldStartClient) Start(ctx context.Context, w model.Worker, req dispatcher.StartRequest) (dispatcher.Response, error) {
+	if !c.hold.CompareAndSwap(true, false) {
+		return c.DirectClient.Start(ctx, w, req)
+	}
+	c.sentTo <- w.ID
+	go func() {
+		time.Sleep(c.delay)
+		_, err := c.Fleet.StartRun(w.ID, req, time.Now())
+		c.arrived <- err
+	}()
+	<-ctx.Done()
+	return dispatcher.Response{}, ctx.Err()
+}
+
+// listIncarnations lists all workers of the cluster as their processes describe themselves, except the given ones.
+func (c *cluster) listIncarnations(without ...model.HostID) {
+	var list []model.Worker
+	for _, w := range c.all {
+		w.Incarnation = c.fleet.Incarnation(w.ID)
+		if len(without) == 0 || w.ID != without[0] {
+			list = append(list, w)
+		}
+	}
+	c.setListed(list...)
+}
+
+// restartWorker restarts a worker under its id and lists it.
+func (c *cluster) restartWorker(id model.HostID) {
+	c.fleet.RestartWorker(id, time.Now())
+	c.listIncarnations()
+}
+
+// Guards against a start request without a response that a restarted worker carries out although its run was stopped or dropped before.
+func TestRestartedWorkerRefusesLateStart(t *testing.T) {
+	cases := map[string]struct {
+		delay  time.Duration
+		silent model.HostID // worker that does not respond from before the request on; empty if all do
+		play   func(c *cluster, id model.HostID)
+	}{
+		"stop confirmed": {delay: 6 * time.Second, play: func(c *cluster, id model.HostID) {
+			time.Sleep(3 * time.Second)
+			c.restartWorker(id)
+		}},
+		"longest delay": {delay: 12 * time.Second, play: func(c *cluster, id model.HostID) {
+			time.Sleep(11 * time.Second)
+			c.restartWorker(id)
+		}},
+		"second restart": {delay: 6 * time.Second, play: func(c *cluster, id model.HostID) {
+			time.Sleep(3 * time.Second)
+			c.restartWorker(id)
+			time.Sleep(1500 * time.Millisecond)
+			c.restartWorker(id)
+		}},
+		"lease ended": {delay: 12 * time.Second, silent: "w0-0", play: func(c *cluster, id model.HostID) {
+			time.Sleep(time.Second)
+			c.listIncarnations(id)
+			time.Sleep(10*time.Second + 400*time.Millisecond) // the run was dropped, and the worker with it
+			c.setWorkerFault(id, worker.NoFault)
+			c.restartWorker(id)
+		}},
+		"silent after the restart": {delay: 7 * time.Second, play: func(c *cluster, id model.HostID) {
+			time.Sleep(3 * time.Second)
+			c.setWorkerFault(id, worker.FaultRequestLost)
+			c.restartWorker(id)
+			time.Sleep(time.Second)
+			c.setWorkerFault(id, worker.NoFault)
+		}},
+		"job cancelled": {delay: 6 * time.Second, play: func(c *cluster, id model.HostID) {
+			time.Sleep(2 * time.Second)
+			c.cancelJob("j")
+			time.Sleep(time.Second)
+			c.restartWorker(id)
+		}},
+		"job cancelled under way": {delay: 6 * time.Second, play: func(c *cluster, id model.HostID) {
+			time.Sleep(50 * time.Millisecond)
+			c.cancelJob("j")
+			time.Sleep(250 * time.Millisecond)
+			c.restartWorker(id)
+		}},
+		"leader replaced": {delay: 6 * time.Second, play: func(c *cluster, id model.HostID) {
+			time.Sleep(200 * time.Millisecond)
+			c.replaceLeader()
+			time.Sleep(2 * time.Second)
+			c.restartWorker(id)
+		}},
+	}
+	for name, tt := range cases {
+		t.Run(name, func(t *testing.T) {
+			runInCluster(t, 1, 2, 1, 3, func(c *cluster, is *is.I) {
+				client := heldStartClient{delay: tt.delay, hold: &atomic.Bool{}, sentTo: make(chan model.HostID, 1), arrived: make(chan error, 1)}
+				for _, h := range c.hosts {
+					own := client
+					own.DirectClient = worker.DirectClient{Fleet: c.fleet, InjectFault: h.workerFault}
+					h.restartWith(func() { h.workers = &own })
+				}
+				c.listIncarnations()
+				time.Sleep(20 * time.Second) // the clocks of the workers are far ahead of those of their next processes
+				c.setWorkerFault(tt.silent, worker.FaultRequestLost)
+				client.hold.Store(true)
+				c.submit(job("j", 1, 25*time.Second, model.Step{Count: 1, Need: accelerators(8)}))
+				tt.play(c, <-client.sentTo)
+				is.True(<-client.arrived != nil) // the late request is refused
+				c.awaitEnd(time.Minute, "j")
+			})
+		})
+	}
+}
--- a/internal/dispatcher/client.go
+++ b/internal/dispatcher/client.go
@@ -72,6 +72,12 @@
 	return "dispatcher: worker refused the request: " + string(e.Reason)
 }
 
+// isStaleFence reports whether a worker has refused a request because it has seen a higher fencing token.
+func isStaleFence(err error) bool {
+	var refused *RefusedError
+	return errors.As(err, &refused) && refused.Reason == RefusedStaleFence
+}
+
 // Refusal is the reason why a worker refused a request.
 type Refusal string
 
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -58,6 +58,7 @@
 	endedJobs         map[model.JobID]bool // jobs that ended in this term; the log may still show an earlier state
 	workers           map[model.HostID]*worker
 	possibleCrashes   map[model.HostID]*possibleCrash
+	pendingStarts     pendingStarts
 	fleetDirty        bool // the fleet record in the log is outdated
 	entitlements      Entitlements
 	journal           journal
@@ -84,6 +85,7 @@
 	d.endedJobs = map[model.JobID]bool{}
 	d.workers = map[model.HostID]*worker{}
 	d.possibleCrashes = map[model.HostID]*possibleCrash{}
+	d.pendingStarts = pendingStarts{}
 	d.demand = map[model.ServiceID]*priorityDemand{}
 	d.pacer.LinkRate = d.LinkRate
 	d.MaxLease = max(d.MaxLease, d.LeaseDuration)
@@ -285,6 +287,7 @@
 		d.checkFormerRuns(now)
 	}
 	d.checkPossibleCrashes(now)
+	d.pendingStarts.removeOld(now)
 	d.stopIncompleteGangs(now)
 }
 
--- a/internal/dispatcher/report.go
+++ b/internal/dispatcher/report.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
@@ -57,6 +55,8 @@
 		}
 	}
 	d.removeVanishedRuns(w, e, now)
+	d.removeArrivedStarts(w, &e.report)
+	d.stopLateStarts(w)
 	if e.ackedSeq > w.ackedSeq {
 		w.ackedSeq = e.ackedSeq
 	}
@@ -81,8 +81,7 @@
 	}
 	w.isResponding = false
 	w.recordCallError(e.err)
-	var refused *RefusedError
-	if errors.As(e.err, &refused) && refused.Reason == RefusedStaleFence {
+	if isStaleFence(e.err) {
 		d.endTerm("worker has seen a higher fencing token", "worker", w.info.ID)
 	}
 }
--- a/internal/dispatcher/requests.go
+++ b/internal/dispatcher/requests.go
@@ -33,6 +33,7 @@
 	}
 	w.recordStart(now)
 	w.recordStartLease(now, lease)
+	d.pendingStarts.add(w, r.id, now.Add(lease))
 	d.pacer.Spend(now, startBytes(t.step.job))
 	w.session.sendStart(w.info, req, now.Add(lease), d.pacer.Timeout())
 	d.updateSession(w)
@@ -90,6 +91,7 @@
 }
 
 func (e *startEvent) apply(d *Dispatcher, now time.Time) {
+	d.settlePendingStart(e)
 	w := d.workers[e.worker]
 	if w == nil {
 		return
@@ -105,9 +107,7 @@
 	d.pacer.Observe(now, e.respondedAt.Sub(e.sentAt), hasResponded(e.err))
 	w.recordStart(e.sentAt)
 	if e.err == nil {
-		w.isResponding = true
-		w.recordClock(e.response.Clock, e.sentAt, e.respondedAt)
-		w.recordResponse()
+		w.recordAnswer(e.response, e.sentAt, e.respondedAt)
 		if r != nil {
 			if r.state == runStarting {
 				d.markRunStarted(r, now)
@@ -205,28 +205,32 @@
 	}
 	r := w.runs[e.run]
 	if r == nil {
+		d.settleLateStop(w, e)
 		return
 	}
-	var refused *RefusedError
 	switch {
 	case e.err == nil && e.sentAt.Before(w.incarnationAt) && r.startConfirmedAt.IsZero():
 		d.sendStop(r, 0) // the process that has confirmed it may have ended
 		return
 	case e.err == nil:
-		w.isResponding = true
-		w.recordClock(e.response.Clock, e.sentAt, e.respondedAt)
-		w.recordResponse()
+		w.recordAnswer(e.response, e.sentAt, e.respondedAt)
 		r.stopConfirmedAt = e.respondedAt
+		d.pendingStarts.confirmStop(w, r.id)
 		d.updateSession(w)
 		w.session.updateRenewalState(func(state *renewalState) { state.reportNow = r.startConfirmedAt.IsZero() })
 		return
-	case errors.As(e.err, &refused) && refused.Reason == RefusedStaleFence:
+	case isStaleFence(e.err):
 		d.endTerm("worker has seen a higher fencing token", "worker", w.info.ID)
 		return
 	}
 	w.recordCallError(e.err)
 	d.Logger.Warn("stop request failed, retrying", "worker", w.info.ID, "task", e.run.Task.String(), "run", e.run.Number, "error", e.err)
-	d.sendStop(r, min(stopRetryDelay<<min(r.stopAttempts-1, maxStopDoublings), maxStopRetryDelay))
+	d.sendStop(r, stopDelay(r.stopAttempts))
+}
+
+// stopDelay returns the delay before a stop request is repeated that has failed so many times.
+func stopDelay(attempts int) time.Duration {
+	return min(stopRetryDelay<<min(attempts-1, maxStopDoublings), maxStopRetryDelay)
 }
 
 // updateJobAfterStart updates the state of the job after a run has started, and records the start of the step once all its tasks
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -58,6 +58,13 @@
 	w.clock, w.clockAt = clock, respondedAt
 }
 
+// recordAnswer notes the response to a start or stop request.
+func (w *worker) recordAnswer(response Response, sentAt, respondedAt time.Time) {
+	w.isResponding = true
+	w.recordClock(response.Clock, sentAt, respondedAt)
+	w.recordResponse()
+}
+
 // leaseUntil returns the estimated time on the worker's clock at which a lease granted now expires.
 func (w *worker) leaseUntil(now time.Time, leaseDuration time.Duration) WorkerTime {
 	return w.clock + WorkerTime((now.Sub(w.clockAt) + leaseDuration).Milliseconds())
