Send stop requests to a restarted worker at once, not after the delay of a retry

Callers could see a task run on two workers (TWICE): a worker is silent, so that the stop request of a start request without a response fails and its delay grows to 3 s. When the worker restarts under its id, the stop request waited for the rest of the delay, and the start request that arrived before was carried out.

Cause: stop requests were repeated after a restart only if the former process had confirmed them; those in a retry went on as planned for the former process.

After a restart all stop requests of runs whose start may still arrive are sent at once. Stop requests of a run have numbers, and only the newest one is retried, so that a request that is replaced leaves no second series behind.

--- a/internal/coordinator/late_start_test.go
+++ b/internal/coordinator/late_start_test.go
@@ -91,6 +91,11 @@
 			time.Sleep(time.Second)
 			c.setWorkerFault(id, worker.NoFault)
 		}},
+		"silent before the restart": {delay: 11 * time.Second, silent: "w0-0", play: func(c *cluster, id model.HostID) {
+			time.Sleep(9500 * time.Millisecond) // the delays between stop requests have grown
+			c.setWorkerFault(id, worker.NoFault)
+			c.restartWorker(id)
+		}},
 		"job cancelled": {delay: 6 * time.Second, play: func(c *cluster, id model.HostID) {
 			time.Sleep(2 * time.Second)
 			c.cancelJob("j")
--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -38,6 +38,7 @@
 type stopEvent struct {
 	worker      model.HostID
 	run         model.RunRef
+	number      int // number of the stop request among those of the run
 	response    Response
 	sentAt      time.Time
 	respondedAt time.Time
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -82,7 +82,7 @@
 	startSentAt      time.Time // time at which the start request was sent, or at which the run was adopted
 	startConfirmedAt time.Time // time at which a response or report confirmed the start; counts as the start time of the run
 	stopConfirmedAt  time.Time // time at which the worker confirmed the stop request
-	stopAttempts     int       // number of stop requests sent
+	stops            stopRequests
 	percentDone      int       // progress of the run in percent
 	lastProgressAt   time.Time // time at which percentDone last increased, or the run started
 	incarnation      int64     // incarnation of the worker, as known when the start request was sent
--- a/internal/dispatcher/latestart.go
+++ b/internal/dispatcher/latestart.go
@@ -16,11 +16,12 @@
 // A process refuses it once it has confirmed a stop request or its clock has passed the end of the requested lease. The next process
 // knows nothing of the stop, and its clock starts anew.
 type pendingStart struct {
-	incarnation  int64     // incarnation of the process that the request is meant for
-	arrivesBy    time.Time // latest time at which the request may arrive
-	stoppedIn    int64     // incarnation of the last process that has confirmed a stop request; 0 before that
-	stopping     *worker   // worker whose session sends a stop request of sendLateStop; nil if there is none
-	stopAttempts int       // number of such stop requests
+	incarnation int64     // incarnation of the process that the request is meant for
+	arrivesBy   time.Time // latest time at which the request may arrive
+	stoppedIn   int64     // incarnation of the last process that has confirmed a stop request; 0 before that
+	stopping    *worker   // worker whose session sends the newest stop request of stopLateStarts; nil if there is none
+	stoppingIn  int64     // incarnation of the process that this request is meant for
+	stops       stopRequests
 }
 
 // pendingStarts holds the start requests without a response, by worker. They outlast their runs and the state of the worker.
@@ -84,23 +85,18 @@
 // removed. The stop requests of other runs are sent for as long as they have runs.
 func (d *Dispatcher) stopLateStarts(w *worker) {
 	for ref, s := range d.pendingStarts[w.info.ID] {
-		if w.runs[ref] != nil || w.incarnation == s.incarnation || w.incarnation == s.stoppedIn || s.stopping == w {
+		isStopping := s.stopping == w && s.stoppingIn == w.incarnation
+		if w.runs[ref] != nil || w.incarnation == s.incarnation || w.incarnation == s.stoppedIn || isStopping {
 			continue
 		}
 		d.Logger.Info("stopping run whose start request may arrive late", "worker", w.info.ID, "task", ref.Task.String(), "run", ref.Number,
 			"incarnation", w.incarnation, "sent-to", s.incarnation)
 		d.Metrics.Runs.Add("stopped-unseen", 1)
-		d.sendLateStop(w, ref, s, 0)
+		s.stopping, s.stoppingIn, s.stops.failures = w, w.incarnation, 0
+		d.requestStop(w, ref, &s.stops, 0)
 	}
 }
 
-// sendLateStop sends the stop request of a start request that may arrive late.
-func (d *Dispatcher) sendLateStop(w *worker, ref model.RunRef, s *pendingStart, delay time.Duration) {
-	s.stopping = w
-	s.stopAttempts++
-	w.session.sendStop(w.info, StopRequest{Run: ref, Fence: d.Term.Fence}, delay, d.pacer.Timeout())
-}
-
 // settleLateStop notes the outcome of a stop request whose run was removed, or never had a run in this process. It is repeated until the
 // present process has confirmed it.
 func (d *Dispatcher) settleLateStop(w *worker, e *stopEvent) {
@@ -114,13 +110,13 @@
 		w.recordAnswer(e.response, e.sentAt, e.respondedAt)
 		d.updateSession(w)
 		w.session.updateRenewalState(func(state *renewalState) { state.reportNow = true }) // the run may have begun before
-	case s.stopping != w: // the run was removed while its own stop request was under way
+	case s.stopping != w || !s.stops.isNewest(e):
 	case e.err == nil:
-		d.sendLateStop(w, e.run, s, 0) // the process that has confirmed it may have ended
+		d.requestStop(w, e.run, &s.stops, 0) // the process that has confirmed it may have ended
 	case isStaleFence(e.err):
 		d.endTerm("worker has seen a higher fencing token", "worker", w.info.ID)
 	default:
 		w.recordCallError(e.err)
-		d.sendLateStop(w, e.run, s, stopDelay(s.stopAttempts))
+		d.requestStop(w, e.run, &s.stops, s.stops.nextDelay())
 	}
 }
--- a/internal/dispatcher/report.go
+++ b/internal/dispatcher/report.go
@@ -127,17 +127,6 @@
 	return e.respondedAt.Add(-time.Duration(e.report.Clock) * time.Millisecond)
 }
 
-// repeatStops sends the stop requests of unconfirmed runs again after the worker has restarted. The new process would carry out a
-// start request that is still under way.
-func (d *Dispatcher) repeatStops(w *worker) {
-	for _, r := range w.runs {
-		if r.startConfirmedAt.IsZero() && !r.stopConfirmedAt.IsZero() {
-			r.stopConfirmedAt = time.Time{}
-			d.sendStop(r, 0)
-		}
-	}
-}
-
 // updateRun updates a run that a worker reports as running, or adopts it if it is unknown.
 func (d *Dispatcher) updateRun(w *worker, progress model.RunProgress, now time.Time) {
 	r := w.runs[progress.Run]
--- a/internal/dispatcher/requests.go
+++ b/internal/dispatcher/requests.go
@@ -76,8 +76,7 @@
 
 // sendStop sends the stop request of a run after a delay.
 func (d *Dispatcher) sendStop(r *run, delay time.Duration) {
-	r.stopAttempts++
-	r.worker.session.sendStop(r.worker.info, StopRequest{Run: r.id, Fence: d.Term.Fence}, delay, d.pacer.Timeout())
+	d.requestStop(r.worker, r.id, &r.stops, delay)
 }
 
 // stopStep stops all active runs of a step and drops its reservation.
@@ -210,7 +209,9 @@
 	}
 	switch {
 	case e.err == nil && e.sentAt.Before(w.incarnationAt) && r.startConfirmedAt.IsZero():
-		d.sendStop(r, 0) // the process that has confirmed it may have ended
+		if r.stops.isNewest(e) {
+			d.sendStop(r, 0) // the process that has confirmed it may have ended
+		}
 		return
 	case e.err == nil:
 		w.recordAnswer(e.response, e.sentAt, e.respondedAt)
@@ -224,13 +225,10 @@
 		return
 	}
 	w.recordCallError(e.err)
-	d.Logger.Warn("stop request failed, retrying", "worker", w.info.ID, "task", e.run.Task.String(), "run", e.run.Number, "error", e.err)
-	d.sendStop(r, stopDelay(r.stopAttempts))
-}
-
-// stopDelay returns the delay before a stop request is repeated that has failed so many times.
-func stopDelay(attempts int) time.Duration {
-	return min(stopRetryDelay<<min(attempts-1, maxStopDoublings), maxStopRetryDelay)
+	if r.stops.isNewest(e) {
+		d.Logger.Warn("stop request failed, retrying", "worker", w.info.ID, "task", e.run.Task.String(), "run", e.run.Number, "error", e.err)
+		d.sendStop(r, r.stops.nextDelay())
+	}
 }
 
 // updateJobAfterStart updates the state of the job after a run has started, and records the start of the step once all its tasks
--- a/internal/dispatcher/session.go
+++ b/internal/dispatcher/session.go
@@ -26,11 +26,6 @@
 	// durableWait limits the wait until processed run ends are in the log. After that, the lease is renewed without acknowledging
 	// them.
 	durableWait = 300 * time.Millisecond
-	// stopRetryDelay is the delay before a failed stop request is retried. It doubles with each attempt, up to maxStopDoublings
-	// times and to maxStopRetryDelay.
-	stopRetryDelay    = 300 * time.Millisecond
-	maxStopDoublings  = 4
-	maxStopRetryDelay = 3 * time.Second
 	// maxRequestsInFlight is the maximum number of start and stop requests in flight to one worker.
 	maxRequestsInFlight = 4
 )
@@ -289,8 +284,8 @@
 	})
 }
 
-// sendStop sends a stop request in the background after a delay.
-func (s *session) sendStop(info model.Worker, req StopRequest, delay, timeout time.Duration) {
+// sendStop sends a stop request in the background after a delay. The number tells it from the other stop requests of the run.
+func (s *session) sendStop(info model.Worker, req StopRequest, number int, delay, timeout time.Duration) {
 	go func() {
 		if delay > 0 {
 			t := time.NewTimer(delay)
@@ -304,7 +299,7 @@
 		s.sendRequest(timeout, func(ctx context.Context) event {
 			sentAt := time.Now()
 			response, err := s.client.Stop(ctx, info, req)
-			return &stopEvent{worker: info.ID, run: req.Run, response: response, sentAt: sentAt, respondedAt: time.Now(), err: err}
+			return &stopEvent{worker: info.ID, run: req.Run, number: number, response: response, sentAt: sentAt, respondedAt: time.Now(), err: err}
 		})
 	}()
 }
