Give a restarted worker tasks once the list describes its present process

Cause: a report of the new process made the worker usable, while its labels, rack, capacity, service and state are taken from the list, which is read every 0.4 s and still described the former process. Only the reverse order, a list that is newer than the last report, was checked. The capacity is taken from the same place, so that a worker with less room than before was overfilled (LIMIT).

A worker now gets tasks only if the list and the last report name the same incarnation. A listed incarnation that differs counts as a restart also if it is lower, as after the time of day was set back; an idle worker would not be asked otherwise. While the two differ, the worker is asked once a second, so that no order of the two keeps it out of use. The status output shows such a worker as "restarted".

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -272,6 +272,7 @@
 func (d *Dispatcher) checkWorkers(now time.Time) {
 	for _, w := range d.workers {
 		w.decaySuspicion(now)
+		d.askUndescribed(w, now)
 		d.stopStalledRuns(w, now)
 		if len(w.runs) > 0 && w.isLost(now) {
 			d.dropLostRuns(w, now)
@@ -291,6 +292,14 @@
 	d.stopIncompleteGangs(now)
 }
 
+// askUndescribed asks a worker for a report at intervals while the list describes another process than the last report. Either of the two
+// may be the older one.
+func (d *Dispatcher) askUndescribed(w *worker, now time.Time) {
+	if w.mayGetTasks() && w.hasReported && !w.isDescribed() && now.Sub(w.lastReportAt) >= probeInterval {
+		w.session.updateRenewalState(func(state *renewalState) { state.reportNow = true })
+	}
+}
+
 // dropLostRuns removes all runs of a lost worker.
 func (d *Dispatcher) dropLostRuns(w *worker, now time.Time) {
 	d.Logger.Warn("worker lease expired, dropping its runs", "worker", w.info.ID, "runs", len(w.runs),
--- /dev/null
+++ b/internal/dispatcher/restart_test.go
@@ -0,0 +1,55 @@
+package dispatcher
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"chestnutmux.example/chestnutmux/pkg/model"
+)
+
+// newListedFixture returns a fixture whose list describes the process of the worker.
+func newListedFixture(t *testing.T) crashFixture {
+	f := crashFixture{newFixture(t)}
+	f.list(0, model.WorkerReady, 1)
+	return f
+}
+
+// isAsked reports whether the session is to ask the worker for a report without delay.
+func (f crashFixture) isAsked() bool {
+	state := f.worker.session.takeRenewalState()
+	return state.reportNow || state.restartListed
+}
+
+// Guards against an idle worker that is never used again, because the list shows a restart with an incarnation that is lower than before.
+func TestListedRestartAfterClockWasSetBackIsNoticed(t *testing.T) {
+	is := is.New(t)
+	f := newListedFixture(t)
+	f.report(20, 9, 10)
+	f.list(400, model.WorkerReady, 9)
+	is.True(f.worker.isSchedulable(f.now))
+	f.list(800, model.WorkerReady, 5)
+	is.True(!f.worker.isSchedulable(f.now))
+	is.True(f.isAsked())
+	f.report(900, 5, 100)
+	is.True(f.worker.isSchedulable(f.now))
+	f.list(1200, model.WorkerReady, 0)
+	is.True(f.worker.isSchedulable(f.now)) // the entry does not tell its process
+}
+
+// Guards against a worker that is never used again, because the list was read before the last report, or the report is older than the list.
+func TestUndescribedWorkerIsAskedAtIntervals(t *testing.T) {
+	is := is.New(t)
+	f := newListedFixture(t)
+	f.report(20, 2, 10)
+	is.True(!f.worker.isSchedulable(f.now)) // the list describes the former process
+	f.isAsked()
+	f.checkWorkers(f.later(500))
+	is.True(!f.isAsked())
+	f.checkWorkers(f.later(1100))
+	is.True(f.isAsked())
+	f.list(1200, model.WorkerReady, 2)
+	is.True(f.worker.isSchedulable(f.now))
+	f.checkWorkers(f.later(2400))
+	is.True(!f.isAsked())
+}
--- a/internal/dispatcher/status.go
+++ b/internal/dispatcher/status.go
@@ -47,6 +47,8 @@
 		return "unlisted"
 	case !w.isResponding:
 		return "unreachable"
+	case !w.isDescribed():
+		return "restarted"
 	case w.info.State == model.WorkerDraining:
 		return "draining"
 	case now.Before(w.quarantinedUntil):
--- a/internal/dispatcher/takeover.go
+++ b/internal/dispatcher/takeover.go
@@ -68,6 +68,9 @@
 			d.scheduleUpToDate = false
 			d.fleetDirty = true
 		}
+		if w.info.Incarnation != info.Incarnation {
+			d.scheduleUpToDate = false
+		}
 		if w.listed && w.info.Capacity != info.Capacity {
 			d.scheduleUpToDate = false
 			d.Logger.Info("worker capacity changed", "worker", info.ID, "capacity", info.Capacity, "before", w.info.Capacity, "runs", len(w.runs))
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -172,7 +172,13 @@
 			return false
 		}
 	}
-	return w.mayGetTasks() && w.openInLog && w.hasReported && w.restartListedAt.IsZero() && w.isResponding
+	return w.mayGetTasks() && w.openInLog && w.hasReported && w.isDescribed() && w.restartListedAt.IsZero() && w.isResponding
+}
+
+// isDescribed reports whether the list describes the process that has sent the last report. That of a former process says nothing about the
+// labels, the rack and the capacity of its successor.
+func (w *worker) isDescribed() bool {
+	return w.info.Incarnation == w.incarnation || w.info.Incarnation == 0 || w.incarnation == 0
 }
 
 // unoccupiedResources returns the resources that no run uses. Runs that are being stopped still use theirs.
@@ -189,10 +195,11 @@
 	return w.info.Incarnation
 }
 
-// isListedRestart reports whether a new entry of the list shows a restart of the worker that no report has shown. Its clock is unknown
-// then, and it accepts requests of former leaders.
+// isListedRestart reports whether a new entry of the list shows a process of the worker that has sent no report. Its clock is unknown then,
+// and it accepts requests of former leaders. Incarnations do not rise where the time of day was set back.
 func (w *worker) isListedRestart(info model.Worker) bool {
-	return w.incarnation != 0 && info.Incarnation > w.incarnation && info.Incarnation != w.info.Incarnation
+	n := info.Incarnation
+	return w.incarnation != 0 && n != 0 && n != w.incarnation && n != w.info.Incarnation
 }
 
 // hasRestartedSinceFormerLeader reports whether the worker is known to have restarted since a former leader recorded it.
--- a/internal/fake/worker/fleet.go
+++ b/internal/fake/worker/fleet.go
@@ -124,6 +124,15 @@
 	s.reset(now)
 }
 
+// RestartWorkerAs restarts a worker like RestartWorker. The capacity of the new process counts from its start on.
+func (f *Fleet) RestartWorkerAs(id model.HostID, capacity model.Resources, now time.Time) {
+	f.RestartWorker(id, now)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.workers[id]
+	s.capacity, s.shrinkCountsAt = capacity, time.Time{}
+}
+
 func (s *workerState) reset(now time.Time) {
 	if !now.After(s.startedAt) {
 		now = s.startedAt.Add(time.Millisecond) // incarnations must differ in milliseconds
