Read the list of workers at once when a worker has restarted

Since a restarted worker gets tasks only once the list describes it, tasks started there up to 0.4 s later, when the list was read at the next interval.

The leader now asks for a read of the list when a report shows a process that the list does not describe.

TestRestartedWorkerIsListedSoon failed without it (at one of six phases of the interval).

--- a/internal/coordinator/churn_link_test.go
+++ b/internal/coordinator/churn_link_test.go
@@ -262,11 +262,12 @@
 }
 
 // Follow implements Registry.
-func (l *workerList) Follow(ctx context.Context, update func([]model.Worker)) {
+func (l *workerList) Follow(ctx context.Context, refresh <-chan struct{}, update func([]model.Worker)) {
 	for ctx.Err() == nil {
 		update(l.current(time.Now()))
 		select {
 		case <-ctx.Done():
+		case <-refresh:
 		case <-time.After(400 * time.Millisecond):
 		}
 	}
--- a/internal/coordinator/cluster_test.go
+++ b/internal/coordinator/cluster_test.go
@@ -164,7 +164,7 @@
 }
 
 // Follow implements Registry.
-func (c *cluster) Follow(ctx context.Context, update func([]model.Worker)) {
+func (c *cluster) Follow(ctx context.Context, refresh <-chan struct{}, update func([]model.Worker)) {
 	for ctx.Err() == nil {
 		c.mu.Lock()
 		list := append([]model.Worker(nil), c.workers...)
@@ -172,6 +172,7 @@
 		update(list)
 		select {
 		case <-ctx.Done():
+		case <-refresh:
 		case <-time.After(400 * time.Millisecond):
 		}
 	}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -60,8 +60,9 @@
 
 // Registry provides the platform's list of workers.
 type Registry interface {
-	// Follow calls update with the current list and with each new one until the context ends.
-	Follow(ctx context.Context, update func([]model.Worker))
+	// Follow calls update with the current list and with each new one until the context ends. It reads the list soon after a receive from
+	// refresh, which may be nil, and otherwise at intervals.
+	Follow(ctx context.Context, refresh <-chan struct{}, update func([]model.Worker))
 }
 
 // Config holds the settings and dependencies of a Coordinator.
--- a/internal/coordinator/restart_kind_test.go
+++ b/internal/coordinator/restart_kind_test.go
@@ -122,3 +122,20 @@
 		})
 	}
 }
+
+// Guards against work that waits for the next read of the list at intervals, although its worker has restarted and responds.
+func TestRestartedWorkerIsListedSoon(t *testing.T) {
+	const latest = 300 * time.Millisecond // the delay until the worker is asked again, and the calls
+	for _, phase := range []time.Duration{0, 70, 140, 210, 280, 350} {
+		t.Run(fmt.Sprint(int(phase)), func(t *testing.T) {
+			runInCluster(t, 1, 1, 1, 2, func(c *cluster, is *is.I) {
+				client := newKindCluster(c)
+				time.Sleep(3*time.Second + phase*time.Millisecond)
+				c.restartWorker("w0-0")
+				at := time.Now()
+				time.Sleep(latest)
+				is.True(client.startsSince("w0-0", at) > 0)
+			})
+		})
+	}
+}
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -69,7 +69,14 @@
 	firstList := make(chan []model.Worker, 1)
 	panicked := false
 	started := false
-	go c.cfg.Registry.Follow(ctx, func(workers []model.Worker) {
+	refresh := make(chan struct{}, 1)
+	own.dispatcher.RefreshWorkers = func() {
+		select {
+		case refresh <- struct{}{}:
+		default: // a read is due already
+		}
+	}
+	go c.cfg.Registry.Follow(ctx, refresh, func(workers []model.Worker) {
 		if !started {
 			started = true
 			firstList <- workers
--- a/internal/daemon/hosts.go
+++ b/internal/daemon/hosts.go
@@ -16,8 +16,9 @@
 	pollInterval time.Duration
 }
 
-// Follow implements coordinator.Registry. It does not call update while the host list cannot be read.
-func (r *workerRegistry) Follow(ctx context.Context, update func([]model.Worker)) {
+// Follow implements coordinator.Registry. It does not call update while the host list cannot be read. The list does not tell the
+// incarnations of workers, so nothing waits for a refresh.
+func (r *workerRegistry) Follow(ctx context.Context, _ <-chan struct{}, update func([]model.Worker)) {
 	for ctx.Err() == nil {
 		if list := r.hosts.Read(ctx); !list.ReadAt.IsZero() && list.Err == nil {
 			update(workersFromHosts(list.Hosts))
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -51,6 +51,8 @@
 	LookupJob     func(model.JobID) (journaler.Job, bool) // returns a job by its ID, including ended jobs
 	// OnViolation is called when an invariant is violated; args are key and value pairs for the log line.
 	OnViolation func(inv asserter.Invariant, args ...any)
+	// RefreshWorkers asks for a new list of workers without delay; may be nil.
+	RefreshWorkers func()
 
 	ctx               context.Context
 	events            chan event
--- a/internal/dispatcher/report.go
+++ b/internal/dispatcher/report.go
@@ -119,6 +119,9 @@
 	}
 	w.incarnation, w.incarnationAt, w.startedAt = n, e.respondedAt, e.processStartedAt()
 	d.fleetDirty = d.fleetDirty || known
+	if !w.isDescribed() && d.RefreshWorkers != nil {
+		d.RefreshWorkers()
+	}
 	return known
 }
 
