Drop reservations and holds on a worker that has restarted

Cause: as for the labels, what was decided for a process was kept by the id of the worker. Reservations and held workers are now dropped when a report shows a restart.

TestPlansEndWithTheProcess failed before, for a reservation with a start on the worker.

--- a/internal/dispatcher/report.go
+++ b/internal/dispatcher/report.go
@@ -116,6 +116,7 @@
 	if known {
 		d.Logger.Info("worker restarted", "worker", w.info.ID, "incarnation", n, "before", w.incarnation, "runs", len(w.runs))
 		w.processedSeq, w.durableSeq, w.ackedSeq = 0, 0, 0
+		d.dropPlans(w)
 	}
 	w.incarnation, w.incarnationAt, w.startedAt = n, e.respondedAt, e.processStartedAt()
 	d.fleetDirty = d.fleetDirty || known
--- a/internal/dispatcher/reservation.go
+++ b/internal/dispatcher/reservation.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"slices"
 	"time"
 
 	"chestnutmux.example/chestnutmux/pkg/model"
@@ -58,6 +59,20 @@
 	return len(r.tasks) > 0
 }
 
+// dropPlans drops what is reserved or held on a worker for waiting steps. After a restart, the worker may not be able to run them.
+func (d *Dispatcher) dropPlans(w *worker) {
+	for _, j := range d.jobs {
+		for _, s := range j.steps {
+			if s.reservation != nil && slices.Contains(s.reservation.workers, w) {
+				s.reservation = nil
+			}
+			if slices.Contains(s.heldWorkers, w) {
+				s.heldWorkers, s.heldUntil = nil, time.Time{}
+			}
+		}
+	}
+}
+
 // maxResources returns the larger of both values for each resource.
 func maxResources(a, b model.Resources) model.Resources {
 	return model.Resources{
--- a/internal/dispatcher/restart_test.go
+++ b/internal/dispatcher/restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -53,3 +54,25 @@
 	f.checkWorkers(f.later(2400))
 	is.True(!f.isAsked())
 }
+
+// Guards against tasks that start on a restarted worker which may not run them, because the place was chosen for its former process. The list
+// describes the new process before the next pass.
+func TestPlansEndWithTheProcess(t *testing.T) {
+	for name, plan := range map[string]func(*step, *worker){
+		"reservation": func(s *step, w *worker) { s.reservation = &reservation{tasks: s.tasks, workers: []*worker{w}} },
+		"held worker": func(s *step, w *worker) { s.heldWorkers, s.heldUntil = []*worker{w}, time.Now().Add(gangHoldTime) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newListedFixture(t)
+			s := f.addStep("labelled", 0, model.Step{Count: 1, Need: model.Resources{Accelerators: 1}, Label: "fast"}, f.now)
+			plan(s, f.worker)
+			f.report(100, 2, 10)
+			f.list(110, model.WorkerReady, 2) // without the label
+			f.schedule(f.later(120))
+			is.True(s.reservation == nil)
+			is.Equal(len(s.heldWorkers), 0)
+			is.True(s.isIdle())
+		})
+	}
+}
