Count with the lease that a late start request may grant to a restarted worker

Callers could see a task run on two workers (TWICE): a worker takes the lease of a start request also if it refuses the request, as it does with one that was stopped. A request that arrives late names a time on the clock of the former process, which grants the new one the longest lease. If the worker then fell silent, the leader dropped its runs when the leases that it knew of had ended, and started their tasks elsewhere.

The end of the leases of a worker that has restarted now covers the start requests without a response, for as long as they may arrive. The price: runs on a worker that falls silent within 12 s of such a restart, and is not seen to restart again, start elsewhere up to 23 s after the request, in place of 10 s after the last renewal.

The fake worker granted no lease with a refused request; it does now, as the platform.

--- a/internal/coordinator/late_start_test.go
+++ b/internal/coordinator/late_start_test.go
@@ -136,3 +136,32 @@
 		})
 	}
 }
+
+// Guards against a task that runs twice because a late start request, which a restarted worker refuses, has given it the longest lease, and the
+// worker falls silent.
+func TestLateStartMakesNoLeaseLonger(t *testing.T) {
+	runInCluster(t, 1, 1, 1, 3, func(c *cluster, is *is.I) {
+		h := c.hosts[0]
+		client := heldStartClient{delay: 6 * time.Second, hold: &atomic.Bool{}, sentTo: make(chan model.HostID, 1), arrived: make(chan error, 1)}
+		client.DirectClient = worker.DirectClient{Fleet: c.fleet, InjectFault: h.workerFault}
+		h.restartWith(func() { h.workers = &client })
+		c.listIncarnations()
+		time.Sleep(20 * time.Second)
+		client.hold.Store(true)
+		long := func(id string) {
+			c.submit(job(id, 1, 25*time.Second, model.Step{Count: 1, Need: accelerators(8)}))
+		}
+		long("late")
+		id := <-client.sentTo
+		time.Sleep(3 * time.Second)
+		c.restartWorker(id)
+		long("a")
+		long("b")
+		is.True(<-client.arrived != nil)
+		is.Equal(len(c.fleet.LedgerReport().StartsByTask), 3) // each worker has one
+		c.setWorkerFault(id, worker.FaultRequestLost)
+		c.listIncarnations(id)
+		c.cancelJob("late") // makes room for the run that is lost
+		c.awaitEnd(2*time.Minute, "a", "b")
+	})
+}
--- a/internal/dispatcher/latestart.go
+++ b/internal/dispatcher/latestart.go
@@ -81,6 +81,16 @@
 	}
 }
 
+// recordLateLeases notes the leases that late start requests may grant to a process that has restarted, whether it carries them out or refuses
+// them. A time on the clock of the former process grants the longest lease.
+func (d *Dispatcher) recordLateLeases(w *worker) {
+	for _, s := range d.pendingStarts[w.info.ID] {
+		if w.incarnation != s.incarnation {
+			w.startLeaseEndsAt = latest(w.startLeaseEndsAt, leaseEnd(s.arrivesBy, d.MaxLease))
+		}
+	}
+}
+
 // stopLateStarts sends a process that has restarted the stop requests of start requests which may still arrive, although their runs were
 // removed. The stop requests of other runs are sent for as long as they have runs.
 func (d *Dispatcher) stopLateStarts(w *worker) {
--- a/internal/dispatcher/report.go
+++ b/internal/dispatcher/report.go
@@ -56,6 +56,7 @@
 	}
 	d.removeVanishedRuns(w, e, now)
 	d.removeArrivedStarts(w, &e.report)
+	d.recordLateLeases(w)
 	d.stopLateStarts(w)
 	if e.ackedSeq > w.ackedSeq {
 		w.ackedSeq = e.ackedSeq
--- a/internal/fake/worker/fleet.go
+++ b/internal/fake/worker/fleet.go
@@ -201,7 +201,8 @@
 	return nil
 }
 
-// StartRun handles a start request; a retry has no effect if the run has already started.
+// StartRun handles a start request; a retry has no effect if the run has already started. A request that is refused as stale extends the lease
+// all the same.
 func (f *Fleet) StartRun(id model.HostID, req dispatcher.StartRequest, now time.Time) (dispatcher.Response, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -216,6 +217,7 @@
 		return resp, nil
 	}
 	if req.Run.Number <= s.highestEndedRun[req.Run.Task] {
+		f.extendLease(s, req.LeaseUntil, now)
 		return resp, &dispatcher.RefusedError{Reason: dispatcher.RefusedStaleRun}
 	}
 	if req.LeaseUntil <= s.workerTime(now) {
