Let each request for a prompt report stand until it is sent

A confirmed stop request of a run that had begun cleared the request of another stop request, whose run may have begun unseen. Nothing was seen to go wrong; found by reading. The four places that ask for a report share one method, and the file of the start requests without a response is named for them.

--- a/internal/dispatcher/crash.go
+++ b/internal/dispatcher/crash.go
@@ -180,7 +180,7 @@
 func (d *Dispatcher) askBeforeStart(t *task, w *worker, now time.Time) {
 	t.asks++
 	t.notBefore = now.Add(askTime)
-	w.session.updateRenewalState(func(state *renewalState) { state.reportNow = true })
+	w.session.askNow()
 }
 
 // hostsSuspect reports whether the worker runs a task that may crash it, so that it should get no other tasks.
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -298,7 +298,7 @@
 // may be the older one.
 func (d *Dispatcher) askUndescribed(w *worker, now time.Time) {
 	if w.mayGetTasks() && w.hasReported && !w.isDescribed() && now.Sub(w.lastReportAt) >= probeInterval {
-		w.session.updateRenewalState(func(state *renewalState) { state.reportNow = true })
+		w.session.askNow()
 	}
 }
 
--- a/internal/dispatcher/latestart.go
+++ b/internal/dispatcher/pendingstart.go
@@ -119,7 +119,7 @@
 		s.stoppedIn, s.stopping = w.incarnation, nil
 		w.recordAnswer(e.response, e.sentAt, e.respondedAt)
 		d.updateSession(w)
-		w.session.updateRenewalState(func(state *renewalState) { state.reportNow = true }) // the run may have begun before
+		w.session.askNow() // the run may have begun before
 	case s.stopping != w || !s.stops.isNewest(e):
 	case e.err == nil:
 		d.requestStop(w, e.run, &s.stops, 0) // the process that has confirmed it may have ended
--- a/internal/dispatcher/requests.go
+++ b/internal/dispatcher/requests.go
@@ -218,7 +218,9 @@
 		r.stopConfirmedAt = e.respondedAt
 		d.pendingStarts.confirmStop(w, r.id)
 		d.updateSession(w)
-		w.session.updateRenewalState(func(state *renewalState) { state.reportNow = r.startConfirmedAt.IsZero() })
+		if r.startConfirmedAt.IsZero() {
+			w.session.askNow()
+		}
 		return
 	case isStaleFence(e.err):
 		d.endTerm("worker has seen a higher fencing token", "worker", w.info.ID)
--- a/internal/dispatcher/session.go
+++ b/internal/dispatcher/session.go
@@ -124,6 +124,11 @@
 	}
 }
 
+// askNow makes the session ask the worker for a report without delay, once the call in progress has ended.
+func (s *session) askNow() {
+	s.updateRenewalState(func(state *renewalState) { state.reportNow = true })
+}
+
 // takeRenewalState returns the renewal state, and clears reportNow in the session.
 func (s *session) takeRenewalState() renewalState {
 	s.mu.Lock()
