--- a/internal/fake/worker/fleet.go
+++ b/internal/fake/worker/fleet.go
@@ -122,6 +122,7 @@
 	f.nextEndTime = time.Time{}
 	f.loseRuns(s, now)
 	s.reset(now)
+	s.downUntil = time.Time{}
 }
 
 // RestartWorkerAs restarts a worker like RestartWorker. The capacity of the new process counts from its start on.
