--- a/internal/coordinator/restart_kind_test.go
+++ b/internal/coordinator/restart_kind_test.go
@@ -18,7 +18,7 @@
 // kindJobs is the number of jobs of newKindCluster.
 const kindJobs = 30
 
-// kindClient notes which starts reach a worker whose process has not the label that all tasks demand.
+// kindClient notes which starts reach a worker whose process lacks the label that all tasks demand.
 type kindClient struct {
 	worker.DirectClient
 	label string
