--- a/internal/coordinator/late_start_test.go
+++ b/internal/coordinator/late_start_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -13,8 +14,7 @@
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
-// heldStartClient holds back the first start request after hold was set. Its caller gets no response, and the request arrives after a
-// delay, at the process that the worker has by then.
+// heldStartClient holds back the first start request after hold was set, which arrives after a delay at the process that the worker then has.
 type heldStartClient struct {
 	worker.DirectClient
 	delay   time.Duration
@@ -43,7 +43,7 @@
 	var list []model.Worker
 	for _, w := range c.all {
 		w.Incarnation = c.fleet.Incarnation(w.ID)
-		if len(without) == 0 || w.ID != without[0] {
+		if !slices.Contains(without, w.ID) {
 			list = append(list, w)
 		}
 	}
@@ -137,8 +137,7 @@
 	}
 }
 
-// Guards against a task that runs twice because a late start request, which a restarted worker refuses, has given it the longest lease, and the
-// worker falls silent.
+// Guards against a task that runs twice because a late start request, though refused, has given a restarted worker the longest lease.
 func TestLateStartMakesNoLeaseLonger(t *testing.T) {
 	runInCluster(t, 1, 1, 1, 3, func(c *cluster, is *is.I) {
 		h := c.hosts[0]
--- a/internal/dispatcher/restart_test.go
+++ b/internal/dispatcher/restart_test.go
@@ -55,8 +55,7 @@
 	is.True(!f.isAsked())
 }
 
-// Guards against tasks that start on a restarted worker which may not run them, because the place was chosen for its former process. The list
-// describes the new process before the next pass.
+// Guards against tasks that start on a restarted worker which may not run them, because the place was chosen for its former process.
 func TestPlansEndWithTheProcess(t *testing.T) {
 	for name, plan := range map[string]func(*step, *worker){
 		"reservation": func(s *step, w *worker) { s.reservation = &reservation{tasks: s.tasks, workers: []*worker{w}} },
