Start nothing in evacuated failure domains

Cause: an operator had no way to empty a failure domain.

The dispatcher leaves workers of evacuated domains out of its passes, drops what is planned there, withdraws start requests that have not been sent, and asks the evacuator again when it sends one. The term record says when no worker may be used, and submissions are refused then.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -91,7 +91,7 @@
 	}
 	term, _ := a.Jobs.Term()
 	if decision := admitter.Decide(term.Load, s); !decision.Accepted {
-		return a.refuse(s, model.ErrorKindOverloaded, "the work ahead of the job takes too long", decision.RetryAfter, decision.Wait)
+		return a.refuse(s, model.ErrorKindOverloaded, decision.Reason, decision.RetryAfter, decision.Wait)
 	}
 	s.AcceptedAtMS = start.UnixMilli()
 	r, err := journaler.NewSubmissionRecord(s)
--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -15,6 +15,8 @@
 	// RetryAfter is the time after which a refused job would be accepted if no other work arrived, limited to the range
 	// from minRetryAfter to maxRetryAfter; 0 if the job was accepted.
 	RetryAfter time.Duration
+	// Reason says why the job was refused; empty if it was accepted.
+	Reason string
 }
 
 const (
@@ -23,19 +25,25 @@
 	// minRetryAfter and maxRetryAfter bound Decision.RetryAfter.
 	minRetryAfter = time.Second
 	maxRetryAfter = 60 * time.Second
+	// evacuatedRetryAfter is RetryAfter while all workers are evacuated. How long that lasts is unknown; a caller that is told to come back
+	// in some seconds still has retries left when capacity is back.
+	evacuatedRetryAfter = 5 * time.Second
 	// maxDuration limits target durations and critical paths, so that sums of a few of them fit into a time.Duration.
 	maxDuration = 10 * 365 * 24 * time.Hour
 )
 
 // Decide accepts a job if it is expected to finish, after the work ahead of it, before its result is worthless. It accepts every
-// job while the capacity is 0, which is the case until the leader has published a load.
+// job while the capacity is 0, which is the case until the leader has published a load, but none while all workers are evacuated.
 func Decide(load journaler.Load, s *model.Submission) Decision {
+	if load.AllEvacuated {
+		return Decision{RetryAfter: evacuatedRetryAfter, Reason: "all failure domains are evacuated"}
+	}
 	wait := estimateWait(load, s.Queue.Priority)
 	maxWait := maxLatenessFactor*TargetDuration(s) - CriticalPath(s)
 	if wait <= maxWait || load.Capacity == 0 {
 		return Decision{Accepted: true, Wait: wait}
 	}
-	return Decision{Wait: wait, RetryAfter: min(max(wait-maxWait, minRetryAfter), maxRetryAfter)}
+	return Decision{Wait: wait, RetryAfter: min(max(wait-maxWait, minRetryAfter), maxRetryAfter), Reason: "the work ahead of the job takes too long"}
 }
 
 // estimateWait returns the time that all workers together need for the accepted work of the same or a more urgent priority
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -30,4 +30,7 @@
 	is.True(!decision.Accepted)
 	is.True(decision.RetryAfter >= minRetryAfter && decision.RetryAfter <= maxRetryAfter)
 	is.True(Decide(journaler.Load{}, job(2)).Accepted) // no load has been published yet
+	decision = Decide(journaler.Load{AllEvacuated: true}, job(0))
+	is.True(!decision.Accepted)
+	is.True(decision.RetryAfter > 0)
 }
--- a/internal/coordinator/cluster_test.go
+++ b/internal/coordinator/cluster_test.go
@@ -14,6 +14,7 @@
 
 	"chestnutmux.example/chestnutmux/internal/asserter"
 	"chestnutmux.example/chestnutmux/internal/dispatcher"
+	"chestnutmux.example/chestnutmux/internal/evacuator"
 	"chestnutmux.example/chestnutmux/internal/fake/log"
 	"chestnutmux.example/chestnutmux/internal/fake/worker"
 	"chestnutmux.example/chestnutmux/internal/journaler"
@@ -58,6 +59,7 @@
 	pauseAt     string                            // log message of the leader at which its process is paused; empty means none
 	pauseLength time.Duration
 	recoverer   *recoverer.Recoverer
+	evacuator   *evacuator.Evacuator // nil means that the host follows no requests of an operator
 	cancel      context.CancelFunc
 
 	mu              sync.Mutex
@@ -119,7 +121,7 @@
 	h.coordinator = New(Config{
 		Host: h.id, Log: h.log(),
 		Workers:  workers,
-		Registry: registry, Entitlements: func() dispatcher.Entitlements { return dispatcher.Entitlements{} },
+		Registry: registry, Entitlements: func() dispatcher.Entitlements { return dispatcher.Entitlements{} }, Evacuator: h.evacuator,
 		Logger: logger, Metrics: dispatcher.NewMetrics(), Asserter: &asserter.Asserter{Logger: logger}, Recoverer: h.recoverer,
 		Processors: h.processors, LinkRate: h.linkRate, LeaseDuration: testLease, MaxLease: testMaxLease, JobRetention: testRetention,
 	})
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -12,6 +12,7 @@
 	"chestnutmux.example/chestnutmux/internal/asserter"
 	"chestnutmux.example/chestnutmux/internal/dispatcher"
 	"chestnutmux.example/chestnutmux/internal/elector"
+	"chestnutmux.example/chestnutmux/internal/evacuator"
 	"chestnutmux.example/chestnutmux/internal/journaler"
 	"chestnutmux.example/chestnutmux/internal/pacer"
 	"chestnutmux.example/chestnutmux/internal/recoverer"
@@ -74,6 +75,7 @@
 	DirectLogDown func() bool                    // reports whether the direct connection to the log is down; may be nil
 	LogReaders    func(hosts int) int            // returns how many of the known hosts read the log in the same way as this host; nil means all
 	Entitlements  func() dispatcher.Entitlements // returns the guarantees and quotas of the current configuration
+	Evacuator     *evacuator.Evacuator           // says in which failure domains nothing is started; nil means none
 	Logger        hclog.Logger
 	Asserter      *asserter.Asserter
 	Recoverer     *recoverer.Recoverer // handles panics; may be nil
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -52,7 +52,7 @@
 	}
 	d := &dispatcher.Dispatcher{
 		Term: t, TermOffset: offset, ElectedAt: electedAt, Log: c.cfg.Log, Workers: &recoveringClient{client: c.cfg.Workers, recoverer: c.cfg.Recoverer}, Logger: c.cfg.Logger.With("fence", t.Fence), Metrics: c.cfg.Metrics, Recoverer: c.cfg.Recoverer,
-		LeaseDuration: c.cfg.LeaseDuration, MaxLease: c.cfg.MaxLease, LinkRate: c.cfg.LinkRate, JobRetention: c.cfg.JobRetention, LookupJob: c.replica.Job, OnViolation: c.cfg.Asserter.RecordViolation,
+		LeaseDuration: c.cfg.LeaseDuration, MaxLease: c.cfg.MaxLease, LinkRate: c.cfg.LinkRate, JobRetention: c.cfg.JobRetention, LookupJob: c.replica.Job, Evacuator: c.cfg.Evacuator, OnViolation: c.cfg.Asserter.RecordViolation,
 	}
 	d.Init()
 	own := &ownTerm{fence: t.Fence, dispatcher: d, cancel: cancel, done: make(chan struct{})}
@@ -115,6 +115,16 @@
 	}
 }
 
+// UpdateEvacuations notifies the dispatcher that the requests to evacuate failure domains have changed, if this host is the leader.
+func (c *Coordinator) UpdateEvacuations() {
+	c.mu.Lock()
+	own := c.ownTerm
+	c.mu.Unlock()
+	if own != nil {
+		own.dispatcher.UpdateEvacuations()
+	}
+}
+
 // WorkerStatuses returns the status of each worker while this host is the leader, and nil otherwise.
 func (c *Coordinator) WorkerStatuses(ctx context.Context) []model.WorkerStatus {
 	c.mu.Lock()
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"chestnutmux.example/chestnutmux/internal/asserter"
+	"chestnutmux.example/chestnutmux/internal/evacuator"
 	"chestnutmux.example/chestnutmux/internal/journaler"
 	"chestnutmux.example/chestnutmux/internal/pacer"
 	"chestnutmux.example/chestnutmux/internal/placer"
@@ -49,6 +50,9 @@
 	LinkRate      pacer.BytesPerSecond                    // rate of this host's link; 0 means unknown
 	JobRetention  time.Duration                           // time for which the records of an ended job stay in the log
 	LookupJob     func(model.JobID) (journaler.Job, bool) // returns a job by its ID, including ended jobs
+	// Evacuator says in which failure domains nothing is started; nil means that there are none. UpdateEvacuations notifies the dispatcher of
+	// changes.
+	Evacuator *evacuator.Evacuator
 	// OnViolation is called when an invariant is violated; args are key and value pairs for the log line.
 	OnViolation func(inv asserter.Invariant, args ...any)
 	// RefreshWorkers asks for a new list of workers without delay; may be nil.
@@ -73,8 +77,10 @@
 	demandUpdatedAt   time.Time                           // time of the last update of demand
 	preemptionPlanner placer.PreemptionPlanner
 	pacer             pacer.Pacer
-	startsDeferred    bool      // the last pass has left work waiting because of the rate limit of start requests
-	adoptedGangs      []*step   // gangs that may have runs of former leaders, not yet checked for missing members
+	startsDeferred    bool             // the last pass has left work waiting because of the rate limit of start requests
+	adoptedGangs      []*step          // gangs that may have runs of former leaders, not yet checked for missing members
+	evacuated         []model.DomainID // evacuated failure domains at the last event
+	oldView           oldView
 	lastArrival       int64     // job.arrival of the newest job
 	waitLoggedAt      time.Time // time of the last log line on a waiting step
 	err               error     // makes Run return when it is set
@@ -290,6 +296,10 @@
 		d.checkFormerRuns(now)
 	}
 	d.checkPossibleCrashes(now)
+	if len(d.evacuated) > 0 {
+		d.countEvacuated()
+	}
+	d.logOldView(now)
 	d.pendingStarts.removeOld(now)
 	d.stopIncompleteGangs(now)
 }
--- a/internal/dispatcher/headroom.go
+++ b/internal/dispatcher/headroom.go
@@ -73,7 +73,7 @@
 type servicePool struct {
 	schedulable int               // number of schedulable workers
 	capacity    model.Resources   // total capacity of the schedulable workers
-	inUse       float64           // number of workers that active runs fill
+	inUse       float64           // number of workers that active runs fill, without those in evacuated failure domains
 	demand      workersByPriority // current demand of each priority
 	ready       resourceUse       // use of the listed workers that are ready, schedulable or not
 }
@@ -111,7 +111,10 @@
 		for _, r := range w.runs {
 			if r.task != nil && (r.state == runStarting || r.state == runRunning) {
 				pool := p.pool(w.info.Service)
-				pool.inUse += pool.addDemand(r.task.step.job.submission.Queue.Priority, r.need, 1)
+				filled := pool.addDemand(r.task.step.job.submission.Queue.Priority, r.need, 1)
+				if !w.evacuated {
+					pool.inUse += filled
+				}
 				if w.mayGetTasks() {
 					pool.ready.used = pool.ready.used.Add(r.need)
 				}
--- a/internal/dispatcher/load.go
+++ b/internal/dispatcher/load.go
@@ -6,7 +6,8 @@
 	"chestnutmux.example/chestnutmux/internal/journaler"
 )
 
-// pendingLoad returns the schedulable capacity in accelerators, and the remaining work of each priority in accelerator-seconds.
+// pendingLoad returns the schedulable capacity in accelerators, and the remaining work of each priority in accelerator-seconds, without what
+// runs in evacuated failure domains.
 func (d *Dispatcher) pendingLoad(now time.Time) journaler.Load {
 	var load journaler.Load
 	for _, w := range d.workers {
@@ -14,6 +15,7 @@
 			load.Capacity += w.info.Capacity.Accelerators
 		}
 	}
+	load.AllEvacuated = load.Capacity == 0 && d.allEvacuated()
 	for _, j := range d.jobs {
 		if j.state.IsFinal() {
 			continue
@@ -41,6 +43,7 @@
 		for _, t := range s.tasks {
 			switch {
 			case t.done:
+			case t.activeRun != nil && t.activeRun.state == runRunning && t.activeRun.worker.evacuated:
 			case t.activeRun != nil && t.activeRun.state == runRunning:
 				sum += t.activeRun.estimateRemaining(now).Seconds() * float64(max(1, s.spec.Need.Accelerators))
 			default:
--- a/internal/dispatcher/metrics.go
+++ b/internal/dispatcher/metrics.go
@@ -16,6 +16,7 @@
 	Stops          *expvar.Map            // number of runs that were stopped by reason
 	Refusals       *expvar.Map            // number of refused start requests by reason
 	Appends        *expvar.Map            // number of appends to the log by outcome
+	Evacuated      *expvar.Map            // number of evacuated failure domains, and of workers and runs left there, as of this host's last term
 	StartLatency   *recorder.HistogramSet // time from learning of a job until all tasks of its first step have started, by queue
 	CompletionTime *recorder.HistogramSet // time from learning of a job until it has finished, by queue
 	PassDuration   *recorder.HistogramSet // duration of scheduling passes
@@ -26,7 +27,7 @@
 	m := &Metrics{
 		StartLatency: recorder.NewCoarseHistogramSet(), CompletionTime: recorder.NewCoarseHistogramSet(), PassDuration: recorder.NewCoarseHistogramSet(),
 	}
-	for _, p := range []**expvar.Map{&m.Jobs, &m.Runs, &m.Stops, &m.Refusals, &m.Appends} {
+	for _, p := range []**expvar.Map{&m.Jobs, &m.Runs, &m.Stops, &m.Refusals, &m.Appends, &m.Evacuated} {
 		*p = new(expvar.Map).Init()
 	}
 	return m
@@ -35,7 +36,7 @@
 // Vars returns the metrics by their published names.
 func (m *Metrics) Vars() map[string]expvar.Var {
 	return map[string]expvar.Var{
-		"jobs": m.Jobs, "runs": m.Runs, "stops": m.Stops, "start-refusals": m.Refusals, "leader-appends": m.Appends,
+		"jobs": m.Jobs, "runs": m.Runs, "stops": m.Stops, "start-refusals": m.Refusals, "leader-appends": m.Appends, "evacuated": m.Evacuated,
 		"job-start": m.StartLatency, "job-complete": m.CompletionTime, "planning": m.PassDuration,
 	}
 }
@@ -59,3 +60,12 @@
 func queueLabel(j *job) string {
 	return string(j.submission.Workspace) + "/" + string(j.submission.Queue.ID)
 }
+
+// setEvacuated sets the numbers of evacuated failure domains, and of the workers and runs left there.
+func (m *Metrics) setEvacuated(domains, workers, runs int) {
+	for name, n := range map[string]int{"domains": domains, "workers": workers, "runs": runs} {
+		v := new(expvar.Int)
+		v.Set(int64(n))
+		m.Evacuated.Set(name, v)
+	}
+}
--- a/internal/dispatcher/plan.go
+++ b/internal/dispatcher/plan.go
@@ -119,7 +119,7 @@
 	d                 *Dispatcher
 	now               time.Time
 	ranks             map[*job]placer.Rank // set by listPreemptible
-	nodes             []*placer.Node       // all listed workers, ordered by rack and ID
+	nodes             []*placer.Node       // all listed workers outside of evacuated failure domains, ordered by rack and ID
 	workerOf          map[*placer.Node]*worker
 	nodeOf            map[*worker]*placer.Node
 	reserved          map[*worker]model.Resources      // resources of each worker that reservations take
@@ -133,7 +133,8 @@
 	preemptibleListed bool                             // listPreemptible has run in this pass
 }
 
-// newSchedulingPass returns a pass with a node for each listed worker.
+// newSchedulingPass returns a pass with a node for each listed worker. Workers of evacuated failure domains have none, so that nothing
+// counts on them: neither what fits a rack or is feasible, nor headroom and ample room.
 func newSchedulingPass(d *Dispatcher, now time.Time) *schedulingPass {
 	p := &schedulingPass{
 		d: d, now: now, workerOf: map[*placer.Node]*worker{}, nodeOf: map[*worker]*placer.Node{}, infeasible: map[requestKey]bool{},
@@ -141,7 +142,7 @@
 	}
 	p.reserved = d.reservedResources(now)
 	for _, w := range d.workers {
-		if !w.listed {
+		if !w.listed || w.evacuated {
 			continue
 		}
 		free, unused := p.freeResources(w)
--- a/internal/dispatcher/rate.go
+++ b/internal/dispatcher/rate.go
@@ -15,9 +15,10 @@
 }
 
 // canStart reports whether the rate limit allows to send a start request now. If not, another pass follows soon. It also reports
-// false while the log does not confirm this leader's appends, so that there may be a successor.
+// false while the log does not confirm this leader's appends, so that there may be a successor, and while the failure domains that must not
+// be used are not known well enough.
 func (p *schedulingPass) canStart() bool {
-	if !p.d.leaseLimit.allowsStart(p.now.Add(startMargin)) {
+	if soon := p.now.Add(startMargin); !p.d.leaseLimit.allowsStart(soon) || !p.d.Evacuator.AllowsStart(soon) {
 		return false
 	}
 	if p.d.pacer.CanStart(p.now) {
--- a/internal/dispatcher/session.go
+++ b/internal/dispatcher/session.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"chestnutmux.example/chestnutmux/internal/evacuator"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
@@ -36,6 +37,7 @@
 	fence         model.FencingToken
 	leaseDuration time.Duration
 	leaseLimit    *leaseLimit
+	evacuator     *evacuator.Evacuator
 	maxLease      time.Duration // longest lease that the worker grants
 	events        chan<- event
 	ctx           context.Context
@@ -48,6 +50,7 @@
 	incarnationKnown bool          // the last lease renewal returned a report; owned by run, not guarded by mu
 	granted          grant         // what the renewals so far may have granted; guarded by mu
 	wake             chan struct{} // signals a change of renewal
+	withdrawn        chan struct{} // closed and replaced when start requests that have not been sent are withdrawn; guarded by mu
 }
 
 // grant describes the latest lease that a renewal may have granted.
@@ -105,8 +108,8 @@
 func newSession(ctx context.Context, d *Dispatcher, info model.Worker) *session {
 	ctx, cancel := context.WithCancel(ctx)
 	s := &session{
-		client: d.Workers, fence: d.Term.Fence, leaseDuration: d.LeaseDuration, leaseLimit: &d.leaseLimit, maxLease: d.MaxLease, events: d.events, ctx: ctx, close: cancel,
-		requestSlots: make(chan struct{}, maxRequestsInFlight), wake: make(chan struct{}, 1),
+		client: d.Workers, fence: d.Term.Fence, leaseDuration: d.LeaseDuration, leaseLimit: &d.leaseLimit, evacuator: d.Evacuator, maxLease: d.MaxLease, events: d.events, ctx: ctx, close: cancel,
+		requestSlots: make(chan struct{}, maxRequestsInFlight), wake: make(chan struct{}, 1), withdrawn: make(chan struct{}),
 	}
 	s.renewal.info, s.renewal.callTimeout = info, d.pacer.Timeout()
 	go s.run()
@@ -276,13 +279,17 @@
 // errWithdrawn reports that a start request has waited for too long and was not sent.
 var errWithdrawn = errors.New("dispatcher: start request withdrawn before it was sent")
 
-// sendStart sends a start request in the background, unless it has to wait until its lease, which ends at the given time, is over or
-// this leader may have a successor.
+// sendStart sends a start request in the background, unless it has to wait until its lease, which ends at the given time, is over, this
+// leader may have a successor, the failure domain of the worker is or may be evacuated, or withdrawStarts is called.
 func (s *session) sendStart(info model.Worker, req StartRequest, leaseEndsAt time.Time, timeout time.Duration) {
-	go s.sendRequest(timeout, func(ctx context.Context) event {
+	withdrawal := &startEvent{worker: info.ID, run: req.Run, err: errWithdrawn}
+	s.mu.Lock()
+	withdrawn := s.withdrawn
+	s.mu.Unlock()
+	go s.sendRequest(timeout, withdrawn, withdrawal, func(ctx context.Context) event {
 		sentAt := time.Now()
-		if sentAt.After(leaseEndsAt) || !s.leaseLimit.allowsStart(sentAt) {
-			return &startEvent{worker: info.ID, run: req.Run, err: errWithdrawn}
+		if sentAt.After(leaseEndsAt) || !s.leaseLimit.allowsStart(sentAt) || !s.evacuator.AllowsStart(sentAt) || s.evacuator.IsEvacuated(info.FailureDomain) {
+			return withdrawal
 		}
 		response, err := s.client.Start(ctx, info, req)
 		return &startEvent{worker: info.ID, run: req.Run, response: response, sentAt: sentAt, respondedAt: time.Now(), err: err}
@@ -301,7 +308,7 @@
 				return
 			}
 		}
-		s.sendRequest(timeout, func(ctx context.Context) event {
+		s.sendRequest(timeout, nil, nil, func(ctx context.Context) event {
 			sentAt := time.Now()
 			response, err := s.client.Stop(ctx, info, req)
 			return &stopEvent{worker: info.ID, run: req.Run, number: number, response: response, sentAt: sentAt, respondedAt: time.Now(), err: err}
@@ -309,10 +316,22 @@
 	}()
 }
 
-// sendRequest waits for a free request slot, makes the call, and posts its outcome.
-func (s *session) sendRequest(timeout time.Duration, call func(context.Context) event) {
+// withdrawStarts withdraws the start requests that wait for a free request slot.
+func (s *session) withdrawStarts() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.withdrawn)
+	s.withdrawn = make(chan struct{})
+}
+
+// sendRequest waits for a free request slot, makes the call, and posts its outcome. If the channel withdrawn, which may be nil, is closed
+// first, it posts the event withdrawal instead.
+func (s *session) sendRequest(timeout time.Duration, withdrawn <-chan struct{}, withdrawal event, call func(context.Context) event) {
 	select {
 	case s.requestSlots <- struct{}{}:
+	case <-withdrawn:
+		s.post(withdrawal)
+		return
 	case <-s.ctx.Done():
 		return
 	}
--- a/internal/dispatcher/status.go
+++ b/internal/dispatcher/status.go
@@ -45,6 +45,8 @@
 	switch {
 	case !w.listed:
 		return "unlisted"
+	case w.evacuated:
+		return "evacuated"
 	case !w.isResponding:
 		return "unreachable"
 	case !w.isDescribed():
--- a/internal/dispatcher/takeover.go
+++ b/internal/dispatcher/takeover.go
@@ -30,6 +30,7 @@
 		added.openInLog = !w.RunsRecorded
 	}
 	d.updateWorkerList(list, now)
+	d.updateEvacuations(now)
 	for _, j := range d.jobs {
 		if j.cancelled {
 			d.cancelJob(j, now)
@@ -81,6 +82,7 @@
 		w.listed = true
 		restarted := w.isListedRestart(info)
 		w.info = info
+		d.updateEvacuation(w)
 		if w.mayGetTasks() && !w.openInLog {
 			d.journal.appendSoon = true // its tasks wait for the fleet record
 		}
--- a/internal/dispatcher/waiting.go
+++ b/internal/dispatcher/waiting.go
@@ -77,5 +77,10 @@
 			out[p.workerOf[n].healthStatus(p.now)]++
 		}
 	}
+	for _, w := range p.d.workers {
+		if w.listed && w.evacuated && r.IsFor(&placer.Node{ID: w.info.ID, Service: w.info.Service, Labels: w.info.Labels}) {
+			out[w.healthStatus(p.now)]++
+		}
+	}
 	return out
 }
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -18,6 +18,7 @@
 	hasCrashed        bool      // the last calls suggest that the process of the worker has ended
 	isReplaced        bool      // the last calls show that another worker uses the address
 	runsRecorded      bool      // a former leader gave the worker no new tasks, and the log lists all its runs
+	evacuated         bool      // the worker's failure domain is evacuated
 	openInLog         bool      // the newest fleet record in the log says that the worker may get new tasks
 
 	clock            WorkerTime // clock of the worker at clockAt
@@ -151,7 +152,9 @@
 }
 
 // mayGetTasks reports whether the worker gets new tasks once it can, so that the fleet record must say so first.
-func (w *worker) mayGetTasks() bool { return w.listed && w.info.State == model.WorkerReady }
+func (w *worker) mayGetTasks() bool {
+	return w.listed && w.info.State == model.WorkerReady && !w.evacuated
+}
 
 // hasUnknownRuns reports whether a former leader may have started runs on the worker that are neither recorded nor known to this
 // leader, and that may still be active.
--- a/internal/journaler/record.go
+++ b/internal/journaler/record.go
@@ -44,8 +44,10 @@
 
 // Load is the leader's summary of the cluster's load. Entry hosts use it to decide whether to accept a job.
 type Load struct {
-	Capacity model.Accelerators `json:"capacity"`          // total number of accelerators of the workers that accept tasks
-	Backlog  []float64          `json:"waiting,omitempty"` // accepted work that is not done, in accelerator-seconds, by priority
+	Capacity model.Accelerators `json:"capacity"` // total number of accelerators of the workers that accept tasks
+	// AllEvacuated says that no worker may be used because an operator has evacuated all failure domains. A Capacity of 0 alone says nothing.
+	AllEvacuated bool      `json:"all-evacuated,omitempty"`
+	Backlog      []float64 `json:"waiting,omitempty"` // accepted work that is not done, in accelerator-seconds, by priority
 }
 
 // FleetWorker is a worker to which a leader may have assigned tasks.
