Hold submissions while the log can't be reached

A submission that found the log unreachable was refused after 400 ms although its caller waits up to 3 s, so every call of an outage cost a retry and its caller came back up to 2 s after the end of the outage. A lost response of the log kept all other submissions of the host waiting for 1.5 s.

The new package internal/spooler holds a submission until the log answers, the caller's time is used or its result would come too late, within a sixteenth of the memory of the host. It refuses at once where the outage will hardly end in time or where the host is isolated and others are not; an isolated host is not ready. Up to three appends are in progress, and a job whose append got no response is accepted once it has been read from the log. 503 is answered only if nothing was sent.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -11,17 +11,15 @@
 	"chestnutmux.example/chestnutmux/internal/admitter"
 	"chestnutmux.example/chestnutmux/internal/journaler"
 	"chestnutmux.example/chestnutmux/internal/recorder"
+	"chestnutmux.example/chestnutmux/internal/spooler"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
 const (
-	// outageRetryAfter is the Retry-After hint to callers whose job is refused because the log can't be reached.
-	outageRetryAfter = 2 * time.Second
-	// maxLogWait is the time that a call waits for the log to be reachable. A host that is starting, or switching to the
-	// connection through a peer, reaches the log within that time, and a refused caller would retry only later.
+	// maxLogWait is the time that a cancellation or query waits for the log to be reachable. A host that is starting, or switching
+	// to the connection through a peer, reaches the log within that time, and a refused caller would retry only later.
 	maxLogWait = 400 * time.Millisecond
-	// refusedRetryAfter is the Retry-After hint to callers whose job or cancellation the log refused, and to those whose
-	// cancellation or query fails because the log can't be reached.
+	// refusedRetryAfter is the Retry-After hint to callers whose cancellation or query fails because the log can't be reached.
 	refusedRetryAfter = time.Second
 )
 
@@ -35,9 +33,10 @@
 
 // Acceptor serves queries from the replica and appends submissions and cancellations to the log.
 type Acceptor struct {
-	Jobs     *journaler.Replica // this host's replica of the jobs
-	Follower LogFollower        // keeps Jobs up to date
-	Appender *journaler.BatchAppender
+	Jobs     *journaler.Replica       // this host's replica of the jobs
+	Follower LogFollower              // keeps Jobs up to date
+	Spooler  *spooler.Spooler         // appends submissions
+	Appender *journaler.BatchAppender // appends cancellations
 	Logger   hclog.Logger
 	Metrics  *Metrics
 }
@@ -86,25 +85,34 @@
 		a.Logger.Info("job already known", "job", s.ID, "workspace", s.Workspace, "queue", s.Queue.ID)
 		return nil
 	}
-	if !a.Follower.AwaitLog(ctx, maxLogWait) {
-		return a.refuse(s, model.ErrorKindLogUnavailable, "the log can't be reached", outageRetryAfter, 0)
-	}
-	term, _ := a.Jobs.Term()
-	if decision := admitter.Decide(term.Load, s); !decision.Accepted {
-		return a.refuse(s, model.ErrorKindOverloaded, "the work ahead of the job takes too long", decision.RetryAfter, decision.Wait)
+	if err := a.admit(s); err != nil {
+		return err
 	}
 	s.AcceptedAtMS = start.UnixMilli()
 	r, err := journaler.NewSubmissionRecord(s)
 	if err != nil {
 		return err
 	}
-	switch err := a.Appender.Append(ctx, r); {
+	term, _ := a.Jobs.Term()
+	err = a.Spooler.Append(ctx, &spooler.Submission{
+		Record: r, Priority: s.Queue.Priority, UsefulUntil: admitter.UsefulUntil(term.Load, s, start),
+		Admit: func() error { return a.admit(s) },
+		Known: func() bool {
+			_, _, known := a.Jobs.JobState(s.ID)
+			return known
+		},
+	})
+	var refusal *spooler.Refusal
+	var decided *model.Error
+	switch {
 	case err == nil:
 		a.Logger.Info("job accepted", "job", s.ID, "workspace", s.Workspace, "queue", s.Queue.ID, "priority", s.Queue.Priority,
 			"steps", len(s.Steps), "took-ms", time.Since(start).Milliseconds())
 		return nil
-	case errors.Is(err, journaler.ErrNotAppended):
-		return a.refuse(s, model.ErrorKindLogUnavailable, "the log refused the job", refusedRetryAfter, 0)
+	case errors.As(err, &refusal):
+		return a.refuse(s, model.ErrorKindLogUnavailable, "the log can't be reached: "+string(refusal.Reason), refusal.RetryAfter, time.Since(start))
+	case errors.As(err, &decided):
+		return err
 	default:
 		a.Logger.Warn("job may have been accepted", "job", s.ID, "workspace", s.Workspace, "queue", s.Queue.ID,
 			"took-ms", time.Since(start).Milliseconds(), "error", err)
@@ -115,6 +123,16 @@
 	}
 }
 
+// admit refuses a job whose result would be worthless after the work ahead of it. A job that was held is admitted by the load at its
+// append.
+func (a *Acceptor) admit(s *model.Submission) error {
+	term, _ := a.Jobs.Term()
+	if decision := admitter.Decide(term.Load, s); !decision.Accepted {
+		return a.refuse(s, model.ErrorKindOverloaded, "the work ahead of the job takes too long", decision.RetryAfter, decision.Wait)
+	}
+	return nil
+}
+
 func (a *Acceptor) refuse(s *model.Submission, kind model.ErrorKind, reason string, retryAfter, wait time.Duration) error {
 	a.Logger.Info("job refused", "job", s.ID, "workspace", s.Workspace, "queue", s.Queue.ID, "kind", kind, "reason", reason,
 		"wait-ms", wait.Milliseconds(), "retry-after-ms", retryAfter.Milliseconds())
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -12,6 +12,7 @@
 
 	"chestnutmux.example/chestnutmux/internal/fake/log"
 	"chestnutmux.example/chestnutmux/internal/journaler"
+	"chestnutmux.example/chestnutmux/internal/spooler"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
@@ -34,6 +35,14 @@
 
 func (f *testFollower) AwaitLog(context.Context, time.Duration) bool { return f.reachable }
 
+// view returns what the host knows of the log.
+func (f *testFollower) view() spooler.LogView {
+	if f.reachable {
+		return spooler.LogView{}
+	}
+	return spooler.LogView{DownSince: time.Now()}
+}
+
 func (f *testFollower) CatchUp(ctx context.Context) error {
 	b, err := f.log.Read(ctx, f.replica.NextOffset(), 0)
 	for _, r := range b.Records {
@@ -46,7 +55,7 @@
 	l := &log.DirectStream{Log: log.New(log.Options{}), StreamName: "jobs", InjectFault: fault.get}
 	follower := &testFollower{log: l, replica: &journaler.Replica{}, reachable: true}
 	return &Acceptor{
-		Jobs: follower.replica, Follower: follower, Appender: &journaler.BatchAppender{Log: l}, Logger: hclog.NewNullLogger(), Metrics: NewMetrics(),
+		Jobs: follower.replica, Follower: follower, Spooler: &spooler.Spooler{Log: l, View: follower.view}, Appender: &journaler.BatchAppender{Log: l}, Logger: hclog.NewNullLogger(), Metrics: NewMetrics(),
 	}, follower
 }
 
--- a/internal/cli/docs_test.go
+++ b/internal/cli/docs_test.go
@@ -122,6 +122,7 @@
 		{"../daemon/status.go", `Gauge\("([a-z-]+)"`, 3},
 		{"../dispatcher/metrics.go", `"([a-z-]+)": m\.`, 6},
 		{"../acceptor/acceptor.go", `"([a-z-]+)": m\.`, 4},
+		{"../spooler/metrics.go", `"([a-z-]+)": m\.`, 3},
 		{"../asserter/asserter.go", `Invariant += "([a-z-]+)"`, 7},
 		{"../settings/settings.go", "`json:\"([a-z0-9-]+)\"`", 14},
 	} {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -95,6 +95,7 @@
 	mu           sync.Mutex
 	elector      elector.Elector
 	logReachable bool                // whether the follower's last call to the log succeeded
+	logDownSince time.Time           // time of the first failed call in a row, or of the start
 	loaded       bool                // whether a snapshot has been loaded
 	ownTerm      *ownTerm            // nil while this host is not the leader
 	candidacies  map[int64]time.Time // when recent terms of this host were sent to the log, by Term.FirstSeq
@@ -108,7 +109,7 @@
 func New(cfg Config) *Coordinator {
 	c := &Coordinator{
 		cfg: cfg, replica: &journaler.Replica{Logger: cfg.Logger, Recoverer: cfg.Recoverer}, nonce: newNonce(),
-		candidacies: map[int64]time.Time{}, wakeup: make(chan struct{}, 1), readDone: make(chan struct{}),
+		candidacies: map[int64]time.Time{}, wakeup: make(chan struct{}, 1), readDone: make(chan struct{}), logDownSince: time.Now(),
 	}
 	c.elector.ElectionTimeout = electionTimeout
 	c.follower = &journaler.Follower{
@@ -144,6 +145,16 @@
 	return c.logReachable && c.loaded
 }
 
+// LogDownSince returns when the log was found to be unreachable; it is zero while LogReachable.
+func (c *Coordinator) LogDownSince() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.logReachable && c.loaded {
+		return time.Time{}
+	}
+	return c.logDownSince
+}
+
 // AwaitLog waits up to timeout until the log can be reached, and reports whether it can be.
 func (c *Coordinator) AwaitLog(ctx context.Context, timeout time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -188,8 +199,11 @@
 // handleReadResult updates the elector after a call to the log and wakes all goroutines that wait for the call.
 func (c *Coordinator) handleReadResult(ok bool) {
 	c.mu.Lock()
-	c.logReachable = ok
 	now := time.Now()
+	if !ok && c.logReachable {
+		c.logDownSince = now
+	}
+	c.logReachable = ok
 	c.elector.RecordLogCall(ok, now)
 	c.updateElectorLocked(now)
 	close(c.readDone)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -28,6 +28,7 @@
 	"chestnutmux.example/chestnutmux/internal/router"
 	"chestnutmux.example/chestnutmux/internal/server"
 	"chestnutmux.example/chestnutmux/internal/settings"
+	"chestnutmux.example/chestnutmux/internal/spooler"
 	"chestnutmux.example/chestnutmux/internal/workerclient"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
@@ -81,7 +82,7 @@
 	d.hosts = hostclient.NewClient(strings.TrimPrefix(s.HostListURL, "http://"), s.HostID, trafficMeter.Dialer(meter.PeerKindHostList))
 	d.publisher = &publisher.Publisher{Log: newStream(logclient.StreamConfig), Logger: logger, OnUpdate: d.applyConfig}
 	jobStream := newStream(logclient.StreamJobs)
-	dispatcherMetrics, acceptorMetrics := dispatcher.NewMetrics(), acceptor.NewMetrics()
+	dispatcherMetrics, acceptorMetrics, spoolerMetrics := dispatcher.NewMetrics(), acceptor.NewMetrics(), spooler.NewMetrics()
 	d.coordinator = coordinator.New(coordinator.Config{
 		Host: s.HostID, Log: jobStream, Workers: workerclient.NewClient(s.HostID, trafficMeter.Dialer(meter.PeerKindWorker)),
 		Registry:     &workerRegistry{hosts: d.hosts, pollInterval: settings.Duration(s.HostListPollIntervalMS)},
@@ -90,6 +91,10 @@
 	})
 	d.acceptor = &acceptor.Acceptor{
 		Jobs: d.coordinator.Replica(), Follower: d.coordinator, Appender: &journaler.BatchAppender{Log: jobStream}, Logger: logger, Metrics: acceptorMetrics,
+		Spooler: &spooler.Spooler{
+			Log: jobStream, View: func() spooler.LogView { return spooler.LogView{DownSince: d.coordinator.LogDownSince()} }, Logger: logger,
+			Metrics: spoolerMetrics,
+		},
 	}
 	d.router = router.New(router.Options{Domain: s.FailureDomain, Region: s.Region, Hooks: d.routerHooks()})
 	d.claimLog = &claimer.ClaimLog{
@@ -99,7 +104,7 @@
 		Host: s.HostID, Appender: d.claimLog, Index: d.claimLog, Results: noRemoteResults{}, ClaimWindow: settings.Duration(s.ClaimWindowMS),
 		OnViolation: d.asserter.RecordViolation,
 	})
-	d.registerMetrics(dispatcherMetrics, acceptorMetrics)
+	d.registerMetrics(dispatcherMetrics.Vars(), acceptorMetrics.Vars(), spoolerMetrics.Vars())
 	return d
 }
 
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -3,14 +3,13 @@
 import (
 	"cmp"
 	"context"
+	"expvar"
 	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"chestnutmux.example/chestnutmux/internal/acceptor"
 	"chestnutmux.example/chestnutmux/internal/asserter"
-	"chestnutmux.example/chestnutmux/internal/dispatcher"
 	"chestnutmux.example/chestnutmux/internal/hostclient"
 	"chestnutmux.example/chestnutmux/internal/recorder"
 	"chestnutmux.example/chestnutmux/internal/router"
@@ -102,15 +101,14 @@
 }
 
 // registerMetrics exports the metrics of the daemon and its components through the recorder.
-func (d *Daemon) registerMetrics(dispatcherMetrics *dispatcher.Metrics, acceptorMetrics *acceptor.Metrics) {
+func (d *Daemon) registerMetrics(components ...map[string]expvar.Var) {
 	d.recorder.RegisterGauge("invariant-violations", func() any { return d.asserter.ViolationCounts() })
 	d.recorder.RegisterGauge("config-version", func() any { return d.config.Load().version })
 	d.recorder.RegisterGauge("router", func() any { return d.router.Load() })
-	for name, v := range dispatcherMetrics.Vars() {
-		d.recorder.Register(name, v)
-	}
-	for name, v := range acceptorMetrics.Vars() {
-		d.recorder.Register(name, v)
+	for _, vars := range components {
+		for name, v := range vars {
+			d.recorder.Register(name, v)
+		}
 	}
 }
 
--- a/internal/peerlog/client.go
+++ b/internal/peerlog/client.go
@@ -34,6 +34,9 @@
 	// peers without power don't keep a host from those further away.
 	unreachableBackoff  = 2 * time.Second
 	maxBackoffDoublings = 3
+	// responseRetention is how long the response of a peer shows that it can be reached. A host whose direct connection is down calls
+	// each of its nearest peers at least that often.
+	responseRetention = 3 * time.Second
 )
 
 // Peers calls the other entry hosts and keeps the connections to them open.
@@ -43,10 +46,12 @@
 	Logger    hclog.Logger
 	Meter     *meter.Meter // counts the traffic of the connections; nil counts nothing
 
-	mu       sync.Mutex
-	conns    map[string]*peerConn // by address
-	backoffs map[string]backoff   // of the peers that have failed, by address
-	lastGood string               // address of the peer that served the last read; empty if it has failed since
+	mu    sync.Mutex
+	conns map[string]*peerConn // by address
+	// respondedAt holds when each peer has last responded.
+	respondedAt map[string]time.Time
+	backoffs    map[string]backoff // of the peers that have failed, by address
+	lastGood    string             // address of the peer that served the last read; empty if it has failed since
 	// probed holds the peers that were asked for a read since lastGood has said that it has no direct connection; nil if it has one.
 	probed map[string]bool
 }
@@ -142,6 +147,27 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.backoffs, addr)
+	if p.respondedAt == nil {
+		p.respondedAt = map[string]time.Time{}
+	}
+	p.respondedAt[addr] = time.Now()
+}
+
+// CountResponding returns how many of the peers that were called lately have responded, whether they reach the log or not, and how
+// many have not.
+func (p *Peers) CountResponding() (responding, silent int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	for _, addr := range p.Addresses() {
+		switch {
+		case p.backoffs[addr].failures > 0:
+			silent++
+		case now.Sub(p.respondedAt[addr]) < responseRetention:
+			responding++
+		}
+	}
+	return responding, silent
 }
 
 // limitTransfer returns a context for a call to a peer that ends when nothing has arrived after a time, or when the response
--- /dev/null
+++ b/internal/spooler/policy_test.go
@@ -0,0 +1,56 @@
+package spooler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against submissions that are held to no purpose, or refused although the log may be back in time.
+func TestDecide(t *testing.T) {
+	now := time.Unix(1000, 0)
+	in := func(d time.Duration) time.Time { return now.Add(d) }
+	isolated := PeerView{Responding: 1, Silent: 4}
+	dark := PeerView{Responding: 4, Silent: 1}
+	for name, c := range map[string]struct {
+		view       LogView
+		useful     time.Duration // 0 means no limit
+		held       bool
+		action     Action
+		reason     Reason
+		retryAfter time.Duration
+	}{
+		"reachable":                   {action: ActionAppend},
+		"young outage":                {view: LogView{DownSince: in(-time.Second), Peers: dark}, action: ActionHold},
+		"log and peers lost just now": {view: LogView{DownSince: in(-500 * time.Millisecond), Peers: isolated}, action: ActionHold},
+		"isolated":                    {view: LogView{DownSince: in(-time.Second), Peers: isolated}, action: ActionRefuse, reason: ReasonIsolated, retryAfter: time.Second},
+		"isolated while held":         {view: LogView{DownSince: in(-time.Second), Peers: isolated}, held: true, action: ActionRefuse, reason: ReasonIsolated, retryAfter: time.Second},
+		"outage of some seconds":      {view: LogView{DownSince: in(-20 * time.Second), Peers: dark}, action: ActionHold},
+		"long outage":                 {view: LogView{DownSince: in(-time.Minute), Peers: dark}, action: ActionRefuse, reason: ReasonLongOutage, retryAfter: maxRetryAfter},
+		"held in an outage":           {view: LogView{DownSince: in(-time.Minute), Peers: dark}, held: true, action: ActionHold},
+		"too late":                    {view: LogView{DownSince: in(-time.Second), Peers: dark}, useful: -1, action: ActionRefuse, reason: ReasonUseless, retryAfter: time.Second},
+		"little time to be of use":    {view: LogView{DownSince: in(-8 * time.Second), Peers: dark}, useful: 500 * time.Millisecond, action: ActionRefuse, reason: ReasonLongOutage, retryAfter: time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			useful := time.Time{}
+			if c.useful != 0 {
+				useful = in(c.useful)
+			}
+			d := Decide(c.view, NewLimits(now, in(2850*time.Millisecond), useful), c.held, now)
+			is.Equal(d, Decision{Action: c.action, Reason: c.reason, RetryAfter: c.retryAfter})
+		})
+	}
+}
+
+// Guards against a balancer that is left without hosts while the log is down for all, and against an isolated host that gets calls.
+func TestReady(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	is.True(Ready(LogView{}, now))
+	is.True(Ready(LogView{DownSince: now.Add(-time.Hour), Peers: PeerView{Responding: 3}}, now))
+	is.True(Ready(LogView{DownSince: now.Add(-time.Hour)}, now)) // a host without peers
+	is.True(Ready(LogView{DownSince: now.Add(-time.Second), Peers: PeerView{Silent: 3}}, now))
+	is.True(!Ready(LogView{DownSince: now.Add(-2 * time.Second), Peers: PeerView{Silent: 3}}, now))
+}
--- /dev/null
+++ b/internal/spooler/queue.go
@@ -0,0 +1,101 @@
+package spooler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"chestnutmux.example/chestnutmux/internal/journaler"
+	"chestnutmux.example/chestnutmux/pkg/model"
+)
+
+// maxBatchBytes bounds the total size of the records in one append, unless a single record exceeds it.
+const maxBatchBytes model.Bytes = 256 << 10
+
+// Submission is a job that waits for its append.
+type Submission struct {
+	Record   journaler.Record
+	Priority model.Priority
+	// UsefulUntil is the time from which the result of the job would come too late if it had not been accepted; zero means no limit.
+	UsefulUntil time.Time
+	// Admit decides on the submission right before it is sent for the first time; its error is the result. Nil admits it.
+	Admit func() error
+	// Known reports whether the job has been read from the log; nil means that this is not known.
+	Known func() bool
+}
+
+// isKnown reports whether the job has been read from the log, so that it is accepted even if its append got no response.
+func (s *Submission) isKnown() bool { return s.Known != nil && s.Known() }
+
+// entry is a submission in the queue or in an append.
+type entry struct {
+	*Submission
+	limits      Limits
+	arrivedAt   time.Time
+	result      chan error
+	finished    bool // whether the result is decided
+	admitted    bool
+	held        bool // whether it has waited for the log to be reachable
+	inFlight    bool // whether an append with its record is in progress
+	maybeStored bool // whether the outcome of an earlier append with its record is unknown
+}
+
+// size returns the memory that the entry takes.
+func (e *entry) size() model.Bytes { return 2*recordSize(e.Record) + entryOverhead }
+
+func recordSize(r journaler.Record) model.Bytes { return model.Bytes(len(r.Key) + len(r.Value)) }
+
+// wasSent reports whether the record may be in the log now or later.
+func (e *entry) wasSent() bool { return e.inFlight || e.maybeStored }
+
+// compareEntries orders the most urgent entries first, and the oldest among equally urgent ones.
+func compareEntries(a, b *entry) int {
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.arrivedAt.Compare(b.arrivedAt))
+}
+
+// queue holds entries in the order in which they are appended.
+type queue struct{ entries []*entry }
+
+func (q *queue) add(e *entry) {
+	i, _ := slices.BinarySearchFunc(q.entries, e, func(a, b *entry) int { return cmp.Or(compareEntries(a, b), -1) })
+	q.entries = slices.Insert(q.entries, i, e)
+}
+
+func (q *queue) remove(e *entry) {
+	if i := slices.Index(q.entries, e); i >= 0 {
+		q.entries = slices.Delete(q.entries, i, i+1)
+	}
+}
+
+// take removes and returns the entries of the next append, as many as fit. A probe consists of entries that may be in the log already,
+// or else of one that was not sent.
+func (q *queue) take(probe bool) []*entry {
+	hasMaybeStored := slices.ContainsFunc(q.entries, func(e *entry) bool { return e.maybeStored })
+	var batch, rest []*entry
+	size := model.Bytes(0)
+	for _, e := range q.entries {
+		n := recordSize(e.Record)
+		tooMany := len(batch) > 0 && (size+n > maxBatchBytes || probe && !hasMaybeStored)
+		if tooMany || probe && hasMaybeStored && !e.maybeStored {
+			rest = append(rest, e)
+			continue
+		}
+		size += n
+		batch = append(batch, e)
+	}
+	q.entries = rest
+	return batch
+}
+
+// lessUrgent returns the least urgent and youngest entry that was not sent and that is less urgent than e, or nil.
+func (q *queue) lessUrgent(e *entry) *entry {
+	for _, other := range slices.Backward(q.entries) {
+		if other.Priority <= e.Priority {
+			return nil
+		}
+		if !other.wasSent() {
+			return other
+		}
+	}
+	return nil
+}
