Send silent appends through a peer after 400 ms and notice the end of an outage sooner

A host whose connection to the log was silent sent an append through a peer only after 900 ms, a peer that the log refused ended the append, and a host learned up to 1.3 s late that the log was back, since it probed every 700 ms and its follower waited 600 ms for a record.

An append without a condition is now sent through a peer too once it is 400 ms old, unless the log has just shown to be slow. Refused peers are passed over and learn that their connection is down. Probes come every 300 ms, and the read after a failed one waits 20 ms.

--- a/internal/journaler/follower.go
+++ b/internal/journaler/follower.go
@@ -11,6 +11,9 @@
 	// readWait bounds how long a read waits for a record. The elector needs to know at least this often whether the log
 	// responds.
 	readWait = 600 * time.Millisecond
+	// recoveryWait is the wait of a read after a failed one. A read that waits for a record would show only after its wait that the
+	// log can be reached again, and submissions that are held wait for that.
+	recoveryWait = 20 * time.Millisecond
 	// readTimeout is the time until the response to a read begins, in addition to its wait, and the longest pause within the
 	// response; it allows for a slow log.
 	readTimeout = 700 * time.Millisecond
@@ -74,7 +77,11 @@
 
 // readOnce reads the next records or a snapshot and applies what it has read.
 func (f *Follower) readOnce(ctx context.Context) error {
-	u, err := f.cursor.Read(ctx, f.Log, readWait)
+	wait := readWait
+	if f.lastReadFailed {
+		wait = recoveryWait
+	}
+	u, err := f.cursor.Read(ctx, f.Log, wait)
 	if err != nil {
 		return err
 	}
--- a/internal/peerlog/client.go
+++ b/internal/peerlog/client.go
@@ -62,13 +62,13 @@
 	failures int // number of calls in a row without a response, up to maxBackoffDoublings
 }
 
-// call calls one peer after another until one of them has reached the log.
+// call calls one peer after another until one of them has reached the log and was not refused there.
 func (p *Peers) call(ctx context.Context, method string, params any) (response, error) {
 	err := errors.Mark(errors.New("peerlog: no peer is known"), errLogNotReached)
 	for _, addr := range p.pickPeers() {
 		var resp response
 		resp, err = p.callPeer(ctx, addr, method, params)
-		if !errors.Is(err, errLogNotReached) {
+		if !errors.Is(err, errLogNotReached) && !errors.Is(err, journaler.ErrNotAppended) {
 			return resp, err
 		}
 		p.delayPeer(addr)
--- a/internal/peerlog/fallback.go
+++ b/internal/peerlog/fallback.go
@@ -14,12 +14,18 @@
 )
 
 const (
-	// probeInterval is the time between probes of the direct connection while it is down.
-	probeInterval = 700 * time.Millisecond
+	// probeInterval is the time between probes of the direct connection while it is down. Submissions that are held wait for it once
+	// the log is back.
+	probeInterval = 300 * time.Millisecond
 	// probeTimeout bounds one probe.
 	probeTimeout = 600 * time.Millisecond
 	// directAppendTimeout bounds a direct append before it is sent through a peer; it allows for a slow log.
 	directAppendTimeout = 900 * time.Millisecond
+	// hedgeDelay is the age of a direct append without a response from which it is also sent through a peer. It is above the delay of
+	// a slow log, and leaves most of a caller's time to a host whose direct connection has gone silent.
+	hedgeDelay = 400 * time.Millisecond
+	// hedgePause is how long no append is sent twice after the log was slow and not the direct connection silent.
+	hedgePause = 5 * time.Second
 )
 
 // FallbackLog is a log that is read through a relay and written directly, or reached through a peer while the direct connection
@@ -49,6 +55,7 @@
 	groupReads   map[*context.CancelFunc]struct{} // of the reads that readForGroup serves
 	// goodNeighbour is the address of the neighbour that served the last page of newest records; empty if none did.
 	goodNeighbour string
+	hedgeAfter    time.Time // no append is sent twice before this time
 }
 
 // ThroughRelay reports whether a relay served the last long poll.
@@ -108,25 +115,117 @@
 // An append that got no response over the direct connection is retried through a peer. Callers ensure that their records can
 // be appended twice.
 func (f *FallbackLog) Append(ctx context.Context, records []journaler.Record, c journaler.AppendCondition) (model.Offset, error) {
-	maybeAppended := false
-	if !f.DirectDown() {
-		directCtx, cancel := context.WithTimeout(ctx, directAppendTimeout)
-		off, err := f.Direct.Append(directCtx, records, c)
-		cancel()
-		if isLogResponse(err) {
-			return off, err
-		}
+	if f.DirectDown() {
+		return f.appendThroughPeer(ctx, records, c)
+	}
+	if c == (journaler.AppendCondition{}) {
+		return f.appendHedged(ctx, records)
+	}
+	off, err := f.appendDirectly(ctx, records, c)
+	if isLogResponse(err) {
+		return off, err
+	}
+	maybeAppended := !errors.Is(err, journaler.ErrNotAppended)
+	if maybeAppended && c.ExpectedEnd != nil && c.Writer == nil {
+		return 0, err // a retry could not determine whether the first append or another record has moved the end of the log
+	}
+	off, err = f.appendThroughPeer(ctx, records, c)
+	return off, markMaybeAppended(err, maybeAppended)
+}
+
+// appendDirectly appends over the direct connection, which counts as down if that fails.
+func (f *FallbackLog) appendDirectly(ctx context.Context, records []journaler.Record, c journaler.AppendCondition) (model.Offset, error) {
+	ctx, cancel := context.WithTimeout(ctx, directAppendTimeout)
+	defer cancel()
+	off, err := f.Direct.Append(ctx, records, c)
+	if !isLogResponse(err) {
 		f.markDirectDown(err)
-		maybeAppended = !errors.Is(err, journaler.ErrNotAppended)
-		if maybeAppended && c.ExpectedEnd != nil && c.Writer == nil {
-			return 0, err // a retry could not determine whether the first append or another record has moved the end of the log
-		}
 	}
-	off, err := (&remoteLog{peers: f.Peers, name: f.Name}).append(ctx, records, c)
+	return off, err
+}
+
+func (f *FallbackLog) appendThroughPeer(ctx context.Context, records []journaler.Record, c journaler.AppendCondition) (model.Offset, error) {
+	return (&remoteLog{peers: f.Peers, name: f.Name}).append(ctx, records, c)
+}
+
+// markMaybeAppended returns the error of a retry, or that the outcome is unknown if only the retry is known to have had no effect.
+func markMaybeAppended(err error, maybeAppended bool) error {
 	if maybeAppended && errors.Is(err, journaler.ErrNotAppended) {
-		return 0, errors.Mark(errors.Newf("peerlog: the direct append got no response, and its retry failed: %v", err), journaler.ErrOutcomeUnknown)
+		return errors.Mark(errors.Newf("peerlog: the direct append got no response, and its retry failed: %v", err), journaler.ErrOutcomeUnknown)
 	}
-	return off, err
+	return err
+}
+
+// appendResult is the outcome of one way of an append.
+type appendResult struct {
+	offset model.Offset
+	err    error
+}
+
+// appendHedged appends without a condition, over the direct connection and, when that fails or is silent for hedgeDelay, through a peer.
+func (f *FallbackLog) appendHedged(ctx context.Context, records []journaler.Record) (model.Offset, error) {
+	direct, peer := make(chan appendResult, 1), make(chan appendResult, 1)
+	go func() { // it outlives the call, to learn whether the direct connection is down
+		off, err := f.appendDirectly(context.WithoutCancel(ctx), records, journaler.AppendCondition{})
+		direct <- appendResult{off, err}
+	}()
+	hedge := time.NewTimer(hedgeDelay)
+	defer hedge.Stop()
+	var failure error // of the way that has failed
+	pending, hedged := 1, false
+	sendThroughPeer := func() {
+		pending, hedged = pending+1, true
+		go func() {
+			off, err := f.appendThroughPeer(ctx, records, journaler.AppendCondition{})
+			peer <- appendResult{off, err}
+		}()
+	}
+	for pending > 0 {
+		var r appendResult
+		select {
+		case r = <-direct:
+			f.recordHedge(hedged && isLogResponse(r.err))
+		case r = <-peer:
+			if pending > 1 && isLogResponse(r.err) {
+				f.markDirectDown(errors.New("peerlog: no response, while a peer got one"))
+			}
+		case <-hedge.C:
+			if !hedged && f.mayHedge() {
+				sendThroughPeer()
+			}
+			continue
+		case <-ctx.Done():
+			return 0, errors.Mark(ctx.Err(), journaler.ErrOutcomeUnknown)
+		}
+		pending--
+		if isLogResponse(r.err) {
+			return r.offset, r.err
+		}
+		if failure == nil || errors.Is(failure, journaler.ErrNotAppended) {
+			failure = r.err
+		}
+		if !hedged {
+			sendThroughPeer()
+		}
+	}
+	return 0, failure
+}
+
+// mayHedge reports whether a slow append may be sent through a peer too.
+func (f *FallbackLog) mayHedge() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !time.Now().Before(f.hedgeAfter)
+}
+
+// recordHedge records that the direct connection has responded to an append that was sent through a peer too, so that the log is slow.
+func (f *FallbackLog) recordHedge(slow bool) {
+	if !slow {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hedgeAfter = time.Now().Add(hedgePause)
 }
 
 // Read implements journaler.Log. A read that waits for records may be served by a relay and may then miss the records of the
--- a/internal/peerlog/server.go
+++ b/internal/peerlog/server.go
@@ -95,6 +95,9 @@
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		resp.Offset, err = direct.Append(ctx, p.Records, p.Condition)
+		if !isLogResponse(err) {
+			f.markDirectDown(err) // a host that reads through a relay would not notice it otherwise
+		}
 		return err
 	case methodRead:
 		var p readParams
