Accept the memory and descriptors of a process in its settings

The settings of our own protocol say nothing about the memory and the descriptors of the process, so nothing can be derived from them. The settings memory-mb and max-fds are read, checked and documented; nothing uses them yet.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -25,6 +25,9 @@
 	// shutdown; the rest is for the requests in progress.
 	DefaultDrainTimeoutMS model.Millis = 30_000
 	DefaultJobRetentionMS model.Millis = 600_000
+	// DefaultMemoryMB and DefaultMaxFDs equal what the users' platform gives an entry host that it says nothing about.
+	DefaultMemoryMB model.Megabytes = 256
+	DefaultMaxFDs                   = 4096
 )
 
 // Settings holds what an entry host needs to start. Everything else is part of the published configuration. The fields in
@@ -45,6 +48,9 @@
 	ClaimWindowMS          model.Millis `json:"claim-window-ms"`   // maximum age of the id of a non-idempotent request
 	DrainTimeoutMS         model.Millis `json:"drain-bound-ms"`    // maximum duration of a graceful shutdown
 	JobRetentionMS         model.Millis `json:"keep-jobs-ms"`      // time for which the state of an ended job is kept
+
+	MemoryMB model.Megabytes `json:"memory-mb"` // memory limit of the process
+	MaxFDs   int             `json:"max-fds"`   // file descriptors that the process can open
 }
 
 // Duration converts milliseconds to a time.Duration.
@@ -82,6 +88,12 @@
 			*d.field = d.value
 		}
 	}
+	if s.MemoryMB == 0 {
+		s.MemoryMB = DefaultMemoryMB
+	}
+	if s.MaxFDs == 0 {
+		s.MaxFDs = DefaultMaxFDs
+	}
 	if s.LogLevel == "" {
 		s.LogLevel = "info"
 	}
@@ -104,6 +116,7 @@
 	}
 	s.validateAddresses(addFault)
 	s.validateIntervals(addFault)
+	s.validateLimits(addFault)
 	if hclog.LevelFromString(s.LogLevel) == hclog.NoLevel {
 		addFault("log-level", "is unknown; use trace, debug, info, warn or error")
 	}
@@ -159,6 +172,23 @@
 	}
 }
 
+// Lower bounds of the limits of the process.
+const (
+	// minMemoryMB is the memory of a process without callers and its runtime.
+	minMemoryMB model.Megabytes = 48
+	// minMaxFDs leaves room for connections beside the descriptors that are reserved for files.
+	minMaxFDs = 256
+)
+
+func (s *Settings) validateLimits(addFault func(key, message string)) {
+	if s.MemoryMB < minMemoryMB {
+		addFault("memory-mb", "is less than 48, which a process without callers needs; raise it")
+	}
+	if s.MaxFDs < minMaxFDs {
+		addFault("max-fds", "is less than 256, which leaves no room for connections; raise it")
+	}
+}
+
 // minLeaseDurationMS covers two reports of a worker, which reports every 2 s, and a margin of 1 s, so that the worker lease does
 // not expire when one report is lost.
 const minLeaseDurationMS model.Millis = 5_000
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -53,3 +53,16 @@
 		Parse(data)
 	})
 }
+
+// Guards against limits of the process that leave no room for callers.
+func TestLimitsOfProcess(t *testing.T) {
+	is := is.New(t)
+	s, faults := Parse([]byte(validSettings))
+	is.Equal(len(faults), 0)
+	is.Equal(s.MemoryMB, DefaultMemoryMB)
+	is.Equal(s.MaxFDs, DefaultMaxFDs)
+	for _, limit := range []string{`"memory-mb": 47`, `"memory-mb": -1`, `"max-fds": 255`, `"max-fds": -1`} {
+		_, faults = Parse([]byte(strings.Replace(validSettings, `"region"`, limit+`, "region"`, 1)))
+		is.Equal(len(faults), 1)
+	}
+}
