Test hosts under a crowd of clients that withhold the last byte

420 clients send a body of 262,144 bytes up to its last byte and stay silent: in one write, in pieces of 4 KiB, in chunks of 64 KiB and in chunks of one byte. They call a leading and a following host, on the listeners of the platform's edge for callers, readiness and metrics, and on the paths of our own protocol for jobs, service calls, publishing, readiness and metrics. The process has 64 MiB and 400 descriptors in its settings. It must live, its resident memory and the bytes that the kernel has received for it must stay within the 64 MiB, its descriptors within the 400, and ordinary requests must be answered while the clients are still connected.

--- /dev/null
+++ b/internal/fake/crowd/crowd.go
@@ -0,0 +1,149 @@
+package crowd
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Way is how clients send their bodies.
+type Way string
+
+// Ways of sending a body.
+const (
+	Whole       Way = "whole"        // declared length, in one write
+	Pieces      Way = "pieces"       // declared length, in small writes
+	LargeChunks Way = "large-chunks" // chunks of largeChunkBytes
+	ByteChunks  Way = "byte-chunks"  // chunks of one byte
+)
+
+// Ways lists all ways of sending a body.
+var Ways = []Way{Whole, Pieces, LargeChunks, ByteChunks}
+
+const (
+	largeChunkBytes = 64 << 10
+	pieceBytes      = 4 << 10
+	dialTimeout     = 10 * time.Second
+	// bodyStart lets a decoder of JSON wait for the end of a string.
+	bodyStart = `{"id":"`
+)
+
+// Request is what each client sends.
+type Request struct {
+	Addr, Method, Path, Host, Token string
+	Headers                         string // further lines of the header, each with its line end
+	BodyBytes                       int
+}
+
+// Crowd is a number of clients with a connection each.
+type Crowd struct {
+	Sent, Failed atomic.Int64 // clients that have sent all but the last byte, and clients that could not
+
+	sending sync.WaitGroup
+	mu      sync.Mutex
+	conns   []net.Conn
+	closed  bool
+}
+
+// Start lets clients connect and send the request in the given way. The connections stay open until Close.
+func Start(r Request, way Way, clients int) *Crowd {
+	c := &Crowd{}
+	header, body := r.encode(way)
+	for range clients {
+		c.sending.Go(func() {
+			if c.send(r.Addr, header, body, way) {
+				c.Sent.Add(1)
+			} else {
+				c.Failed.Add(1)
+			}
+		})
+	}
+	return c
+}
+
+// encode returns the header of the request and its body without the last byte, as they are sent.
+func (r Request) encode(way Way) (header, body []byte) {
+	text := []byte(bodyStart + strings.Repeat("x", r.BodyBytes-len(bodyStart)))
+	framing := fmt.Sprintf("Content-Length: %d", r.BodyBytes)
+	chunkBytes := 0
+	switch way {
+	case LargeChunks:
+		chunkBytes = largeChunkBytes
+	case ByteChunks:
+		chunkBytes = 1
+	}
+	if chunkBytes > 0 {
+		framing = "Transfer-Encoding: chunked"
+		var b bytes.Buffer
+		for i := 0; i < len(text); i += chunkBytes {
+			chunk := text[i:min(i+chunkBytes, len(text))]
+			fmt.Fprintf(&b, "%x\r\n%s\r\n", len(chunk), chunk)
+		}
+		text = b.Bytes()[:b.Len()-len("\r\n")]
+	}
+	header = fmt.Appendf(nil, "%s %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nContent-Type: application/json\r\n%s%s\r\n\r\n",
+		r.Method, r.Path, r.Host, r.Token, r.Headers, framing)
+	return header, text[:len(text)-1]
+}
+
+// send connects and sends a request, and reports whether all of it was sent.
+func (c *Crowd) send(addr string, header, body []byte, way Way) bool {
+	conn, err := net.DialTimeout("tcp", addr, dialTimeout)
+	if err != nil {
+		return false
+	}
+	c.mu.Lock()
+	c.conns = append(c.conns, conn)
+	isClosed := c.closed
+	c.mu.Unlock()
+	if isClosed {
+		_ = conn.Close()
+		return false
+	}
+	if _, err := conn.Write(header); err != nil {
+		return false
+	}
+	writeBytes := len(body)
+	if way == Pieces {
+		writeBytes = pieceBytes
+	}
+	for len(body) > 0 {
+		n, err := conn.Write(body[:min(writeBytes, len(body))])
+		if err != nil {
+			return false
+		}
+		body = body[n:]
+	}
+	return true
+}
+
+// AwaitSent waits until no client sends any more, because it has sent all but the last byte or its connection was closed. It
+// reports whether that was so within the timeout.
+func (c *Crowd) AwaitSent(timeout time.Duration) bool {
+	done := make(chan struct{})
+	go func() {
+		c.sending.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return true
+	case <-time.After(timeout):
+		return false
+	}
+}
+
+// Close closes all connections and waits for the clients.
+func (c *Crowd) Close() {
+	c.mu.Lock()
+	c.closed = true
+	for _, conn := range c.conns {
+		_ = conn.Close()
+	}
+	c.mu.Unlock()
+	c.sending.Wait()
+}
--- a/internal/fake/launcher/cluster.go
+++ b/internal/fake/launcher/cluster.go
@@ -208,6 +208,9 @@
 	}
 }
 
+// PID returns the id of the host's newest process.
+func (h *Host) PID() int { return h.process.cmd.Process.Pid }
+
 // StartHost writes the settings of an entry host and starts its process, which must not be running.
 func (c *Cluster) StartHost(h *Host) error {
 	h.settingsPath = filepath.Join(c.opts.WorkDir, string(h.Settings.HostID)+".json")
--- a/test/process/cluster_test.go
+++ b/test/process/cluster_test.go
@@ -56,11 +56,17 @@
 	configSet model.ConfigSet
 }
 
-// startCluster starts a deployment and publishes the example configuration. At the end of the test, the invariants are
-// checked and the deployment is stopped.
+// startCluster starts a deployment beside those of other tests and publishes the example configuration. At the end of the test,
+// the invariants are checked and the deployment is stopped.
 func startCluster(t *testing.T, opts launcher.Options) *cluster {
 	t.Helper()
 	t.Parallel()
+	return startClusterAlone(t, opts)
+}
+
+// startClusterAlone is like startCluster, but no other test of the package runs at the same time.
+func startClusterAlone(t *testing.T, opts launcher.Options) *cluster {
+	t.Helper()
 	clusterSlots <- struct{}{}
 	t.Cleanup(func() { <-clusterSlots })
 	c := &cluster{t: t, is: is.New(t), dir: t.TempDir()}
