Bound what clients of the platform's edge use of memory and descriptors

Nothing bounded the number of bodies in flight, their bytes, the time for one, or the connections of clients, so 420 clients that withheld the last byte of a body took 116 to 173 MiB of a host with 64 MiB and more than its descriptors.

A body is now admitted before it is read and charged as its buffer grows (internal/bodyreader); a quarter of the budget is left for bodies of at most 16 KiB. Connections are bounded; at the bound, one that has waited for its client for a second gives way (internal/connlimiter).

--- /dev/null
+++ b/internal/bodyreader/budget.go
@@ -0,0 +1,62 @@
+package bodyreader
+
+import (
+	"math"
+	"sync/atomic"
+)
+
+const (
+	// bytesPerBuffered is what a byte of a buffer costs: the buffer and the smaller ones that it has replaced, which the garbage
+	// collector has yet to free, or the values that are decoded from it.
+	bytesPerBuffered = 2
+	// smallBodyDivisor divides the budget into parts, one of which is left for bodies of at most FirstStepBytes. Clients with
+	// large bodies can't use it up, so that ordinary requests, which are small, are served beside them.
+	smallBodyDivisor = 4
+)
+
+// Budget limits the memory for the bodies of all requests in progress. The zero value sets no limit.
+type Budget struct {
+	capacity, used atomic.Int64
+}
+
+// SetCapacity sets the memory for bodies, in bytes. What has been admitted stays admitted.
+func (b *Budget) SetCapacity(n int64) { b.capacity.Store(n) }
+
+// Capacity returns the memory for bodies, in bytes.
+func (b *Budget) Capacity() int64 { return b.capacity.Load() }
+
+// Used returns the memory charged for bodies, in bytes.
+func (b *Budget) Used() int64 { return b.used.Load() }
+
+// Charge is the memory charged for one request.
+type Charge struct {
+	budget *Budget
+	cost   int64
+}
+
+// Grow raises the charge to the cost of a buffer of the given size. It reports false, and changes nothing, if the budget does not
+// allow that.
+func (c *Charge) Grow(bufferBytes int64) bool {
+	cost := bufferBytes * bytesPerBuffered
+	limit := c.budget.capacity.Load()
+	if limit <= 0 {
+		limit = math.MaxInt64
+	}
+	if bufferBytes > FirstStepBytes {
+		limit -= limit / smallBodyDivisor
+	}
+	if more := cost - c.cost; c.budget.used.Add(more) > limit {
+		c.budget.used.Add(-more)
+		return false
+	}
+	c.cost = cost
+	return true
+}
+
+// Release ends the charge; further calls have no effect.
+func (c *Charge) Release() {
+	if c.budget != nil {
+		c.budget.used.Add(-c.cost)
+		c.cost = 0
+	}
+}
--- /dev/null
+++ b/internal/bodyreader/reader_test.go
@@ -0,0 +1,101 @@
+package bodyreader
+
+import (
+	"bytes"
+	"io"
+	"os"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// recordingClient records what a reader asks of a client.
+type recordingClient struct {
+	deadlines int
+	waiting   bool
+}
+
+func (c *recordingClient) SetReadDeadline(time.Time) error { c.deadlines++; return nil }
+func (c *recordingClient) SetWaiting(waiting bool)         { c.waiting = waiting }
+
+// Guards against bodies that are cut or altered, charges that are not returned, and budgets that are exceeded.
+func TestBodiesAreReadWithinBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.Int64Range(0, 300_000).Draw(t, "limit")
+		data := bytes.Repeat([]byte("0123456789"), 30_001)[:rapid.IntRange(0, 300_000).Draw(t, "length")]
+		declared := int64(len(data))
+		if rapid.Bool().Draw(t, "chunked") {
+			declared = -1
+		}
+		var src io.Reader = bytes.NewReader(data)
+		if rapid.Bool().Draw(t, "halves") {
+			src = iotest.HalfReader(src)
+		}
+		r := &Reader{Pace: Pace{Timeout: time.Second, MinRate: 1}}
+		capacity := rapid.Int64Range(1, 1_000_000).Draw(t, "capacity")
+		r.Budget.SetCapacity(capacity)
+		client := &recordingClient{}
+		b, err := r.Read(src, declared, limit, client)
+		switch {
+		case err == nil && (int64(len(data)) > limit || !bytes.Equal(b.Data, data)):
+			t.Fatal("a wrong body was read")
+		case err == nil && (r.Budget.Used() > capacity || r.Budget.Used() < int64(len(data))*bytesPerBuffered || client.waiting):
+			t.Fatal("the charge is wrong, or the request waits for its client")
+		case errors.Is(err, ErrTooLarge) && int64(len(data)) <= limit, err != nil && !errors.Is(err, ErrTooLarge) && !errors.Is(err, ErrNoBudget):
+			t.Fatal(err)
+		case errors.Is(err, ErrNoBudget) && capacity > 4*(limit+1+FirstStepBytes):
+			t.Fatal("refused in spite of the budget")
+		}
+		b.Release()
+		b.Release()
+		if r.Budget.Used() != 0 {
+			t.Fatalf("%d bytes are still charged", r.Budget.Used())
+		}
+	})
+}
+
+// Guards against ordinary requests that pay for deadlines, and large bodies without one.
+func TestOnlyLargeBodiesHaveDeadlines(t *testing.T) {
+	is := is.New(t)
+	r := &Reader{Pace: Pace{Timeout: time.Second, MinRate: 1 << 10}}
+	for length, deadlines := range map[int]int{5_000: 0, FirstStepBytes: 0, FirstStepBytes + 1: 1, 262_144: 4} {
+		client := &recordingClient{}
+		_, err := r.Read(strings.NewReader(strings.Repeat("x", length)), int64(length), 262_144, client)
+		is.NoErr(err)
+		is.Equal(client.deadlines, deadlines)
+	}
+}
+
+// Guards against large bodies that leave no memory for ordinary ones, and errors that hide that a client was too slow.
+func TestRefusals(t *testing.T) {
+	is := is.New(t)
+	r := &Reader{}
+	r.Budget.SetCapacity(200_000)
+	large, err := r.Read(strings.NewReader(strings.Repeat("x", 70_000)), 70_000, 262_144, &recordingClient{})
+	is.NoErr(err)
+	_, err = r.Read(strings.NewReader(strings.Repeat("x", 20_000)), 20_000, 262_144, &recordingClient{})
+	is.True(errors.Is(err, ErrNoBudget))
+	small, err := r.Read(strings.NewReader(strings.Repeat("x", 5_000)), 5_000, 262_144, &recordingClient{})
+	is.NoErr(err)
+	large.Release()
+	small.Release()
+	_, err = r.Read(iotest.ErrReader(os.ErrDeadlineExceeded), 5_000, 262_144, &recordingClient{})
+	is.True(errors.Is(err, ErrTooSlow))
+	is.Equal(r.Refused.Value()+r.TooSlow.Value(), int64(2))
+	is.Equal(r.Budget.Used(), int64(0))
+}
+
+// Guards against time limits that a client inside the users' limits meets, and bodies that take longer than allowed.
+func TestPace(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	p := Pace{Timeout: 10 * time.Second, Grace: time.Second, MinRate: 32 << 10}
+	is.Equal(p.Deadline(start, start, 16<<10), start.Add(1500*time.Millisecond))
+	is.Equal(p.Deadline(start, start.Add(9*time.Second), 64<<10), start.Add(10*time.Second))
+	is.Equal(Pace{Timeout: time.Second}.Deadline(start, start, 1<<20), start.Add(time.Second))
+}
--- /dev/null
+++ b/internal/connlimiter/table_test.go
@@ -0,0 +1,81 @@
+package connlimiter
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// Guards against bounds that are exceeded, requests in progress that are cut off, and young connections that give way.
+func TestTableKeepsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := Limits{Total: rapid.IntRange(1, 20).Draw(t, "total"), PerAddress: rapid.IntRange(0, 8).Draw(t, "per address")}
+		table := &Table{}
+		table.SetLimits(l)
+		now := time.Unix(1000, 0)
+		type state struct {
+			addr  netip.Addr
+			since time.Time // zero while served
+		}
+		open := map[*Entry]state{}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			if rapid.IntRange(0, 2).Draw(t, "step") > 0 {
+				addr := netip.AddrFrom4([4]byte{10, 0, 0, byte(rapid.IntRange(1, 3).Draw(t, "addr"))})
+				added, evicted := table.Add(addr, now)
+				if s, found := open[evicted]; evicted != nil && (!found || s.since.IsZero() || now.Sub(s.since) < minWait) {
+					t.Fatal("a connection was evicted that serves a request or is young")
+				}
+				delete(open, evicted)
+				if added != nil {
+					open[added] = state{addr, now}
+				}
+			} else {
+				for e, s := range open {
+					switch rapid.IntRange(0, 2).Draw(t, "change") {
+					case 0:
+						e.SetServed()
+						open[e] = state{addr: s.addr}
+					case 1:
+						e.SetWaiting(now)
+						open[e] = state{s.addr, now}
+					default:
+						table.Remove(e)
+						delete(open, e)
+					}
+					break
+				}
+			}
+			perAddr := map[netip.Addr]int{}
+			for _, s := range open {
+				perAddr[s.addr]++
+				if l.PerAddress > 0 && perAddr[s.addr] > l.PerAddress {
+					t.Fatal("too many connections of an address")
+				}
+			}
+			if table.Len() != len(open) || len(open) > l.Total {
+				t.Fatalf("%d connections, %d in the table, at most %d", len(open), table.Len(), l.Total)
+			}
+		}
+	})
+}
+
+// Guards against refusals while a connection that waits for its client could give way.
+func TestWaitingConnectionGivesWay(t *testing.T) {
+	is := is.New(t)
+	table, now := &Table{}, time.Unix(1000, 0)
+	table.SetLimits(Limits{Total: 2})
+	first, _ := table.Add(netip.Addr{}, now)
+	second, _ := table.Add(netip.Addr{}, now.Add(time.Millisecond))
+	refused, evicted := table.Add(netip.Addr{}, now.Add(minWait/2))
+	is.True(refused == nil && evicted == nil)
+	added, evicted := table.Add(netip.Addr{}, now.Add(2*minWait))
+	is.True(added != nil && evicted == first)
+	second.SetServed()
+	added.SetServed()
+	refused, evicted = table.Add(netip.Addr{}, now.Add(time.Hour))
+	is.True(refused == nil && evicted == nil)
+}
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -108,6 +108,9 @@
 	lastDirection atomic.Int32 // direction of the last transfer
 }
 
+// NetConn returns the connection that c wraps.
+func (c *countingConn) NetConn() net.Conn { return c.Conn }
+
 // Read reads from the connection and counts the bytes read.
 func (c *countingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/internal/server/listener.go
+++ b/internal/server/listener.go
@@ -43,6 +43,9 @@
 // errorWriteTimeout limits the time for writing the error response to a client that sent its request too slowly.
 const errorWriteTimeout = time.Second
 
+// NetConn returns the connection that c wraps.
+func (c *typedErrorConn) NetConn() net.Conn { return c.Conn }
+
 // Read records whether a request has begun and whether its read deadline has passed.
 func (c *typedErrorConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
