Extract the costs and pauses of preemption, count work thrown away

What a stop costs and how long a step waits before it preempts moves from internal/dispatcher to internal/preemptor. No decision changes. The metric lost-core-seconds counts the work thrown away by cause.

--- a/internal/coordinator/cluster_test.go
+++ b/internal/coordinator/cluster_test.go
@@ -36,7 +36,8 @@
 	rng   *rand.Rand
 
 	logs           logBuffer
-	all            []model.Worker // workers of the fleet, listed or not
+	entitlements   dispatcher.Entitlements // guarantees and quotas; set before the hosts need them
+	all            []model.Worker          // workers of the fleet, listed or not
 	mu             sync.Mutex
 	workers        []model.Worker
 	hosts          []*testHost
@@ -58,6 +59,7 @@
 	pauseAt     string                            // log message of the leader at which its process is paused; empty means none
 	pauseLength time.Duration
 	recoverer   *recoverer.Recoverer
+	metrics     *dispatcher.Metrics
 	cancel      context.CancelFunc
 
 	mu              sync.Mutex
@@ -107,7 +109,7 @@
 	if h.pauseAt != "" {
 		logger = &pausingLogger{Logger: logger, host: h, message: h.pauseAt, length: h.pauseLength}
 	}
-	h.recoverer = &recoverer.Recoverer{}
+	h.recoverer, h.metrics = &recoverer.Recoverer{}, dispatcher.NewMetrics()
 	workers := h.workers
 	if workers == nil {
 		workers = &worker.DirectClient{Fleet: h.cluster.fleet, InjectFault: h.workerFault}
@@ -119,8 +121,8 @@
 	h.coordinator = New(Config{
 		Host: h.id, Log: h.log(),
 		Workers:  workers,
-		Registry: registry, Entitlements: func() dispatcher.Entitlements { return dispatcher.Entitlements{} },
-		Logger: logger, Metrics: dispatcher.NewMetrics(), Asserter: &asserter.Asserter{Logger: logger}, Recoverer: h.recoverer,
+		Registry: registry, Entitlements: func() dispatcher.Entitlements { return h.cluster.entitlements },
+		Logger: logger, Metrics: h.metrics, Asserter: &asserter.Asserter{Logger: logger}, Recoverer: h.recoverer,
 		Processors: h.processors, LinkRate: h.linkRate, LeaseDuration: testLease, MaxLease: testMaxLease, JobRetention: testRetention,
 	})
 	go h.coordinator.Run(ctx)
--- a/internal/dispatcher/headroom.go
+++ b/internal/dispatcher/headroom.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"chestnutmux.example/chestnutmux/internal/placer"
+	"chestnutmux.example/chestnutmux/internal/preemptor"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
@@ -167,11 +168,11 @@
 	return max(n, 0)
 }
 
-// withheldShare returns the share of the headroom that is withheld from the job's tasks with checkpoints. From preemptionSlackShare
-// of its slack on, it falls from 1 to 0. It is 1 again after that, because the job can no longer end within its target duration.
+// withheldShare returns the share of the headroom that is withheld from the job's tasks with checkpoints. From the end of its
+// patience on, it falls from 1 to 0. It is 1 again after that, because the job can no longer end within its target duration.
 func (j *job) withheldShare(now time.Time) float64 {
 	slack := float64(j.slack())
-	waited, patience := float64(now.Sub(j.seenAt)), preemptionSlackShare*slack
+	waited, patience := float64(now.Sub(j.seenAt)), float64(preemptor.Patience(j.slack()))
 	if waited <= patience || waited > slack {
 		return 1
 	}
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -5,6 +5,7 @@
 
 	"chestnutmux.example/chestnutmux/internal/admitter"
 	"chestnutmux.example/chestnutmux/internal/journaler"
+	"chestnutmux.example/chestnutmux/internal/preemptor"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
@@ -40,8 +41,7 @@
 	heldWorkers  []*worker                // workers held for the waiting gang; they get no less urgent work
 	heldUntil    time.Time                // time after which other workers may be held instead
 	notBefore    time.Time                // earliest start time of the next attempt
-	preemptedAt  time.Time                // time at which tasks of the step were last preempted in this term; zero before that
-	pausingSince time.Time                // time of the first preemption of those that were each followed by another within preemptionPause
+	pause        preemptor.Pause          // time for which the step preempts nothing after it was preempted in this term
 	exclusions   exclusions               // workers on which the step has failed
 	allStartedAt time.Time                // time at which all tasks were first seen started; zero before that
 	roomSince    time.Time                // start of the first pass since which the step waits beside ample room; zero while it does not
--- a/internal/dispatcher/metrics.go
+++ b/internal/dispatcher/metrics.go
@@ -14,6 +14,7 @@
 	Jobs           *expvar.Map            // number of accepted jobs, and of ended jobs by final state
 	Runs           *expvar.Map            // number of events of runs, such as started, adopted or stop, and of run ends by kind
 	Stops          *expvar.Map            // number of runs that were stopped by reason
+	LostWork       *expvar.Map            // core-seconds thrown away, by the reason of a stop or the kind of another end
 	Refusals       *expvar.Map            // number of refused start requests by reason
 	Appends        *expvar.Map            // number of appends to the log by outcome
 	StartLatency   *recorder.HistogramSet // time from learning of a job until all tasks of its first step have started, by queue
@@ -26,7 +27,7 @@
 	m := &Metrics{
 		StartLatency: recorder.NewCoarseHistogramSet(), CompletionTime: recorder.NewCoarseHistogramSet(), PassDuration: recorder.NewCoarseHistogramSet(),
 	}
-	for _, p := range []**expvar.Map{&m.Jobs, &m.Runs, &m.Stops, &m.Refusals, &m.Appends} {
+	for _, p := range []**expvar.Map{&m.Jobs, &m.Runs, &m.Stops, &m.LostWork, &m.Refusals, &m.Appends} {
 		*p = new(expvar.Map).Init()
 	}
 	return m
@@ -35,7 +36,7 @@
 // Vars returns the metrics by their published names.
 func (m *Metrics) Vars() map[string]expvar.Var {
 	return map[string]expvar.Var{
-		"jobs": m.Jobs, "runs": m.Runs, "stops": m.Stops, "start-refusals": m.Refusals, "leader-appends": m.Appends,
+		"jobs": m.Jobs, "runs": m.Runs, "stops": m.Stops, "lost-core-seconds": m.LostWork, "start-refusals": m.Refusals, "leader-appends": m.Appends,
 		"job-start": m.StartLatency, "job-complete": m.CompletionTime, "planning": m.PassDuration,
 	}
 }
@@ -47,6 +48,12 @@
 	}
 }
 
+// recordLostWork adds the work that a run loses which ends without success for the given cause.
+func (m *Metrics) recordLostWork(r *run, cause string, now time.Time) {
+	stopped := r.stoppable(now)
+	m.LostWork.AddFloat(cause, float64(stopped.LostWork()))
+}
+
 // recordEnd counts an ended job, and records its completion time if it has finished.
 func (m *Metrics) recordEnd(j *job, now time.Time) {
 	m.Jobs.Add(string(j.state), 1)
--- a/internal/dispatcher/preemption.go
+++ b/internal/dispatcher/preemption.go
@@ -5,29 +5,13 @@
 	"time"
 
 	"chestnutmux.example/chestnutmux/internal/placer"
+	"chestnutmux.example/chestnutmux/internal/preemptor"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
-// restartCostSeconds is the time that a preempted run loses until it runs again, in addition to its lost work.
-const restartCostSeconds = 0.3
-
-// checkpointLossSeconds is the maximum work, in seconds of run time, that a run with checkpoints loses when it is preempted.
-const checkpointLossSeconds = 0.8
-
-// preemptionSlackShare is the share of its slack for which a job waits before it preempts less urgent runs. Most of these runs end
-// on their own in that time, while preempted ones start over and soon compete for the same resources again.
-const preemptionSlackShare = 0.6
-
-// preemptionPause is the time for which a preempted step preempts nothing. By then the headroom has followed the rise in demand that the
-// step made room for. Before, its new runs would soon be preempted as well, and what was stopped for them would have been stopped in vain.
-const preemptionPause = 4 * demandRiseTime
-
-// maxPreemptionPause limits the pauses of a step that is preempted again and again, so that it does not wait for good.
-const maxPreemptionPause = 3 * preemptionPause
-
 // planPreemption returns places for the tasks of the unit, and the victims to preempt for them.
 //
-// It returns nil until the job has waited for preemptionSlackShare of its slack, and in the pause after the step was preempted. Jobs of
+// It returns nil until the job has waited for a part of its slack (preemptor.Patience), and in the pause after the step was preempted. Jobs of
 // priority 0 do not wait.
 func (p *schedulingPass) planPreemption(u *placementUnit) ([]*placer.Node, []*placer.PreemptionUnit) {
 	if p.preemptionWait(u.step) > 0 {
@@ -43,9 +27,8 @@
 	if j.submission.Queue.Priority == 0 {
 		return 0
 	}
-	patience := time.Duration(preemptionSlackShare * float64(j.slack()))
-	preemptsAt := j.seenAt.Add(patience)
-	preemptsAt = latest(preemptsAt, s.pauseEndsAt(j.slack()-patience))
+	patience := preemptor.Patience(j.slack())
+	preemptsAt := latest(j.seenAt.Add(patience), s.pause.EndsAt(j.slack()-patience))
 	if p.now.After(preemptsAt) {
 		return 0
 	}
@@ -116,31 +99,14 @@
 	gang *step
 }
 
-// notePreemption begins the pause of a preempted step anew.
-func (s *step) notePreemption(now time.Time) {
-	if now.Sub(s.preemptedAt) >= preemptionPause {
-		s.pausingSince = now
-	}
-	s.preemptedAt = now
-}
-
-// pauseEndsAt returns the end of the pause of a preempted step, which lasts no longer than the given time.
-func (s *step) pauseEndsAt(longest time.Duration) time.Time {
-	end, last := s.preemptedAt.Add(min(preemptionPause, longest)), s.pausingSince.Add(maxPreemptionPause)
-	if last.Before(end) {
-		return last
-	}
-	return end
-}
-
 // stopTarget stops a preempted run, or all runs of a preempted gang.
 func (p *schedulingPass) stopTarget(target preemptionTarget) {
 	if target.gang != nil {
-		target.gang.notePreemption(p.now)
+		target.gang.pause.Begin(p.now)
 		p.d.stopStep(target.gang, "preempted", p.now)
 		return
 	}
-	target.run.task.step.notePreemption(p.now)
+	target.run.task.step.pause.Begin(p.now)
 	p.d.stopRun(target.run, "preempted", p.now)
 }
 
@@ -189,28 +155,21 @@
 			}
 			p.preemptionTargets = append(p.preemptionTargets, target)
 		}
-		u.Cost += p.preemptionCost(r)
+		stopped := r.stoppable(p.now)
+		u.Cost += stopped.Cost()
 		u.RemainingSeconds = max(u.RemainingSeconds, r.estimateRemaining(p.now).Seconds())
 		n.AddMember(u, s.spec.Need)
 	}
 }
 
-// preemptionCost returns the accelerator-seconds lost by stopping a run, weighted by the urgency of its job.
-func (p *schedulingPass) preemptionCost(r *run) float64 {
-	lostSeconds := p.now.Sub(r.startConfirmedAt).Seconds()
-	if r.task.step.spec.Resumable {
-		lostSeconds = min(lostSeconds, checkpointLossSeconds)
+// stoppable describes the run to the preemptor.
+func (r *run) stoppable(now time.Time) preemptor.Run {
+	out := preemptor.Run{Need: r.need}
+	if r.task != nil {
+		out.Priority, out.Resumable = r.task.step.job.submission.Queue.Priority, r.task.step.spec.Resumable
 	}
-	return (lostSeconds + restartCostSeconds) * float64(max(1, r.need.Accelerators)) * urgencyWeight(r.task.step.job.submission.Queue.Priority)
-}
-
-// urgencyWeight returns the weight of lost work of a priority. Urgent work that starts over misses its target duration.
-func urgencyWeight(p model.Priority) float64 {
-	switch p {
-	case 0:
-		return 16
-	case 1:
-		return 2
-	}
-	return 1
+	if !r.startConfirmedAt.IsZero() {
+		out.Elapsed = now.Sub(r.startConfirmedAt)
+	}
+	return out
 }
--- a/internal/dispatcher/report.go
+++ b/internal/dispatcher/report.go
@@ -202,6 +202,9 @@
 		t = j.findTask(end.Run.Task)
 	}
 	if r != nil {
+		if end.Kind != model.EndDone && r.state != runStopping {
+			d.Metrics.recordLostWork(r, string(end.Kind), now)
+		}
 		d.releaseRun(r)
 	}
 	if t == nil {
--- a/internal/dispatcher/requests.go
+++ b/internal/dispatcher/requests.go
@@ -70,6 +70,7 @@
 	d.sendStop(r, 0)
 	d.Metrics.Runs.Add("stop", 1)
 	d.Metrics.Stops.Add(reason, 1)
+	d.Metrics.recordLostWork(r, reason, now)
 	d.Logger.Debug("stopping run", "task", r.id.Task.String(), "run", r.id.Number, "worker", r.worker.info.ID, "reason", reason,
 		"percent", r.percentDone)
 }
