Preempt only where that buys more than it costs

A step without a guarantee now preempts only if it can still end in time, no room becomes free by itself in time, the work thrown away for it and for its workspace stays within a budget, and the worth that it gains exceeds what is lost. Cost counts cores and accelerators, the work since the last checkpoint, the restart, and whether the stopped job can still be in time. A task that was preempted is protected at its next run while it can end in time, except against a guarantee. One stop that frees enough is taken before several. Rank 0 preempts at once as before.

The time until room becomes free counts runs of all priorities, those that end first before others; before, it counted less urgent runs only, in the order in which they would be stopped.

Tests changed: TestUrgentJobPreemptsOthers, TestUrgentJobPreemptsAtOnceAfterTakeover and TestPausedLeaderSendsNoOrdersTwice test the bound of jobs within their guarantee, but their cluster had no guarantee; now it has one, and the bounds are the same.

--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -258,6 +258,7 @@
 // complete.
 func TestUrgentJobPreemptsOthers(t *testing.T) {
 	runInCluster(t, 1, 1, 2, 4, func(c *cluster, is *is.I) {
+		c.guarantee("w")
 		for i := range 20 {
 			c.submit(job(fmt.Sprint("batch", i), 2, 8*time.Second, model.Step{Count: 4, Need: accelerators(1), Resumable: true}))
 		}
--- a/internal/coordinator/pause_test.go
+++ b/internal/coordinator/pause_test.go
@@ -73,6 +73,7 @@
 }
 
 func testPausedLeader(c *cluster, is *is.I, message string, length time.Duration) {
+	c.guarantee("w")
 	paused := c.awaitLeader()
 	paused.restartWith(func() { paused.pauseAt, paused.pauseLength = message, length })
 	var jobs []model.JobID
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -13,6 +13,7 @@
 	"chestnutmux.example/chestnutmux/internal/journaler"
 	"chestnutmux.example/chestnutmux/internal/pacer"
 	"chestnutmux.example/chestnutmux/internal/placer"
+	"chestnutmux.example/chestnutmux/internal/preemptor"
 	"chestnutmux.example/chestnutmux/internal/recoverer"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
@@ -72,6 +73,8 @@
 	demand            map[model.ServiceID]*priorityDemand // smoothed demand per service, from which headroom is derived
 	demandUpdatedAt   time.Time                           // time of the last update of demand
 	preemptionPlanner placer.PreemptionPlanner
+	preemptionBudget  preemptor.Budget
+	decisionLoggedAt  time.Time // time of the last log line on a step that does not preempt
 	pacer             pacer.Pacer
 	startsDeferred    bool      // the last pass has left work waiting because of the rate limit of start requests
 	adoptedGangs      []*step   // gangs that may have runs of former leaders, not yet checked for missing members
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -42,6 +42,7 @@
 	heldUntil    time.Time                // time after which other workers may be held instead
 	notBefore    time.Time                // earliest start time of the next attempt
 	pause        preemptor.Pause          // time for which the step preempts nothing after it was preempted in this term
+	preemption   stepPreemption           // state of the decisions whether the step preempts, and of its own preemption
 	exclusions   exclusions               // workers on which the step has failed
 	allStartedAt time.Time                // time at which all tasks were first seen started; zero before that
 	roomSince    time.Time                // start of the first pass since which the step waits beside ample room; zero while it does not
@@ -62,6 +63,7 @@
 	asks            int                      // number of workers asked for a report before the next start
 	checkpoint      model.Checkpoint         // last checkpoint; empty if there is none
 	activeRun       *run                     // nil if the task has no run
+	preempted       bool                     // a run of it was preempted in this term
 	lastWorker      *worker                  // worker of the last run that was started in this term
 	failedOn        map[model.HostID]bool    // workers on which the task has failed in this term
 	lastFailureAt   time.Time                // time of the last failure in this term
--- a/internal/dispatcher/metrics.go
+++ b/internal/dispatcher/metrics.go
@@ -15,6 +15,7 @@
 	Runs           *expvar.Map            // number of events of runs, such as started, adopted or stop, and of run ends by kind
 	Stops          *expvar.Map            // number of runs that were stopped by reason
 	LostWork       *expvar.Map            // core-seconds thrown away, by the reason of a stop or the kind of another end
+	Decisions      *expvar.Map            // number of decisions whether a step preempts, by reason
 	Refusals       *expvar.Map            // number of refused start requests by reason
 	Appends        *expvar.Map            // number of appends to the log by outcome
 	StartLatency   *recorder.HistogramSet // time from learning of a job until all tasks of its first step have started, by queue
@@ -27,7 +28,7 @@
 	m := &Metrics{
 		StartLatency: recorder.NewCoarseHistogramSet(), CompletionTime: recorder.NewCoarseHistogramSet(), PassDuration: recorder.NewCoarseHistogramSet(),
 	}
-	for _, p := range []**expvar.Map{&m.Jobs, &m.Runs, &m.Stops, &m.LostWork, &m.Refusals, &m.Appends} {
+	for _, p := range []**expvar.Map{&m.Jobs, &m.Runs, &m.Stops, &m.LostWork, &m.Decisions, &m.Refusals, &m.Appends} {
 		*p = new(expvar.Map).Init()
 	}
 	return m
@@ -36,7 +37,7 @@
 // Vars returns the metrics by their published names.
 func (m *Metrics) Vars() map[string]expvar.Var {
 	return map[string]expvar.Var{
-		"jobs": m.Jobs, "runs": m.Runs, "stops": m.Stops, "lost-core-seconds": m.LostWork, "start-refusals": m.Refusals, "leader-appends": m.Appends,
+		"jobs": m.Jobs, "runs": m.Runs, "stops": m.Stops, "lost-core-seconds": m.LostWork, "preemption-decisions": m.Decisions, "start-refusals": m.Refusals, "leader-appends": m.Appends,
 		"job-start": m.StartLatency, "job-complete": m.CompletionTime, "planning": m.PassDuration,
 	}
 }
--- a/internal/dispatcher/plan.go
+++ b/internal/dispatcher/plan.go
@@ -330,7 +330,7 @@
 	use := &p.pool(t.step.job.submission.Queue.Service).ready
 	use.used = use.used.Add(t.step.spec.Need)
 	clear(p.slots)
-	t.step.roomSince, t.step.waitLog.waitingSince = time.Time{}, time.Time{}
+	t.step.roomSince, t.step.waitLog.waitingSince, t.step.preemption.roomBy = time.Time{}, time.Time{}, time.Time{}
 	n := t.attempts
 	if t.step.spec.Gang {
 		n = t.step.gangAttempts
--- a/internal/dispatcher/preemption.go
+++ b/internal/dispatcher/preemption.go
@@ -9,20 +9,60 @@
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
-// planPreemption returns places for the tasks of the unit, and the victims to preempt for them.
-//
-// It returns nil until the job has waited for a part of its slack (preemptor.Patience), and in the pause after the step was preempted. Jobs of
-// priority 0 do not wait.
+// planPreemption returns places for the tasks of the unit, and the victims to preempt for them. It returns nil if the step does not
+// preempt now; the preemptor says why.
 func (p *schedulingPass) planPreemption(u *placementUnit) ([]*placer.Node, []*placer.PreemptionUnit) {
-	if p.preemptionWait(u.step) > 0 {
+	s := u.step
+	if p.preemptionWait(u) > 0 || u.rank > 0 && p.now.Before(s.preemption.retryAt) {
+		return nil, nil
+	}
+	waiting := p.describeWaiting(u)
+	if d := waiting.Consider(); d != nil {
+		p.noteDecision(u, d)
 		return nil, nil
 	}
 	p.listPreemptible()
-	return p.d.preemptionPlanner.Plan(p.nodes, p.placementRequest(u))
+	r := p.placementRequest(u)
+	r.SparesProtected = u.rank > 0
+	places, victims := p.d.preemptionPlanner.Plan(p.nodes, r)
+	d := p.decide(u, r, waiting, places, victims)
+	if p.noteDecision(u, &d); !d.Preempt {
+		return nil, nil
+	}
+	return places, victims
+}
+
+// decide decides whether a unit preempts the victims of a plan.
+func (p *schedulingPass) decide(u *placementUnit, r *placer.Request, waiting *preemptor.Step, places []*placer.Node, victims []*placer.PreemptionUnit) preemptor.Decision {
+	if places == nil {
+		return preemptor.NoRoom()
+	}
+	offer := &preemptor.Offer{Victims: p.describeVictims(victims), RoomIn: -1}
+	if u.rank > 0 {
+		offer.RoomIn = p.roomIn(r)
+		offer.Left = p.d.preemptionBudget.Left(u.step.account(), p.pool(r.Service).capacity, p.now)
+	}
+	return waiting.Decide(offer)
 }
 
-// preemptionWait returns how much longer the step waits before it preempts less urgent work; 0 if it may preempt now.
-func (p *schedulingPass) preemptionWait(s *step) time.Duration {
+// roomIn returns the estimated time until the request fits because runs end on their own; negative if that is not expected.
+func (p *schedulingPass) roomIn(r *placer.Request) time.Duration {
+	later := *r
+	later.MinimizeWait = true
+	places, ending := p.d.preemptionPlanner.Plan(p.nodes, &later)
+	if len(places) < r.Count {
+		return -1
+	}
+	seconds := 0.0
+	for _, unit := range ending {
+		seconds = max(seconds, unit.RemainingSeconds)
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// preemptionWait returns how much longer the unit waits before it preempts less urgent work; 0 if it may preempt now.
+func (p *schedulingPass) preemptionWait(u *placementUnit) time.Duration {
+	s := u.step
 	j := s.job
 	if j.submission.Queue.Priority == 0 {
 		return 0
@@ -81,8 +121,11 @@
 		p.reserved[w] = p.reserved[w].Add(u.step.spec.Need)
 	}
 	u.step.reservation, u.step.heldWorkers = res, nil
+	d := &u.step.preemption.last
 	p.d.Logger.Info("preempting runs", "job", u.step.ref.Job, "step", u.step.ref.Step, "rank", u.rank, "tasks", len(places),
-		"victims", len(victims))
+		"victims", len(victims), "runs", d.Runs, "reason", d.Reason, "gain", int64(d.Gain), "cost", int64(d.Cost), "lost-core-seconds", int64(d.Lost))
+	u.step.preemption.spent.Add(d.Lost, p.now)
+	p.d.preemptionBudget.Spend(u.step.account(), d.Lost, p.now)
 	p.d.Metrics.Runs.Add("preempted-blocks", int64(len(victims)))
 	for _, v := range victims {
 		p.stopTarget(p.preemptionTargets[v.ID])
@@ -93,7 +136,7 @@
 	p.refreshFree()
 }
 
-// preemptionTarget is running work that is preempted as a whole, either a single run or a gang. Exactly one field is set.
+// preemptionTarget is running work that is preempted as a whole, either a single run or a gang. Exactly one of run and gang is set.
 type preemptionTarget struct {
 	run  *run
 	gang *step
@@ -103,10 +146,12 @@
 func (p *schedulingPass) stopTarget(target preemptionTarget) {
 	if target.gang != nil {
 		target.gang.pause.Begin(p.now)
+		target.gang.preemption.asGang = true
 		p.d.stopStep(target.gang, "preempted", p.now)
 		return
 	}
 	target.run.task.step.pause.Begin(p.now)
+	target.run.task.preempted = true
 	p.d.stopRun(target.run, "preempted", p.now)
 }
 
@@ -138,11 +183,15 @@
 // task forms its own.
 func (p *schedulingPass) listPreemptibleStep(s *step) {
 	var gang *placer.PreemptionUnit
+	var owner preemptor.Job
 	for _, t := range s.tasks {
 		r := t.activeRun
 		if r == nil || r.state != runRunning || p.nodeOf[r.worker] == nil {
 			continue
 		}
+		if owner.ID == "" {
+			owner = s.owner(p.now)
+		}
 		n := p.nodeOf[r.worker]
 		u := gang
 		if u == nil {
@@ -156,20 +205,9 @@
 			p.preemptionTargets = append(p.preemptionTargets, target)
 		}
 		stopped := r.stoppable(p.now)
-		u.Cost += stopped.Cost()
-		u.RemainingSeconds = max(u.RemainingSeconds, r.estimateRemaining(p.now).Seconds())
+		u.Cost += float64(owner.Cost(&stopped))
+		u.Protected = owner.IsProtected(&stopped, t.preempted || s.preemption.asGang)
+		u.RemainingSeconds = max(u.RemainingSeconds, stopped.Remaining.Seconds())
 		n.AddMember(u, s.spec.Need)
 	}
 }
-
-// stoppable describes the run to the preemptor.
-func (r *run) stoppable(now time.Time) preemptor.Run {
-	out := preemptor.Run{Need: r.need}
-	if r.task != nil {
-		out.Priority, out.Resumable = r.task.step.job.submission.Queue.Priority, r.task.step.spec.Resumable
-	}
-	if !r.startConfirmedAt.IsZero() {
-		out.Elapsed = now.Sub(r.startConfirmedAt)
-	}
-	return out
-}
--- a/internal/dispatcher/waiting.go
+++ b/internal/dispatcher/waiting.go
@@ -46,19 +46,18 @@
 		"held-workers", len(s.heldWorkers), "preemption", obstacle, "preempts-in-ms", preemptsIn.Milliseconds(), "ample-room-ms", ampleFor.Milliseconds())
 }
 
-// preemptionObstacle is the reason why a waiting unit preempts nothing.
+// preemptionObstacle is the reason why a waiting unit preempts nothing: one of these, or that of its last decision.
 type preemptionObstacle string
 
 const (
-	obstacleIsolated   preemptionObstacle = "isolated"              // the unit waits for empty workers
-	obstacleNoVictims  preemptionObstacle = "no-less-urgent-work"   // nothing that runs is less urgent
-	obstacleSlack      preemptionObstacle = "slack-left"            // the job waits for a part of its slack first, or the step was preempted a moment ago
-	obstacleInfeasible preemptionObstacle = "no-room-by-preemption" // stopping less urgent work would not make enough room
+	obstacleIsolated  preemptionObstacle = "isolated"            // the unit waits for empty workers
+	obstacleNoVictims preemptionObstacle = "no-less-urgent-work" // nothing that runs is less urgent
+	obstacleSlack     preemptionObstacle = "slack-left"          // the job waits for a part of its slack first, or the step was preempted a moment ago
 )
 
 // preemptionObstacle returns why the unit preempts nothing, and the time until the step has waited enough to preempt.
 func (p *schedulingPass) preemptionObstacle(u *placementUnit) (preemptionObstacle, time.Duration) {
-	switch wait := p.preemptionWait(u.step); {
+	switch wait := p.preemptionWait(u); {
 	case u.isolated:
 		return obstacleIsolated, wait
 	case u.rank >= p.leastUrgentRunning():
@@ -66,7 +65,7 @@
 	case wait > 0:
 		return obstacleSlack, wait
 	}
-	return obstacleInfeasible, 0
+	return preemptionObstacle(u.step.preemption.last.Reason), max(u.step.preemption.retryAt.Sub(p.now), 0)
 }
 
 // countStates returns the number of workers of the request's service and label by their status.
--- a/internal/placer/node.go
+++ b/internal/placer/node.go
@@ -56,7 +56,8 @@
 type PreemptionUnit struct {
 	ID               int // chosen by the caller
 	Rank             Rank
-	Cost             float64 // accelerator-seconds lost by stopping the unit, weighted by urgency
+	Cost             float64 // what the stop of the unit costs, in any measure that can be added up
+	Protected        bool    // the unit is spared by requests with SparesProtected
 	RemainingSeconds float64 // estimated seconds until the unit ends on its own
 	Members          []Member
 }
@@ -74,6 +75,7 @@
 	Service             model.ServiceID
 	Rank                Rank
 	MinimizeWait        bool                  // compare nodes by the time until their work ends instead of by the cost of preemption
+	SparesProtected     bool                  // preempt no protected units
 	Gang                bool                  // place all tasks or none
 	OneRack             bool                  // place all tasks in the same rack
 	Label               string                // required label of the nodes; empty means none
--- a/internal/placer/preemption.go
+++ b/internal/placer/preemption.go
@@ -31,7 +31,8 @@
 // Plan returns nodes for the tasks, and the victims that must be stopped first. The nodes of a rack must be adjacent.
 //
 // Plan preempts only units of a higher rank than the request, on each node the least urgent ones first and, of equally urgent ones,
-// the cheapest first. It places all tasks of a gang or none; of other tasks, it places as many as fit. It returns nil if it can
+// the cheapest first, or a single one where that costs less. A request with MinimizeWait stops nothing, so it counts on units of all
+// ranks, those that end first before others. It places all tasks of a gang or none; of other tasks, it places as many as fit. It returns nil if it can
 // place none.
 func (p *PreemptionPlanner) Plan(nodes []*Node, r *Request) (places []*Node, victims []*PreemptionUnit) {
 	if !r.OneRack || r.Count == 1 {
@@ -68,7 +69,7 @@
 		}
 		free := node.Free
 		for _, a := range node.Preemptible {
-			if a.Rank > r.Rank {
+			if r.mayFree(a) {
 				free = free.Add(a.Resources)
 			}
 		}
@@ -93,8 +94,12 @@
 		}
 		n.candidateIndex = len(p.candidates)
 		p.candidates = append(p.candidates, candidate{node: n, free: n.Free, tasksLeft: r.taskLimit(n)})
-		if !slices.IsSortedFunc(n.Preemptible, compareVictims) {
-			slices.SortStableFunc(n.Preemptible, compareVictims)
+		compare := compareVictims
+		if r.MinimizeWait {
+			compare = compareEnds
+		}
+		if !slices.IsSortedFunc(n.Preemptible, compare) {
+			slices.SortStableFunc(n.Preemptible, compare)
 		}
 	}
 }
@@ -104,6 +109,14 @@
 	return cmp.Or(cmp.Compare(b.Rank, a.Rank), cmp.Compare(a.Cost, b.Cost))
 }
 
+// compareEnds compares allocations by the order in which they end on their own.
+func compareEnds(a, b Allocation) int { return cmp.Compare(a.RemainingSeconds, b.RemainingSeconds) }
+
+// mayFree reports whether the request may count on the resources of running work: it may preempt it, or it waits until it ends.
+func (r *Request) mayFree(a Allocation) bool {
+	return r.MinimizeWait || a.Rank > r.Rank && !(r.SparesProtected && a.Protected)
+}
+
 // assign places the tasks one by one, each on the candidate that is the cheapest at that point.
 func (p *PreemptionPlanner) assign() ([]*Node, []*PreemptionUnit) {
 	places := make([]*Node, 0, p.request.Count)
@@ -169,27 +182,45 @@
 		return nil, true
 	}
 	var victims []Allocation
+	var single *PreemptionUnit // the cheapest unit whose stop is enough
 	for _, a := range n.Preemptible {
-		if a.Rank <= p.request.Rank {
-			break // all further allocations are at least as urgent
+		if !p.request.mayFree(a) || p.preempted[a.PreemptionUnit] {
+			continue
+		}
+		if !free.CanFit(p.request.Need) {
+			victims = append(victims, a)
+			free = free.Add(a.Resources)
 		}
-		if p.preempted[a.PreemptionUnit] {
+		if p.request.MinimizeWait {
 			continue
 		}
-		victims = append(victims, a)
-		free = free.Add(a.Resources)
-		if free.CanFit(p.request.Need) {
-			return dropUnneededVictims(victims, free, p.request.Need), true
+		if (single == nil || a.Cost < single.Cost) && c.free.Add(a.Resources).CanFit(p.request.Need) {
+			single = a.PreemptionUnit
 		}
 	}
-	return nil, false
+	if !free.CanFit(p.request.Need) {
+		return nil, false
+	}
+	out := dropUnneededVictims(victims, free, p.request.Need)
+	if single != nil && single.Cost < totalCost(out) {
+		return []*PreemptionUnit{single}, true
+	}
+	return out, true
+}
+
+func totalCost(units []*PreemptionUnit) float64 {
+	sum := 0.0
+	for _, u := range units {
+		sum += u.Cost
+	}
+	return sum
 }
 
-// dropUnneededVictims returns the units of those victims that must be stopped so that the need fits. The free resources include
-// those of all victims.
+// dropUnneededVictims returns the units of those victims that must be stopped so that the need fits, and drops the last ones first. The
+// free resources include those of all victims.
 func dropUnneededVictims(victims []Allocation, free, need model.Resources) []*PreemptionUnit {
 	var out []*PreemptionUnit
-	for _, a := range victims {
+	for _, a := range slices.Backward(victims) {
 		if remaining := free.Sub(a.Resources); remaining.CanFit(need) {
 			free = remaining
 			continue
--- a/internal/preemptor/cost.go
+++ b/internal/preemptor/cost.go
@@ -12,8 +12,12 @@
 // coresPerAccelerator is what an accelerator counts as in the use of a service. The platform's prices count it so.
 const coresPerAccelerator = 8
 
-// restartTime is the time that a preempted run loses until it runs again, in addition to its lost work.
-const restartTime = 300 * time.Millisecond
+// restartTime is the time that a preempted run loses until it runs again, in addition to its lost work and its wait for other workers: the
+// run ends, its end is reported, and the start request is sent and answered.
+const restartTime = time.Second
+
+// requeueTime is the time for which a preempted run is expected to wait for other workers. The work that took its place runs for seconds.
+const requeueTime = 2 * time.Second
 
 // maxCheckpointLoss is the maximum run time whose work a run with checkpoints loses when it is preempted.
 const maxCheckpointLoss = 800 * time.Millisecond
@@ -27,8 +31,8 @@
 // Run is a run that may be stopped.
 type Run struct {
 	Need      model.Resources
-	Priority  model.Priority
 	Elapsed   time.Duration // time for which it has run
+	Remaining time.Duration // expected time until it ends on its own
 	Resumable bool          // its next run resumes from its last checkpoint
 }
 
@@ -43,13 +47,42 @@
 // LostWork returns the work that is thrown away when the run is stopped now.
 func (r *Run) LostWork() CoreSeconds { return Work(r.Need, r.LostTime()) }
 
-// Cost returns the accelerator-seconds lost by stopping the run, weighted by the urgency of its job.
-func (r *Run) Cost() float64 {
-	return (r.LostTime() + restartTime).Seconds() * float64(max(1, r.Need.Accelerators)) * urgencyWeight(r.Priority)
+// Job is what the stop of a run costs beyond the run itself.
+type Job struct {
+	ID       model.JobID
+	Priority model.Priority
+	Deadline Deadline
+	Work     CoreSeconds // work of all tasks of the step that runs
+}
+
+// drop returns the part of its worth that the job loses if the run is stopped.
+func (j *Job) drop(r *Run) float64 {
+	return j.Deadline.worth(r.Remaining) - j.Deadline.worth(r.Remaining+r.LostTime()+restartTime+requeueTime)
+}
+
+// Cost returns what the stop of a run of the job costs, without regard to its other runs.
+func (j *Job) Cost(r *Run) CoreSeconds {
+	cost := Work(r.Need, r.LostTime()+restartTime)
+	if drop := j.drop(r); drop > 0 {
+		cost += CoreSeconds(drop) * Work(r.Need, r.Elapsed+r.Remaining)
+	}
+	return weight(j.Priority) * cost
+}
+
+// IsProtected reports whether a run may be stopped only for a guarantee: its task was stopped before, and can still end in time.
+func (j *Job) IsProtected(r *Run, stoppedBefore bool) bool {
+	return stoppedBefore && j.Deadline.allows(r.Remaining)
+}
+
+// Victim is running work that is stopped as a whole: a run, or all members of a gang.
+type Victim struct {
+	Job  Job
+	Runs []Run
 }
 
-// urgencyWeight returns the weight of the work of a priority. Urgent work that starts over misses its target duration.
-func urgencyWeight(p model.Priority) float64 {
+// weight returns the weight of the work of a priority. It is about the inverse of the work of a job, so that jobs of all priorities are
+// worth about the same to their callers.
+func weight(p model.Priority) CoreSeconds {
 	switch p {
 	case 0:
 		return 16
--- /dev/null
+++ b/internal/preemptor/deadline.go
@@ -0,0 +1,61 @@
+package preemptor
+
+import (
+	"time"
+
+	"chestnutmux.example/chestnutmux/pkg/model"
+)
+
+// lateWorth is the worth of a result that comes right after its target. It falls to 0 until uselessAfter times the target.
+const (
+	lateWorth    = 0.25
+	uselessAfter = 3
+)
+
+// Deadline tells what the result of a job is worth by the time that passes until its end. The zero value is that of work without a target.
+type Deadline struct {
+	isSet     bool
+	targetIn  time.Duration // the result is worth 1 until then
+	uselessIn time.Duration // the result is worth nothing from then on
+}
+
+// NewDeadline returns the deadline of a job that has arrived the given time ago.
+func NewDeadline(ago, target time.Duration) Deadline {
+	return Deadline{isSet: true, targetIn: target - ago, uselessIn: uselessAfter*target - ago}
+}
+
+// worth returns the worth of a result that comes in the given time, as a share of its worth within the target.
+func (d *Deadline) worth(endsIn time.Duration) float64 {
+	switch {
+	case d.allows(endsIn):
+		return 1
+	case endsIn >= d.uselessIn:
+		return 0
+	}
+	return lateWorth * float64(d.uselessIn-endsIn) / float64(d.uselessIn-d.targetIn)
+}
+
+// allows reports whether an end in the given time is within the target.
+func (d *Deadline) allows(endsIn time.Duration) bool { return !d.isSet || endsIn <= d.targetIn }
+
+// PathFrom returns the estimated run time of the longest chain of dependent steps that begins with the given one.
+func PathFrom(steps []model.Step, from int) time.Duration {
+	ends := make([]time.Duration, len(steps))
+	longest := time.Duration(0)
+	for i := from; i < len(steps); i++ {
+		start := time.Duration(-1)
+		if i == from {
+			start = 0
+		}
+		for _, dep := range steps[i].DependsOn {
+			if dep >= from && dep < i && ends[dep] > 0 {
+				start = max(start, ends[dep])
+			}
+		}
+		if start >= 0 {
+			ends[i] = start + time.Duration(max(steps[i].EstimatedRunMS, 1))*time.Millisecond
+			longest = max(longest, ends[i])
+		}
+	}
+	return longest
+}
