--- a/internal/coordinator/cluster_test.go
+++ b/internal/coordinator/cluster_test.go
@@ -40,6 +40,7 @@
 	all            []model.Worker // workers of the fleet, listed or not
 	mu             sync.Mutex
 	workers        []model.Worker
+	entitlements   dispatcher.Entitlements
 	hosts          []*testHost
 	workerFaults   map[model.HostID]worker.CallFault // faults of the calls from all hosts to a worker
 	sharedLogFault log.CallFault                     // fault of the calls from all hosts to the log
@@ -60,6 +61,7 @@
 	pauseLength time.Duration
 	recoverer   *recoverer.Recoverer
 	evacuator   *evacuator.Evacuator // nil means that the host follows no requests of an operator
+	metrics     *dispatcher.Metrics
 	cancel      context.CancelFunc
 
 	mu              sync.Mutex
@@ -109,7 +111,7 @@
 	if h.pauseAt != "" {
 		logger = &pausingLogger{Logger: logger, host: h, message: h.pauseAt, length: h.pauseLength}
 	}
-	h.recoverer = &recoverer.Recoverer{}
+	h.recoverer, h.metrics = &recoverer.Recoverer{}, dispatcher.NewMetrics()
 	workers := h.workers
 	if workers == nil {
 		workers = &worker.DirectClient{Fleet: h.cluster.fleet, InjectFault: h.workerFault}
@@ -121,8 +123,8 @@
 	h.coordinator = New(Config{
 		Host: h.id, Log: h.log(),
 		Workers:  workers,
-		Registry: registry, Entitlements: func() dispatcher.Entitlements { return dispatcher.Entitlements{} }, Evacuator: h.evacuator,
-		Logger: logger, Metrics: dispatcher.NewMetrics(), Asserter: &asserter.Asserter{Logger: logger}, Recoverer: h.recoverer,
+		Registry: registry, Entitlements: h.cluster.currentEntitlements, Evacuator: h.evacuator,
+		Logger: logger, Metrics: h.metrics, Asserter: &asserter.Asserter{Logger: logger}, Recoverer: h.recoverer,
 		Processors: h.processors, LinkRate: h.linkRate, LeaseDuration: testLease, MaxLease: testMaxLease, JobRetention: testRetention,
 	})
 	go h.coordinator.Run(ctx)
@@ -180,6 +182,22 @@
 	}
 }
 
+func (c *cluster) currentEntitlements() dispatcher.Entitlements {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.entitlements
+}
+
+// guarantee gives a workspace a guarantee that covers the whole fleet.
+func (c *cluster) guarantee(ws model.WorkspaceID) {
+	c.mu.Lock()
+	c.entitlements = dispatcher.Entitlements{Guaranteed: map[model.WorkspaceID]model.Accelerators{ws: 1 << 20}}
+	c.mu.Unlock()
+	for _, h := range c.hosts {
+		h.coordinator.ApplyEntitlements()
+	}
+}
+
 // submit appends a job to the log as an entry host does.
 func (c *cluster) submit(s *model.Submission) {
 	c.t.Helper()
