Evacuate failure domains by the configuration and the command line

Cause: on the project's own deployments an operator had no way to request that nothing more be started in a failure domain.

A publish of a file without the section evacuations keeps the requests, so that a rollback puts no domain back in use. status lists the domains and explain names them.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -108,6 +108,7 @@
 	Check    checkCommand    `cmd:"" help:"Check a configuration or settings file."`
 	Publish  publishCommand  `cmd:"" help:"Publish a configuration file."`
 	Diff     diffCommand     `cmd:"" help:"Show what a publish of the file would change."`
+	Evacuate evacuateCommand `cmd:"" help:"Start nothing more in a failure domain, or take that back."`
 	Submit   submitCommand   `cmd:"" help:"Submit a job, or all jobs of a file."`
 	Cancel   cancelCommand   `cmd:"" help:"Cancel jobs."`
 	Call     callCommand     `cmd:"" help:"Send a service request and print the answer."`
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -260,6 +260,27 @@
 	is.Equal(runWithBackend(t, b, "operator", "publish", configPath).exitCode, ExitConflict)
 }
 
+// Guards against requests to evacuate that are published wrongly or twice, and against a publish of a file that takes them back.
+func TestEvacuate(t *testing.T) {
+	is := is.New(t)
+	b := &fakeBackend{config: model.ConfigResponse{Version: 7}}
+	r := runWithBackend(t, b, "operator", "evacuate", "kartli-a")
+	is.Equal(r.stdout, "version 8 in force, failure domain kartli-a evacuated\n")
+	is.Equal(b.published[0].Changes, []model.ConfigChange{{Kind: model.ObjectKindEvacuation, Name: "kartli-a", Spec: json.RawMessage("{}")}})
+	is.Equal(runWithBackend(t, b, "operator", "evacuate", "--back", "kartli-a").exitCode, ExitOK) // not evacuated
+	is.Equal(len(b.published), 1)
+	config, err := readConfig(&env{}, configPath)
+	is.NoErr(err)
+	config.Evacuations = map[model.DomainID]model.Evacuation{"kartli-a": {}}
+	b.config.Config = config
+	is.Equal(runWithBackend(t, b, "operator", "evacuate", "kartli-a").exitCode, ExitOK)
+	is.Equal(runWithBackend(t, b, "operator", "publish", configPath).stdout, "version 7 in force, 0 objects changed\n")
+	is.Equal(len(b.published), 1)
+	r = runWithBackend(t, b, "operator", "evacuate", "--back", "--json", "kartli-a")
+	is.Equal(r.stdout, `{"evacuated":false,"failure-domain":"kartli-a","version":8}`+"\n")
+	is.Equal(b.published[1].Changes, []model.ConfigChange{{Kind: model.ObjectKindEvacuation, Name: "kartli-a"}})
+}
+
 // Guards against a status view that shows a different object, and against success for an object that does not exist.
 func TestStatusViews(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -90,7 +90,8 @@
 func (publishCommand) Help() string {
 	return formatExamples("chestnutmux publish config.hujson", "chestnutmux publish --base 41 config.hujson") +
 		"\n\nThe file is the whole configuration: publishing an earlier file rolls back. With --base the publish is " +
-		"refused when an object that it changes was changed after that version."
+		"refused when an object that it changes was changed after that version. Evacuations stay as they are unless the file has the section " +
+		"evacuations, which may be empty."
 }
 
 // Run publishes the differences between the configuration in force and the file.
@@ -128,6 +129,9 @@
 	if err != nil {
 		return nil, 0, err
 	}
+	if config.Evacuations == nil {
+		config.Evacuations = current.Config.Evacuations // a rollback of the configuration puts no domain back in use
+	}
 	changes, err := differ.Diff(current.Config, config)
 	return changes, current.Version, err
 }
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -94,6 +94,9 @@
 	if !s.LogReachable {
 		e.printf("the log can't be reached\n")
 	}
+	for _, domain := range s.EvacuatedDomains {
+		e.printf("failure domain %s is evacuated\n", domain)
+	}
 	for invariant, count := range s.InvariantViolations {
 		e.printf("invariant %s violated %d times; see docs/OPERATIONS.md\n", invariant, count)
 	}
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -4,9 +4,11 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"time"
 
 	"chestnutmux.example/chestnutmux/internal/asserter"
 	"chestnutmux.example/chestnutmux/internal/dispatcher"
+	"chestnutmux.example/chestnutmux/internal/evacuator"
 	"chestnutmux.example/chestnutmux/internal/publisher"
 	"chestnutmux.example/chestnutmux/internal/server"
 	"chestnutmux.example/chestnutmux/pkg/model"
@@ -33,6 +35,24 @@
 	d.config.Store(newConfig)
 	d.router.SetConfig(&newConfig.set)
 	d.coordinator.ApplyEntitlements()
+	d.applyEvacuations(newConfig)
+}
+
+// applyEvacuations hands the evacuated failure domains of a configuration to the evacuator, as a snapshot whose offsets are versions.
+func (d *Daemon) applyEvacuations(c *activeConfig) {
+	offset := model.Offset(c.version)
+	var requests []evacuator.Request
+	for domain := range c.set.Evacuations {
+		requests = append(requests, evacuator.Request{Domain: domain, Offset: offset})
+	}
+	if d.evacuator.ApplySnapshot(requests, offset+1) {
+		d.coordinator.UpdateEvacuations()
+	}
+}
+
+// confirmEvacuations records that a version was the newest configuration at a time.
+func (d *Daemon) confirmEvacuations(v model.ConfigVersion, at time.Time) {
+	d.evacuator.Confirm(model.Offset(v)+1, at)
 }
 
 // bootstrapOperator is the name of the operator who may publish while the configuration declares no operators.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"chestnutmux.example/chestnutmux/internal/claimer"
 	"chestnutmux.example/chestnutmux/internal/coordinator"
 	"chestnutmux.example/chestnutmux/internal/dispatcher"
+	"chestnutmux.example/chestnutmux/internal/evacuator"
 	"chestnutmux.example/chestnutmux/internal/hostclient"
 	"chestnutmux.example/chestnutmux/internal/journaler"
 	"chestnutmux.example/chestnutmux/internal/logclient"
@@ -47,6 +48,7 @@
 	asserter *asserter.Asserter
 
 	config      atomic.Pointer[activeConfig]
+	evacuator   *evacuator.Evacuator
 	publisher   *publisher.Publisher
 	coordinator *coordinator.Coordinator
 	acceptor    *acceptor.Acceptor
@@ -75,17 +77,18 @@
 		settings: s, logger: logger, recorder: recorder.New(), drainRequested: make(chan struct{}), asserter: &asserter.Asserter{Logger: logger},
 	}
 	d.config.Store(&activeConfig{})
+	d.evacuator = &evacuator.Evacuator{Bound: settings.Duration(s.EvacuationBoundMS)}
 	trafficMeter := meter.New(d.recorder.ControlBytes, d.recorder.ControlMessages)
 	logHTTP := logclient.NewHTTPClient(trafficMeter.Dialer(meter.PeerKindLog))
 	newStream := func(name string) journaler.Log { return logclient.NewStream(s.LogURL, name, s.HostID, logHTTP) }
 	d.hosts = hostclient.NewClient(strings.TrimPrefix(s.HostListURL, "http://"), s.HostID, trafficMeter.Dialer(meter.PeerKindHostList))
-	d.publisher = &publisher.Publisher{Log: newStream(logclient.StreamConfig), Logger: logger, OnUpdate: d.applyConfig}
+	d.publisher = &publisher.Publisher{Log: newStream(logclient.StreamConfig), Logger: logger, OnUpdate: d.applyConfig, OnConfirm: d.confirmEvacuations}
 	jobStream := newStream(logclient.StreamJobs)
 	dispatcherMetrics, acceptorMetrics := dispatcher.NewMetrics(), acceptor.NewMetrics()
 	d.coordinator = coordinator.New(coordinator.Config{
 		Host: s.HostID, Log: jobStream, Workers: workerclient.NewClient(s.HostID, trafficMeter.Dialer(meter.PeerKindWorker)),
 		Registry:     &workerRegistry{hosts: d.hosts, pollInterval: settings.Duration(s.HostListPollIntervalMS)},
-		Entitlements: d.entitlements, Logger: logger, Metrics: dispatcherMetrics, Asserter: d.asserter, Recoverer: &recoverer.Recoverer{Logger: logger},
+		Entitlements: d.entitlements, Evacuator: d.evacuator, Logger: logger, Metrics: dispatcherMetrics, Asserter: d.asserter, Recoverer: &recoverer.Recoverer{Logger: logger},
 		LeaseDuration: settings.Duration(s.LeaseDurationMS), JobRetention: settings.Duration(s.JobRetentionMS),
 	})
 	d.acceptor = &acceptor.Acceptor{
--- a/internal/daemon/jobs.go
+++ b/internal/daemon/jobs.go
@@ -258,6 +258,10 @@
 		explanation.QueuePosition = queuePosition(replica.Jobs(), j)
 		explanation.Reason = fmt.Sprintf("the job waits for room; it is number %d of its priority and above", explanation.QueuePosition)
 		explanation.Remedy = "wait, use a more urgent class, or cancel other jobs of the workspace"
+		if domains := d.evacuator.Domains(); len(domains) > 0 {
+			explanation.Reason += fmt.Sprintf("; an operator has evacuated the failure domains %v, whose workers start nothing", domains)
+			explanation.Remedy += ", or ask the operator to take the evacuation back"
+		}
 	}
 	return explanation, nil
 }
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -68,6 +68,7 @@
 			s.Peers = append(s.Peers, model.PeerStatus{Host: h.ID, FailureDomain: h.Domain, Live: h.State == hostclient.StateLive})
 		}
 	}
+	s.EvacuatedDomains = d.evacuator.Domains()
 	s.Workers = d.coordinator.WorkerStatuses(ctx)
 	s.Runners = d.router.Runners()
 	s.Workspaces = d.workspaceStatuses()
--- a/internal/publisher/change.go
+++ b/internal/publisher/change.go
@@ -43,7 +43,7 @@
 		}
 		if d.apply == nil {
 			addFault("kind", fmt.Sprintf("the kind %q is unknown", ch.Kind),
-				"use failure-domain, workspace, class, guarantee, service, caller or operator")
+				"use failure-domain, workspace, class, guarantee, service, caller, operator or evacuation")
 			continue
 		}
 		decoded = append(decoded, d)
@@ -81,6 +81,8 @@
 		d.addReference(model.ObjectKindWorkspace, string(c.Workspace))
 	case model.ObjectKindOperator:
 		d, _, err = decodeChange(ch, func(s *model.ConfigSet) *map[model.OperatorID]model.Operator { return &s.Operators })
+	case model.ObjectKindEvacuation:
+		d, _, err = decodeChange(ch, func(s *model.ConfigSet) *map[model.DomainID]model.Evacuation { return &s.Evacuations })
 	}
 	return d, err
 }
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -36,6 +36,8 @@
 	Logger hclog.Logger
 	// OnUpdate is called with each new configuration, in ascending order of versions.
 	OnUpdate func(*StoredConfig)
+	// OnConfirm is called with a time at which the newest configuration was the given version, 0 if none had been published; may be nil.
+	OnConfirm func(v model.ConfigVersion, at time.Time)
 
 	cursor journaler.Cursor
 
@@ -70,6 +72,9 @@
 		return err
 	}
 	p.applyRecords(update.Records, update.NextOffset)
+	if p.OnConfirm != nil {
+		p.OnConfirm(p.Current().Version, update.ConfirmedAt)
+	}
 	return nil
 }
 
--- a/internal/publisher/publisher_test.go
+++ b/internal/publisher/publisher_test.go
@@ -157,3 +157,45 @@
 		is.NoErr(err)
 	})
 }
+
+// Guards against a view that counts as confirmed while the log can't be read, or that gets old while nothing is published.
+func TestConfirmationsFollowTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := &testHost{}
+		var mu sync.Mutex
+		var confirmed time.Time
+		h.Publisher = &Publisher{
+			Log: &log.DirectStream{Log: log.New(log.Options{}), StreamName: "config", InjectFault: func() log.CallFault {
+				h.mu.Lock()
+				defer h.mu.Unlock()
+				return h.fault
+			}},
+			Logger: hclog.NewNullLogger(), OnUpdate: func(*StoredConfig) {},
+			OnConfirm: func(_ model.ConfigVersion, at time.Time) {
+				mu.Lock()
+				defer mu.Unlock()
+				confirmed = at
+			},
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		go h.Run(ctx)
+		age := func() time.Duration {
+			mu.Lock()
+			defer mu.Unlock()
+			return time.Since(confirmed)
+		}
+		for range 20 {
+			time.Sleep(330 * time.Millisecond)
+			is.True(age() <= pollWait)
+		}
+		h.setFault(log.FaultUnavailable)
+		time.Sleep(5 * time.Second)
+		is.True(age() > 3*time.Second)
+		h.setFault(log.NoFault)
+		time.Sleep(2 * time.Second)
+		is.True(age() <= pollWait)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/publisher/storedconfig.go
+++ b/internal/publisher/storedconfig.go
@@ -94,5 +94,6 @@
 	s.Services = maps.Clone(s.Services)
 	s.Callers = maps.Clone(s.Callers)
 	s.Operators = maps.Clone(s.Operators)
+	s.Evacuations = maps.Clone(s.Evacuations)
 	return s
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"net/netip"
 	"net/url"
 	"os"
@@ -9,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 
+	"chestnutmux.example/chestnutmux/internal/evacuator"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
@@ -45,6 +47,7 @@
 	ClaimWindowMS          model.Millis `json:"claim-window-ms"`   // maximum age of the id of a non-idempotent request
 	DrainTimeoutMS         model.Millis `json:"drain-bound-ms"`    // maximum duration of a graceful shutdown
 	JobRetentionMS         model.Millis `json:"keep-jobs-ms"`      // time for which the state of an ended job is kept
+	EvacuationBoundMS      model.Millis `json:"evacuation-ms"`     // time after a request from which on nothing may be started in an evacuated failure domain; 0 means no bound
 }
 
 // Duration converts milliseconds to a time.Duration.
@@ -149,11 +152,15 @@
 		{"claim-window-ms", s.ClaimWindowMS},
 		{"drain-bound-ms", s.DrainTimeoutMS},
 		{"keep-jobs-ms", s.JobRetentionMS},
+		{"evacuation-ms", s.EvacuationBoundMS},
 	} {
 		if i.value < 0 {
 			addFault(i.key, "is negative; give a positive number of milliseconds")
 		}
 	}
+	if least := evacuator.MinBound.Milliseconds(); s.EvacuationBoundMS > 0 && int64(s.EvacuationBoundMS) < least {
+		addFault("evacuation-ms", fmt.Sprintf("is too short to be kept; give at least %d, or 0 for no bound", least))
+	}
 	if s.LeaseDurationMS < minLeaseDurationMS {
 		addFault("task-lease-ms", "is shorter than two reports of 2 s; raise it")
 	}
--- a/pkg/differ/differ.go
+++ b/pkg/differ/differ.go
@@ -56,6 +56,7 @@
 		addObjects(out, model.ObjectKindService, set.Services),
 		addObjects(out, model.ObjectKindCaller, set.Callers),
 		addObjects(out, model.ObjectKindOperator, set.Operators),
+		addObjects(out, model.ObjectKindEvacuation, set.Evacuations),
 	)
 	return out, err
 }
--- a/pkg/model/api.go
+++ b/pkg/model/api.go
@@ -39,6 +39,7 @@
 	Fence               FencingToken      `json:"fence,omitempty"`  // fencing token of the current leader term
 	Leader              HostID            `json:"leader,omitempty"` // leader of the deployment; empty when there is none
 	LogReachable        bool              `json:"log-reachable"`
+	EvacuatedDomains    []DomainID        `json:"evacuated,omitempty"` // failure domains in which nothing more is started
 	Peers               []PeerStatus      `json:"peers,omitempty"`
 	Workers             []WorkerStatus    `json:"workers,omitempty"` // reported by the leader only
 	Runners             []RunnerStatus    `json:"runners,omitempty"`
--- a/pkg/model/config.go
+++ b/pkg/model/config.go
@@ -14,6 +14,7 @@
 	ObjectKindService       ObjectKind = "service"
 	ObjectKindCaller        ObjectKind = "caller"
 	ObjectKindOperator      ObjectKind = "operator"
+	ObjectKindEvacuation    ObjectKind = "evacuation"
 )
 
 // ConfigSet is a complete configuration; each map is keyed by the name of the object.
@@ -25,6 +26,7 @@
 	Services       map[ServiceID]Service      `json:"services,omitempty"`
 	Callers        map[CallerID]Caller        `json:"callers,omitempty"`
 	Operators      map[OperatorID]Operator    `json:"operators,omitempty"`
+	Evacuations    map[DomainID]Evacuation    `json:"evacuations,omitempty"`
 }
 
 // DomainState says whether the operator considers a failure domain available.
@@ -106,6 +108,10 @@
 	TokenSHA256 string `json:"token-sha256"` // hex digest of the bearer token
 }
 
+// Evacuation requests that nothing more be started on the workers of the failure domain that it is named after, until it is deleted. The
+// failure domain need not be declared.
+type Evacuation struct{}
+
 // ConfigChange creates, replaces or deletes one configuration object.
 type ConfigChange struct {
 	Kind ObjectKind      `json:"kind"`
--- a/pkg/validator/validator.go
+++ b/pkg/validator/validator.go
@@ -41,6 +41,9 @@
 	c.checkGuarantees()
 	c.checkServices()
 	c.checkTokens()
+	for _, id := range sortedKeys(set.Evacuations) {
+		c.checkName(model.ObjectKindEvacuation, string(id), "name", string(id))
+	}
 	slices.SortStableFunc(c.faults, func(a, b model.ConfigFault) int {
 		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name), cmp.Compare(a.Field, b.Field))
 	})
