--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -15,6 +16,7 @@
 	"chestnutmux.example/chestnutmux/internal/fake/launcher"
 	"chestnutmux.example/chestnutmux/internal/fake/platform"
 	"chestnutmux.example/chestnutmux/pkg/model"
+	"chestnutmux.example/chestnutmux/pkg/validator"
 )
 
 // soakRun injects random faults into a cluster and sends it random jobs, both drawn from a seed.
@@ -32,6 +34,7 @@
 // run performs a random action every 20 to 200 ms: it submits, reads or cancels a job, or injects a fault.
 func (s *soakRun) run(duration time.Duration) {
 	s.hasHostFault = map[*launcher.Host]bool{}
+	s.pendingFaults.Go(func() { s.evacuate(time.Now().Add(duration)) })
 	for end := time.Now().Add(duration); time.Now().Before(end); {
 		time.Sleep(time.Duration(20+s.rng.IntN(180)) * time.Millisecond)
 		switch s.rng.IntN(6) {
@@ -119,6 +122,38 @@
 	}
 }
 
+// evacuate evacuates a random failure domain at a time, on a random host, until the end. It has random numbers of its own, so that the faults of a
+// seed stay the same.
+func (s *soakRun) evacuate(end time.Time) {
+	rng := rand.New(rand.NewPCG(*seed, 3))
+	for time.Now().Before(end) {
+		domain := []string{"kartli-a", "kartli-b", "imereti-a"}[rng.IntN(3)]
+		s.setEvacuated(rng, domain, true)
+		time.Sleep(time.Duration(500+rng.IntN(4000)) * time.Millisecond)
+		s.setEvacuated(rng, domain, false)
+	}
+}
+
+// setEvacuated requests an evacuation or takes it back, and retries until a host has published that.
+func (s *soakRun) setEvacuated(rng *rand.Rand, domain string, evacuated bool) {
+	change := model.ConfigChange{Kind: model.ObjectKindEvacuation, Name: domain}
+	if evacuated {
+		change.Spec = json.RawMessage("{}")
+	}
+	s.reportError(launcher.Await(startTimeout, func(ctx context.Context) error {
+		c := s.cluster.Client(s.cluster.Hosts[rng.IntN(len(s.cluster.Hosts))], operatorToken)
+		current, err := c.Config(ctx)
+		if err != nil {
+			return err
+		}
+		if _, done := current.Config.Evacuations[model.DomainID(domain)]; done == evacuated {
+			return nil
+		}
+		_, err = c.Publish(ctx, model.PublishRequest{BaseVersion: current.Version, SchemaVersion: validator.SchemaVersion, Changes: []model.ConfigChange{change}})
+		return err
+	}))
+}
+
 // injectHostFault kills, pauses or terminates the process of a host, and restarts or resumes it.
 func (s *soakRun) injectHostFault(h *launcher.Host) {
 	if !s.tryAcquireHost(h) {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -48,7 +48,9 @@
 	c, err := launcher.Start(launcher.Options{
 		BinDir: binDir, DeployDir: deployDir, WorkDir: workDir, UseRelays: true,
 		HostsPerDomain: map[model.DomainID]int{"kartli-a": 2, "kartli-b": 1, "imereti-a": 1},
-		AdjustSettings: func(s *settings.Settings) { s.LeaseDurationMS, s.HostListPollIntervalMS = 5000, 200 },
+		AdjustSettings: func(s *settings.Settings) {
+			s.LeaseDurationMS, s.HostListPollIntervalMS, s.EvacuationBoundMS = 5000, 200, 5000
+		},
 	})
 	is.NoErr(err)
 	defer func() { is.NoErr(c.Stop()) }()
