Bound what clients of our own protocol use of memory and descriptors

The interface of an entry host had time limits, but no bound of the bytes and the connections of clients, so 420 clients that withheld the last byte took 89 to 275 MiB of a host with 64 MiB.

The packages that protect the platform's edge now protect it, too: bodies are read within the budget, connections are bounded in total and to half of them by client address, the rest of a body that no handler reads has a second, and the soft memory limit of the runtime follows from memory-mb. A body that the budget does not admit is refused as not run with Retry-After. Settings max-connections, max-connections-per-address, body-memory-mb, body-timeout-ms, min-body-rate and receive-buffer-kb.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"runtime/debug"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -32,5 +33,6 @@
 		Output:     os.Stderr,
 		JSONFormat: true,
 	}).With("host", string(s.HostID))
+	debug.SetMemoryLimit(daemon.SoftMemoryBytes(s))
 	return daemon.Run(e.ctx, s, logger)
 }
--- a/internal/connlimiter/listener.go
+++ b/internal/connlimiter/listener.go
@@ -139,9 +139,9 @@
 }
 
 // Discard gives the client a short time for the rest of a request whose body was not read. Meanwhile the connection waits for its
-// client. Discard does nothing if c is nil.
+// client. Discard does nothing if c is nil or refused.
 func (c *Conn) Discard() {
-	if c == nil {
+	if c == nil || c.lingers.Load() {
 		return
 	}
 	c.SetWaiting(true)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"chestnutmux.example/chestnutmux/internal/journaler"
 	"chestnutmux.example/chestnutmux/internal/logclient"
 	"chestnutmux.example/chestnutmux/internal/meter"
+	"chestnutmux.example/chestnutmux/internal/protector"
 	"chestnutmux.example/chestnutmux/internal/publisher"
 	"chestnutmux.example/chestnutmux/internal/recorder"
 	"chestnutmux.example/chestnutmux/internal/recoverer"
@@ -41,10 +42,11 @@
 
 // Daemon runs an entry host. It implements server.Backend.
 type Daemon struct {
-	settings settings.Settings
-	logger   hclog.Logger
-	recorder *recorder.Recorder
-	asserter *asserter.Asserter
+	settings  settings.Settings
+	logger    hclog.Logger
+	recorder  *recorder.Recorder
+	asserter  *asserter.Asserter
+	protector *protector.Protector
 
 	config      atomic.Pointer[activeConfig]
 	publisher   *publisher.Publisher
@@ -63,17 +65,19 @@
 
 // Run runs an entry host until ctx ends or Drain is called, then shuts it down gracefully.
 func Run(ctx context.Context, s settings.Settings, logger hclog.Logger) error {
-	listener, err := net.Listen("tcp", s.ListenAddr)
+	d := newDaemon(s, logger)
+	listener, err := d.protector.Listen("tcp", s.ListenAddr, 0)
 	if err != nil {
 		return errors.Wrap(err, "daemon: cannot listen; check the setting listen")
 	}
-	return newDaemon(s, logger).serve(ctx, listener)
+	return d.serve(ctx, listener)
 }
 
 func newDaemon(s settings.Settings, logger hclog.Logger) *Daemon {
 	d := &Daemon{
 		settings: s, logger: logger, recorder: recorder.New(), drainRequested: make(chan struct{}), asserter: &asserter.Asserter{Logger: logger},
 	}
+	d.protector = protector.New(protector.Config{Limits: limitsOf(s), Settings: clientBounds(s), Logger: logger})
 	d.config.Store(&activeConfig{})
 	trafficMeter := meter.New(d.recorder.ControlBytes, d.recorder.ControlMessages)
 	logHTTP := logclient.NewHTTPClient(trafficMeter.Dialer(meter.PeerKindLog))
@@ -121,11 +125,11 @@
 	group, loopCtx := errgroup.WithContext(loopCtx)
 	for _, runLoop := range []func(context.Context){
 		func(ctx context.Context) { _ = d.router.Run(ctx) },
-		d.publisher.Run, d.coordinator.Run, d.claimLog.Run, d.followHosts,
+		d.publisher.Run, d.coordinator.Run, d.claimLog.Run, d.followHosts, d.protector.Run,
 	} {
 		group.Go(func() error { runLoop(loopCtx); return nil })
 	}
-	httpServer := (&server.Server{Backend: d, Logger: d.logger, MetricsHandler: d.recorder}).HTTPServer()
+	httpServer := (&server.Server{Backend: d, Logger: d.logger, MetricsHandler: d.recorder, Bodies: &d.protector.Bodies}).HTTPServer()
 	httpServer.Handler = closeConnectionsWhen(&d.draining, httpServer.Handler)
 	group.Go(func() error {
 		if err := httpServer.Serve(server.WrapListener(listener)); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -106,6 +106,9 @@
 	d.recorder.RegisterGauge("invariant-violations", func() any { return d.asserter.ViolationCounts() })
 	d.recorder.RegisterGauge("config-version", func() any { return d.config.Load().version })
 	d.recorder.RegisterGauge("router", func() any { return d.router.Load() })
+	for name, v := range d.protector.Vars() {
+		d.recorder.Register(name, v)
+	}
 	for name, v := range dispatcherMetrics.Vars() {
 		d.recorder.Register(name, v)
 	}
--- a/internal/protector/protector.go
+++ b/internal/protector/protector.go
@@ -148,8 +148,11 @@
 // is not part of the heap.
 func heldBytes() int64 {
 	samples := []metrics.Sample{
-		{Name: "/gc/heap/live:bytes"}, {Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"},
-		{Name: "/memory/classes/heap/free:bytes"}, {Name: "/memory/classes/heap/objects:bytes"},
+		{Name: "/gc/heap/live:bytes"},
+		{Name: "/memory/classes/total:bytes"},
+		{Name: "/memory/classes/heap/released:bytes"},
+		{Name: "/memory/classes/heap/free:bytes"},
+		{Name: "/memory/classes/heap/objects:bytes"},
 	}
 	metrics.Read(samples)
 	held := int64(samples[0].Value.Uint64() + samples[1].Value.Uint64())
--- a/internal/protector/settings.go
+++ b/internal/protector/settings.go
@@ -31,7 +31,8 @@
 // Settings are the bounds that operators can set. Those that are 0 are derived from the limits of the process or have their default.
 type Settings struct {
 	MaxConnections           int   // connections of clients on all listeners
-	MaxConnectionsPerAddress int   // connections of a client address; 0 means no bound
+	MaxConnectionsPerAddress int   // connections of a client address
+	HalfPerAddress           bool  // by default, a client address gets at most half of the connections of a listener
 	BodyMemoryBytes          int64 // memory for the bodies of requests in progress
 	BodyTimeout              time.Duration
 	MinBodyRate              int64 // least rate of a body over bodyreader.FirstStepBytes, in bytes per second
@@ -50,9 +51,12 @@
 	}
 }
 
-// perAddress returns the bound of connections of a client address, given that of all.
+// perAddress returns the bound of connections of a client address, given that of all, or 0 if there is none.
 func (s *Settings) perAddress(total int) int {
-	if s.MaxConnectionsPerAddress == 0 {
+	switch {
+	case s.MaxConnectionsPerAddress == 0 && s.HalfPerAddress:
+		return max(1, total/2)
+	case s.MaxConnectionsPerAddress == 0:
 		return 0
 	}
 	return min(s.MaxConnectionsPerAddress, total)
--- a/internal/server/caller.go
+++ b/internal/server/caller.go
@@ -1,13 +1,14 @@
 package server
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"chestnutmux.example/chestnutmux/internal/bodyreader"
+	"chestnutmux.example/chestnutmux/internal/connlimiter"
 	"chestnutmux.example/chestnutmux/pkg/client"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
@@ -23,9 +24,11 @@
 
 func (s *Server) handleSubmit(w http.ResponseWriter, r *http.Request, id Identity) {
 	var spec model.JobSpec
-	if !readJSON(w, r, maxJSONBytes, &spec) {
+	release, ok := s.readJSON(w, r, maxJSONBytes, &spec)
+	if !ok {
 		return
 	}
+	defer release()
 	if spec.Workspace != "" && spec.Workspace != id.Workspace {
 		writeError(w, &model.Error{
 			Outcome: model.OutcomeNotRun, Kind: model.ErrorKindForbidden,
@@ -141,11 +144,13 @@
 		return
 	}
 	maxBytes := int64(s.Backend.MaxBodyBytes(req.Service))
-	req.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
+	body, err := s.Bodies.Read(r.Body, r.ContentLength, maxBytes, connlimiter.OfRequest(r))
 	if err != nil {
-		writeError(w, unknownIfRetry(r, bodyReadError(err, maxBytes)))
+		writeError(w, unknownIfRetry(r, bodyReadError(r, err, maxBytes, "send less, or ask an operator to raise max-body of the service")))
 		return
 	}
+	defer body.Release()
+	req.Body = body.Data
 	response, err := s.Backend.Call(r.Context(), req)
 	if err != nil {
 		writeError(w, err)
@@ -161,15 +166,31 @@
 	_, _ = w.Write(response.Body)
 }
 
-// bodyReadError converts an error in reading the body of a service request. The outcome is not-run, because the request has not
-// been sent to a runner yet.
-func bodyReadError(err error, maxBytes int64) error {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+// bodyRetryDelayMS is when a client whose body was refused may try again.
+const bodyRetryDelayMS = 2000
+
+// bodyReadError converts an error in reading the body of a request. The outcome is not-run, because nothing was done with the
+// request yet. If the rest of the body is not wanted, the connection ends with the response.
+func bodyReadError(r *http.Request, err error, maxBytes int64, tooLargeRemedy string) error {
+	conn := connlimiter.OfRequest(r)
+	switch {
+	case errors.Is(err, bodyreader.ErrTooLarge):
+		conn.Refuse()
 		return &model.Error{
 			Outcome: model.OutcomeNotRun, Kind: model.ErrorKindTooLarge,
-			Message: "the body is larger than " + strconv.FormatInt(maxBytes, 10) + " bytes",
-			Remedy:  "send less, or ask an operator to raise max-body of the service",
+			Message: "the body is larger than " + strconv.FormatInt(maxBytes, 10) + " bytes", Remedy: tooLargeRemedy,
+		}
+	case errors.Is(err, bodyreader.ErrNoBudget):
+		conn.Refuse()
+		return &model.Error{
+			Outcome: model.OutcomeNotRun, Kind: model.ErrorKindOverloaded, RetryAfterMS: bodyRetryDelayMS,
+			Message: "requests in progress use the memory for bodies", Remedy: "repeat after retry-after",
+		}
+	case errors.Is(err, bodyreader.ErrTooSlow):
+		conn.Refuse()
+		return &model.Error{
+			Outcome: model.OutcomeNotRun, Kind: model.ErrorKindInvalid, RetryAfterMS: bodyRetryDelayMS,
+			Message: "the body did not arrive in time", Remedy: "repeat after retry-after, and send the whole body in one go",
 		}
 	}
 	return &model.Error{
--- a/internal/server/json.go
+++ b/internal/server/json.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"bytes"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -9,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"chestnutmux.example/chestnutmux/internal/connlimiter"
 	"chestnutmux.example/chestnutmux/pkg/client"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
@@ -83,33 +85,29 @@
 }
 
 // readJSON decodes a body of at most maxBytes bytes into target and reports whether it succeeded. Unknown fields and trailing
-// data are errors. After an error, the error response has been written.
-func readJSON(w http.ResponseWriter, r *http.Request, maxBytes int64, target any) bool {
-	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBytes))
+// data are errors. After an error, the error response has been written. The caller releases the body's charge when the request is
+// done.
+func (s *Server) readJSON(w http.ResponseWriter, r *http.Request, maxBytes int64, target any) (release func(), ok bool) {
+	body, err := s.Bodies.Read(r.Body, r.ContentLength, maxBytes, connlimiter.OfRequest(r))
+	if err != nil {
+		writeError(w, unknownIfRetry(r, bodyReadError(r, err, maxBytes, "send less")))
+		return nil, false
+	}
+	d := json.NewDecoder(bytes.NewReader(body.Data))
 	d.DisallowUnknownFields()
-	err := d.Decode(target)
+	err = d.Decode(target)
 	if err == nil {
 		if _, trailingErr := d.Token(); !errors.Is(trailingErr, io.EOF) {
 			err = errors.New("more than one JSON value")
-			if errors.HasType(trailingErr, (*http.MaxBytesError)(nil)) {
-				err = trailingErr
-			}
 		}
 	}
 	if err == nil {
-		return true
-	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		writeError(w, &model.Error{
-			Outcome: model.OutcomeNotRun, Kind: model.ErrorKindTooLarge,
-			Message: "the body is larger than " + strconv.FormatInt(maxBytes, 10) + " bytes", Remedy: "send less",
-		})
-		return false
+		return body.Release, true
 	}
+	body.Release()
 	writeError(w, &model.Error{
 		Outcome: model.OutcomeNotRun, Kind: model.ErrorKindInvalid,
 		Message: "cannot read the body: " + err.Error(), Remedy: "send one JSON object with the documented fields",
 	})
-	return false
+	return nil, false
 }
--- a/internal/server/operator.go
+++ b/internal/server/operator.go
@@ -19,9 +19,11 @@
 
 func (s *Server) handlePublish(w http.ResponseWriter, r *http.Request, id Identity) {
 	var p model.PublishRequest
-	if !readJSON(w, r, maxConfigBytes, &p) {
+	release, ok := s.readJSON(w, r, maxConfigBytes, &p)
+	if !ok {
 		return
 	}
+	defer release()
 	p.Author = id.Operator
 	version, err := s.Backend.Publish(r.Context(), p)
 	if err != nil {
@@ -47,9 +49,11 @@
 
 func (s *Server) handleLogLevel(w http.ResponseWriter, r *http.Request, id Identity) {
 	var body LogLevelBody
-	if !readJSON(w, r, maxJSONBytes, &body) {
+	release, ok := s.readJSON(w, r, maxJSONBytes, &body)
+	if !ok {
 		return
 	}
+	defer release()
 	level := hclog.LevelFromString(body.Level)
 	if level == hclog.NoLevel {
 		writeError(w, &model.Error{
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -1,11 +1,14 @@
 package server
 
 import (
+	"io"
 	"net/http"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
+	"chestnutmux.example/chestnutmux/internal/bodyreader"
+	"chestnutmux.example/chestnutmux/internal/connlimiter"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
@@ -36,7 +39,8 @@
 type Server struct {
 	Backend        Backend
 	Logger         hclog.Logger
-	MetricsHandler http.Handler // serves /debug/vars
+	MetricsHandler http.Handler       // serves /debug/vars
+	Bodies         *bodyreader.Reader // reads the bodies of requests; nil means without bounds
 }
 
 // HTTPServer returns an http.Server with timeouts against slow clients and a limit of the header size. Its Serve method must be
@@ -44,7 +48,7 @@
 func (s *Server) HTTPServer() *http.Server { return s.newHTTPServer(defaultTimeouts) }
 
 func (s *Server) newHTTPServer(t timeouts) *http.Server {
-	return &http.Server{
+	h := &http.Server{
 		Handler:           s.Handler(),
 		ReadHeaderTimeout: t.header,
 		ReadTimeout:       t.read,
@@ -53,10 +57,15 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          s.Logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
+	connlimiter.Attach(h)
+	return h
 }
 
 // Handler returns the handler of all routes.
 func (s *Server) Handler() http.Handler {
+	if s.Bodies == nil {
+		s.Bodies = &bodyreader.Reader{}
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", s.handleHealth)
 	mux.HandleFunc("GET /readyz", s.handleReady)
@@ -73,7 +82,35 @@
 	mux.HandleFunc("GET /v1/status", s.requireOperator(s.handleStatus))
 	mux.HandleFunc("PUT /v1/log-level", s.requireOperator(s.handleLogLevel))
 	mux.HandleFunc("POST /v1/drain", s.requireOperator(s.handleDrain))
-	return withTypedErrors(mux)
+	return discardBodies(withTypedErrors(mux))
+}
+
+// discardBodies limits the time for the rest of a body that a handler has not read.
+func discardBodies(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength == 0 {
+			next.ServeHTTP(w, r)
+			return
+		}
+		body := &trackedBody{ReadCloser: r.Body}
+		r.Body = body
+		next.ServeHTTP(w, r)
+		if !body.wasRead {
+			connlimiter.OfRequest(r).Discard()
+		}
+	})
+}
+
+// trackedBody records whether a handler has read the body, or has begun to.
+type trackedBody struct {
+	io.ReadCloser
+	wasRead bool
+}
+
+// Read reads from the body.
+func (b *trackedBody) Read(p []byte) (int, error) {
+	b.wasRead = true
+	return b.ReadCloser.Read(p)
 }
 
 // withTypedErrors responds to requests that match no route with a *model.Error instead of the plain text of net/http.
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -15,6 +15,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 
+	"chestnutmux.example/chestnutmux/internal/bodyreader"
 	"chestnutmux.example/chestnutmux/pkg/client"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
@@ -95,7 +96,7 @@
 		b.jobs = map[model.JobID]model.Job{}
 	}
 	metrics := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, `{"outcomes":{"red/c":1}}`) })
-	return &Server{Backend: b, Logger: hclog.NewNullLogger(), MetricsHandler: metrics}
+	return &Server{Backend: b, Logger: hclog.NewNullLogger(), MetricsHandler: metrics, Bodies: &bodyreader.Reader{}}
 }
 
 // startServer starts a server with short timeouts on the loopback interface and returns its address.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -28,6 +28,8 @@
 	// DefaultMemoryMB and DefaultMaxFDs equal what the users' platform gives an entry host that it says nothing about.
 	DefaultMemoryMB model.Megabytes = 256
 	DefaultMaxFDs                   = 4096
+	// DefaultBodyTimeoutMS lets an operator publish the largest configuration over a slow link.
+	DefaultBodyTimeoutMS model.Millis = 60_000
 )
 
 // Settings holds what an entry host needs to start. Everything else is part of the published configuration. The fields in
@@ -51,6 +53,14 @@
 
 	MemoryMB model.Megabytes `json:"memory-mb"` // memory limit of the process
 	MaxFDs   int             `json:"max-fds"`   // file descriptors that the process can open
+
+	// Bounds for clients. Those that are 0 are derived from the limits of the process or have their default.
+	MaxConnections           int             `json:"max-connections"`
+	MaxConnectionsPerAddress int             `json:"max-connections-per-address"`
+	BodyMemoryMB             model.Megabytes `json:"body-memory-mb"`    // memory for the bodies of requests in progress
+	BodyTimeoutMS            model.Millis    `json:"body-timeout-ms"`   // time for a whole request
+	MinBodyRate              int             `json:"min-body-rate"`     // least rate of a large body in bytes per second
+	ReceiveBufferKB          int             `json:"receive-buffer-kb"` // buffer of the kernel for the bytes that a connection has received
 }
 
 // Duration converts milliseconds to a time.Duration.
@@ -83,6 +93,7 @@
 		{&s.ClaimWindowMS, DefaultClaimWindowMS},
 		{&s.DrainTimeoutMS, DefaultDrainTimeoutMS},
 		{&s.JobRetentionMS, DefaultJobRetentionMS},
+		{&s.BodyTimeoutMS, DefaultBodyTimeoutMS},
 	} {
 		if *d.field == 0 {
 			*d.field = d.value
@@ -162,6 +173,7 @@
 		{"claim-window-ms", s.ClaimWindowMS},
 		{"drain-bound-ms", s.DrainTimeoutMS},
 		{"keep-jobs-ms", s.JobRetentionMS},
+		{"body-timeout-ms", s.BodyTimeoutMS},
 	} {
 		if i.value < 0 {
 			addFault(i.key, "is negative; give a positive number of milliseconds")
@@ -181,6 +193,20 @@
 )
 
 func (s *Settings) validateLimits(addFault func(key, message string)) {
+	for _, l := range []struct {
+		key   string
+		value int
+	}{
+		{"max-connections", s.MaxConnections},
+		{"max-connections-per-address", s.MaxConnectionsPerAddress},
+		{"body-memory-mb", int(s.BodyMemoryMB)},
+		{"min-body-rate", s.MinBodyRate},
+		{"receive-buffer-kb", s.ReceiveBufferKB},
+	} {
+		if l.value < 0 {
+			addFault(l.key, "is negative; give a positive number, or 0 for the default")
+		}
+	}
 	if s.MemoryMB < minMemoryMB {
 		addFault("memory-mb", "is less than 48, which a process without callers needs; raise it")
 	}
