Keep workers held for waiting gangs when another step preempts

The free resources of all nodes are computed anew after a preemption or the start of reserved tasks, and forgot what was held: less urgent work of the same pass took the workers that a waiting gang was about to get. They now stay held. Its urgent step still preempts at once, but no longer an hour after its target, when a preemption buys nothing.

--- a/internal/dispatcher/hold_refresh_test.go
+++ b/internal/dispatcher/hold_refresh_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"chestnutmux.example/chestnutmux/internal/preemptor"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
@@ -21,7 +22,7 @@
 	d.schedule(now)
 	is.True(len(gang.heldWorkers) == 10)
 	urgent := d.addStep("urgent", 1, model.Step{Count: 1, Need: full, Label: "one"}, now)
-	urgent.job.seenAt = now.Add(-time.Hour) // it preempts at once
+	urgent.job.seenAt = now.Add(-preemptor.Patience(urgent.job.slack()) - time.Second) // it preempts at once
 	for _, w := range d.workers {
 		if len(w.runs) > 0 && !slices.Contains(gang.heldWorkers, w) {
 			w.info.Labels = []string{"one"}
--- a/internal/dispatcher/preemption.go
+++ b/internal/dispatcher/preemption.go
@@ -155,12 +155,12 @@
 	p.d.stopRun(target.run, "preempted", p.now)
 }
 
-// refreshFree recomputes the free resources of all nodes after runs or reservations have changed.
+// refreshFree recomputes the free resources of all nodes after runs or reservations have changed. What is held stays held.
 func (p *schedulingPass) refreshFree() {
 	clear(p.infeasible)
-	clear(p.held)
 	for _, n := range p.nodes {
 		n.Free, n.Unused = p.freeResources(p.workerOf[n])
+		n.Free = n.Free.Sub(p.held[n])
 	}
 }
 
