Let the memory of a host decide who leads, and resign near its limit

The leader's process needs up to 177 MB at 350 workers, small hosts have 184 MB, and memory did not count in elections: a small host could lead until it was killed.

Hosts with less memory than a leader of the fleet needs are delayed as candidates, like those with little processor or link. A leader whose pressure (resident memory by its limit, memory without garbage by the soft limit of the runtime) is at 0.9 for a second resigns in the log if a host with 1.25 times its memory is announced, at most once in 10 minutes in the deployment; it leads again in that time only if no other host can. The address record of a host carries its memory, the term record the reason. The metric leader-memory shows the use against the limit, the fleet and the jobs.

--- a/internal/coordinator/cluster_test.go
+++ b/internal/coordinator/cluster_test.go
@@ -14,6 +14,7 @@
 
 	"chestnutmux.example/chestnutmux/internal/asserter"
 	"chestnutmux.example/chestnutmux/internal/dispatcher"
+	"chestnutmux.example/chestnutmux/internal/elector"
 	"chestnutmux.example/chestnutmux/internal/fake/log"
 	"chestnutmux.example/chestnutmux/internal/fake/worker"
 	"chestnutmux.example/chestnutmux/internal/journaler"
@@ -51,6 +52,8 @@
 	coordinator *Coordinator
 	processors  float64                           // see Config
 	linkRate    pacer.BytesPerSecond              // see Config
+	memory      model.Megabytes                   // see Config
+	readMemory  func() elector.MemoryUse          // see Config
 	workers     dispatcher.WorkerClient           // nil means direct calls, with faults
 	wrapLog     func(journaler.Log) journaler.Log // nil means no change
 	registry    Registry                          // nil means the cluster
@@ -121,7 +124,7 @@
 		Workers:  workers,
 		Registry: registry, Entitlements: func() dispatcher.Entitlements { return dispatcher.Entitlements{} },
 		Logger: logger, Metrics: dispatcher.NewMetrics(), Asserter: &asserter.Asserter{Logger: logger}, Recoverer: h.recoverer,
-		Processors: h.processors, LinkRate: h.linkRate, LeaseDuration: testLease, MaxLease: testMaxLease, JobRetention: testRetention,
+		Processors: h.processors, LinkRate: h.linkRate, MemoryLimit: h.memory, ReadMemory: h.readMemory, LeaseDuration: testLease, MaxLease: testMaxLease, JobRetention: testRetention,
 	})
 	go h.coordinator.Run(ctx)
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -78,11 +78,13 @@
 	Asserter      *asserter.Asserter
 	Recoverer     *recoverer.Recoverer // handles panics; may be nil
 	Metrics       *dispatcher.Metrics
-	LinkRate      pacer.BytesPerSecond // rate of this host's link; 0 means unknown
-	Processors    float64              // number of processors that the host can use; 0 means unknown
-	LeaseDuration time.Duration        // duration of a worker lease
-	MaxLease      time.Duration        // longest lease that a worker grants; 0 means LeaseDuration
-	JobRetention  time.Duration        // time for which the records of an ended job stay in the log
+	LinkRate      pacer.BytesPerSecond     // rate of this host's link; 0 means unknown
+	Processors    float64                  // number of processors that the host can use; 0 means unknown
+	MemoryLimit   model.Megabytes          // memory limit of the process; 0 means unknown
+	ReadMemory    func() elector.MemoryUse // returns what the process uses of its memory; nil means that a leader doesn't resign for it
+	LeaseDuration time.Duration            // duration of a worker lease
+	MaxLease      time.Duration            // longest lease that a worker grants; 0 means LeaseDuration
+	JobRetention  time.Duration            // time for which the records of an ended job stay in the log
 }
 
 // Coordinator takes part in leader elections for one host and runs the dispatcher while the host is the leader.
@@ -101,8 +103,10 @@
 	candidacies  map[int64]time.Time // when recent terms of this host were sent to the log, by Term.FirstSeq
 	lastFence    model.FencingToken  // fencing token of this host's last term, which must not be started again after it has ended
 	resigned     bool                // whether Resign was called
-	wakeup       chan struct{}       // signals Run that the election state may have changed
-	readDone     chan struct{}       // closed and replaced after each call of the follower to the log
+	networkDelay time.Duration       // part of the election delay that follows from the round trip; 0 before it is measured
+	memory       memoryState
+	wakeup       chan struct{} // signals Run that the election state may have changed
+	readDone     chan struct{} // closed and replaced after each call of the follower to the log
 }
 
 // New returns a coordinator that is inactive until Run.
@@ -239,6 +243,7 @@
 	t, leaderRecords := c.replica.Term()
 	// The term of an earlier process of this host ended with that process.
 	fromEarlierProcess := t.Host == c.cfg.Host && t.Nonce != c.nonce
+	c.elector.ElectionDelay = c.electionDelayLocked(now)
 	c.elector.RecordLeader(leaderRecords, t.Fence == 0 || t.Resigned || fromEarlierProcess, now)
 }
 
@@ -287,6 +292,7 @@
 func (c *Coordinator) Run(ctx context.Context) {
 	c.measureLogRoundTrip(ctx)
 	go c.repeatRoundTripMeasurement(ctx)
+	go c.watchMemory(ctx)
 	go c.follower.Run(ctx)
 	for ctx.Err() == nil {
 		c.awaitElection(ctx)
--- a/internal/coordinator/election.go
+++ b/internal/coordinator/election.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"chestnutmux.example/chestnutmux/internal/dispatcher"
+	"chestnutmux.example/chestnutmux/internal/elector"
 	"chestnutmux.example/chestnutmux/internal/journaler"
 	"chestnutmux.example/chestnutmux/internal/pacer"
 	"chestnutmux.example/chestnutmux/pkg/model"
@@ -72,15 +73,26 @@
 
 // setRoundTrip sets the election delay for a measured round-trip time if it is the shortest so far.
 func (c *Coordinator) setRoundTrip(rtt time.Duration) {
-	delay := electionDelayPerRoundTrip*rtt + max(processorDelay(c.cfg.Processors), linkDelay(c.cfg.LinkRate)) + rand.N(electionDelayJitter)
+	delay := electionDelayPerRoundTrip*rtt + rand.N(electionDelayJitter)
 	c.mu.Lock()
-	if c.elector.ElectionDelay == 0 || delay < c.elector.ElectionDelay {
-		c.elector.ElectionDelay = delay
+	if c.networkDelay == 0 || delay < c.networkDelay {
+		c.networkDelay = delay
 	}
+	c.elector.ElectionDelay = c.electionDelayLocked(time.Now())
 	c.mu.Unlock()
 	c.wake()
 }
 
+// electionDelayLocked returns the election delay of this host, which depends on the size of the fleet. The caller holds c.mu.
+func (c *Coordinator) electionDelayLocked(now time.Time) time.Duration {
+	memory := elector.MemoryDelay(c.cfg.MemoryLimit, len(c.replica.Fleet()))
+	delay := c.networkDelay + max(processorDelay(c.cfg.Processors), linkDelay(c.cfg.LinkRate), memory)
+	if c.memory.guard.IsLastResort(now) {
+		delay += elector.LastResortDelay
+	}
+	return delay
+}
+
 // awaitElection waits until the next election is due or the election state may have changed.
 func (c *Coordinator) awaitElection(ctx context.Context) {
 	c.mu.Lock()
@@ -195,7 +207,7 @@
 	if own == nil {
 		return
 	}
-	own.dispatcher.Resign()
+	own.dispatcher.Resign("")
 	select {
 	case <-own.done:
 	case <-ctx.Done():
--- a/internal/coordinator/election_test.go
+++ b/internal/coordinator/election_test.go
@@ -39,7 +39,8 @@
 	is.Equal(l.records, 0)
 }
 
-// Guards against a leader whose processor is too slow to renew its term, or whose link is too slow to start many tasks.
+// Guards against a leader whose processor is too slow to renew its term, whose link is too slow to start many tasks, or whose memory is
+// too small for the fleet.
 func TestCapableHostLeads(t *testing.T) {
 	for name, set := range map[string]func(h *testHost, capable bool){
 		"processor": func(h *testHost, capable bool) {
@@ -54,6 +55,12 @@
 				h.linkRate = 25_000_000
 			}
 		},
+		"memory": func(h *testHost, capable bool) {
+			h.processors, h.memory = 0.8, 184
+			if capable {
+				h.memory = 536
+			}
+		},
 	} {
 		t.Run(name, func(t *testing.T) { testCapableHostLeads(t, set) })
 	}
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -26,6 +26,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.endSupersededTermLocked(t)
+	if t.Resigned && t.ResignReason == journaler.ResignedForMemory {
+		c.memory.guard.RecordResignation(time.Now())
+	}
 	if t.Nonce != c.nonce || t.Resigned || c.ownTerm != nil || c.resigned || t.Fence <= c.lastFence {
 		return
 	}
--- a/internal/dispatcher/batch.go
+++ b/internal/dispatcher/batch.go
@@ -78,7 +78,7 @@
 func (l *journal) addTerm(b *batch, now time.Time) error {
 	t := l.d.Term
 	t.Load = l.d.pendingLoad(now)
-	t.Resigned = l.resigning
+	t.Resigned, t.ResignReason = l.resigning, l.resignReason
 	b.resigns = l.resigning
 	if l.resigning {
 		l.d.leaseLimit.resign(now, l.d.LeaseDuration)
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -325,9 +325,9 @@
 }
 
 // Resign announces the end of the term to the other hosts through the log, and then ends the term.
-func (d *Dispatcher) Resign() { d.post(&resignEvent{}) }
+func (d *Dispatcher) Resign(reason journaler.ResignReason) { d.post(&resignEvent{reason: reason}) }
 
 func (e *resignEvent) apply(d *Dispatcher, now time.Time) {
-	d.Logger.Info("resigning as leader")
-	d.journal.resigning = true
+	d.Logger.Info("resigning as leader", "reason", e.reason)
+	d.journal.resigning, d.journal.resignReason = true, e.reason
 }
--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -63,5 +63,5 @@
 	err   error
 }
 
-// resignEvent makes the leader resign because the host is shutting down.
-type resignEvent struct{}
+// resignEvent makes the leader resign, because the host is shutting down or for a reason.
+type resignEvent struct{ reason journaler.ResignReason }
--- a/internal/dispatcher/journal.go
+++ b/internal/dispatcher/journal.go
@@ -40,6 +40,7 @@
 	lastAppendAt   time.Time                 // start time of the last append
 	nextRenewalAt  time.Time                 // time at which the next term record is due
 	resigning      bool                      // the next batch announces the resignation of the leader
+	resignReason   journaler.ResignReason    // why, see journaler.Term
 	removals       []removal                 // pending removals of ended jobs, in the order in which they are due
 }
 
--- a/internal/journaler/job.go
+++ b/internal/journaler/job.go
@@ -87,6 +87,13 @@
 	return *j, true
 }
 
+// JobCount returns the number of jobs in the log, including ended ones that are kept.
+func (rep *Replica) JobCount() int {
+	rep.mu.Lock()
+	defer rep.mu.Unlock()
+	return len(rep.jobs)
+}
+
 // Jobs returns a copy of every job whose submission is known, in the order of submission.
 func (rep *Replica) Jobs() []Job {
 	rep.mu.Lock()
--- a/internal/journaler/record.go
+++ b/internal/journaler/record.go
@@ -38,10 +38,18 @@
 	// FirstSeq is the sequence number of the first append of the term. Each candidate starts at a random number, so that the
 	// log does not mistake the append of another candidate with the same fencing token for a retry.
 	FirstSeq int64 `json:"first-seq"`
-	Resigned bool  `json:"resign,omitempty"` // whether the leader gives up the term because it shuts down
-	Load     Load  `json:"load"`
+	Resigned bool  `json:"resign,omitempty"` // whether the leader gives up the term
+	// ResignReason says why, if the leader does not shut down.
+	ResignReason ResignReason `json:"resign-reason,omitempty"`
+	Load         Load         `json:"load"`
 }
 
+// ResignReason says why a leader gives up its term.
+type ResignReason string
+
+// ResignedForMemory is the reason of a leader that comes near the memory limit of its host.
+const ResignedForMemory ResignReason = "memory"
+
 // Load is the leader's summary of the cluster's load. Entry hosts use it to decide whether to accept a job.
 type Load struct {
 	Capacity model.Accelerators `json:"capacity"`          // total number of accelerators of the workers that accept tasks
@@ -104,11 +112,13 @@
 	return encode(keyTerm, t)
 }
 
-// HostAddress is the address at which an entry host serves its peers.
+// HostAddress is the address at which an entry host serves its peers, and what they need to know about it.
 type HostAddress struct {
 	Host    model.HostID   `json:"host"`
 	Address string         `json:"address"` // host:port
 	Domain  model.DomainID `json:"domain"`
+	// MemoryMB is the memory limit of the host's process; 0 means unknown.
+	MemoryMB model.Megabytes `json:"memory-mb,omitempty"`
 }
 
 // NewHostRecord returns the record with which an entry host announces its address to its peers.
