--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -93,9 +93,8 @@
 	if err != nil {
 		return err
 	}
-	term, _ := a.Jobs.Term()
 	err = a.Spooler.Append(ctx, &spooler.Submission{
-		Record: r, Priority: s.Queue.Priority, UsefulUntil: admitter.UsefulUntil(term.Load, s, start),
+		Record: r, Priority: s.Queue.Priority,
 		Admit: func() error { return a.admit(s) },
 		Known: func() bool {
 			_, _, known := a.Jobs.JobState(s.ID)
--- a/internal/resolver/table.go
+++ b/internal/resolver/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -55,6 +56,9 @@
 	return ws, ok
 }
 
+// confirmCheckInterval is the interval at which waiting calls check whether the table is current again.
+const confirmCheckInterval = 50 * time.Millisecond
+
 // Resolver holds the current table and knows how old it can be; the zero value has none.
 type Resolver struct {
 	// MaxAge is the time for which the table counts as current after it was last confirmed; 0 means forever.
@@ -77,6 +81,20 @@
 	}
 }
 
+// AwaitCurrent waits until the table is current, and reports whether it is when the context ends.
+func (r *Resolver) AwaitCurrent(ctx context.Context) bool {
+	t := time.NewTicker(confirmCheckInterval)
+	defer t.Stop()
+	for !r.IsCurrent(time.Now(), 0) {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return r.IsCurrent(time.Now(), 0)
+		}
+	}
+	return true
+}
+
 // Age returns how long ago the table was last confirmed as current; ok is false if it never was.
 func (r *Resolver) Age(now time.Time) (age time.Duration, ok bool) {
 	if at := r.confirmedAt.Load(); at != nil {
--- a/internal/spooler/policy.go
+++ b/internal/spooler/policy.go
@@ -22,7 +22,6 @@
 // The reasons of refusals.
 const (
 	ReasonDeadline   Reason = "deadline"    // the caller's time is used
-	ReasonUseless    Reason = "too-late"    // the result would come too late to be of use
 	ReasonIsolated   Reason = "isolated"    // this host reaches neither the log nor most peers, other hosts may
 	ReasonLongOutage Reason = "long-outage" // the outage has lasted so long that it will hardly end in the caller's time
 	ReasonBudget     Reason = "budget"      // the budget of held submissions is used, by more urgent or older ones
@@ -66,21 +65,15 @@
 
 // Limits bounds the time for which a submission may be held.
 type Limits struct {
-	SendUntil   time.Time // time from which nothing is sent for the call any more, see NewLimits
-	UsefulUntil time.Time // time from which the result of the job would come too late; zero means no limit
+	SendUntil time.Time // time from which nothing is sent for the call any more, see NewLimits
 }
 
 // NewLimits returns the limits of a submission that arrives now, in a call that ends at a deadline.
-func NewLimits(now, deadline, usefulUntil time.Time) Limits {
-	return Limits{SendUntil: deadline.Add(-min(sendReserve, deadline.Sub(now)/4)), UsefulUntil: usefulUntil}
-}
-
-// holdUntil returns the end of the time in which the submission can still be accepted and be of use, and the reason for that end.
-func (l Limits) holdUntil() (time.Time, Reason) {
-	if !l.UsefulUntil.IsZero() && l.UsefulUntil.Before(l.SendUntil) {
-		return l.UsefulUntil, ReasonUseless
-	}
-	return l.SendUntil, ReasonDeadline
+//
+// The caller's estimate of the run time does not shorten the time: estimates are wrong by up to ten times, and admission control decides
+// at the append whether the result can be of use.
+func NewLimits(now, deadline time.Time) Limits {
+	return Limits{SendUntil: deadline.Add(-min(sendReserve, deadline.Sub(now)/4))}
 }
 
 // Decision is what happens to a submission.
@@ -99,11 +92,10 @@
 		}
 		return Decision{Action: ActionRefuse, Reason: ReasonDeadline, RetryAfter: minRetryAfter}
 	}
-	end, reason := l.holdUntil()
-	age, remaining := now.Sub(v.DownSince), end.Sub(now)
+	age, remaining := now.Sub(v.DownSince), l.SendUntil.Sub(now)
 	switch {
 	case remaining <= 0:
-		return Decision{Action: ActionRefuse, Reason: reason, RetryAfter: retryAfter(age)}
+		return Decision{Action: ActionRefuse, Reason: ReasonDeadline, RetryAfter: retryAfter(age)}
 	case age >= isolationDelay && v.Peers.isolated():
 		return Decision{Action: ActionRefuse, Reason: ReasonIsolated, RetryAfter: minRetryAfter}
 	case !held && endChance(age, remaining) < minEndChance:
--- a/internal/spooler/queue.go
+++ b/internal/spooler/queue.go
@@ -16,8 +16,6 @@
 type Submission struct {
 	Record   journaler.Record
 	Priority model.Priority
-	// UsefulUntil is the time from which the result of the job would come too late if it had not been accepted; zero means no limit.
-	UsefulUntil time.Time
 	// Admit decides on the submission right before it is sent for the first time; its error is the result. Nil admits it.
 	Admit func() error
 	// Known reports whether the job has been read from the log; nil means that this is not known.
--- a/internal/spooler/spooler.go
+++ b/internal/spooler/spooler.go
@@ -78,7 +78,7 @@
 	if !ok {
 		deadline = now.Add(defaultHold)
 	}
-	e := &entry{Submission: sub, limits: NewLimits(now, deadline, sub.UsefulUntil), arrivedAt: now, result: make(chan error, 1)}
+	e := &entry{Submission: sub, limits: NewLimits(now, deadline), arrivedAt: now, result: make(chan error, 1)}
 	s.mu.Lock()
 	s.enqueueLocked(e, now)
 	s.mu.Unlock()
