Fill cold workers at the rate that they can bear

Cause: a failure domain that is taken back has many empty workers at once, which attract all work that waits and run it slowly while they are cold. Their entries say so (cold_left_ms), the leader did not know.

The pass limits starts on a cold worker to cold_per_s of its service, and urgent work takes cold workers last. Steps that have waited 2 s beside ample room, and gangs that have waited 2 s, are exempt.

--- a/internal/dispatcher/ampleroom.go
+++ b/internal/dispatcher/ampleroom.go
@@ -31,7 +31,7 @@
 		return nil
 	}
 	wide := *r
-	wide.WithheldNodes = 0
+	wide.WithheldNodes, wide.IgnoreColdLimit = 0, true
 	if waited >= doubtfulWorkerWait {
 		wide.Excluded, wide.ExcludeSuspected, wide.RequireKnownHealthy, wide.SuccessAfter = nil, false, false, time.Time{}
 		wide.UseQuarantined = true
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -117,6 +117,8 @@
 type Entitlements struct {
 	Guaranteed map[model.WorkspaceID]model.Accelerators // accelerators up to which jobs of priority 0 are scheduled before all others
 	Quota      map[model.WorkspaceID]model.Accelerators // maximum number of accelerators in use; a workspace without an entry has no limit
+	// ColdStartsPerSecond is the number of tasks a second that a cold worker of a service can bear to start; a service without an entry has no limit.
+	ColdStartsPerSecond map[model.ServiceID]float64
 }
 
 // post queues an event for the goroutine of the dispatcher. It blocks while the event buffer is full.
--- a/internal/dispatcher/plan.go
+++ b/internal/dispatcher/plan.go
@@ -151,6 +151,7 @@
 			Capacity: w.info.Capacity, Free: free, Unused: unused, Unschedulable: !w.isSchedulable(now) || w.hostsSuspect(), Occupied: len(w.runs) > 0, Suspicion: w.suspicion,
 			Quarantined: now.Before(w.quarantinedUntil) && w.canStartTasks() && !w.hostsSuspect(), KnownHealthy: w.isKnownHealthy(now), LastSuccessAt: w.lastSuccessAt, Slowness: w.slowness,
 		}
+		p.markCold(n, w)
 		p.nodes = append(p.nodes, n)
 		p.workerOf[n], p.nodeOf[w] = w, n
 	}
@@ -236,12 +237,13 @@
 	successAfter        time.Time
 	withheldNodes       int
 	isolated            bool
+	ignoreColdLimit     bool
 }
 
 // keyOf returns the key of a request.
 func keyOf(r *placer.Request) requestKey {
 	key := requestKey{
-		isolated: r.Isolated, need: r.Need, service: r.Service, label: r.Label, nearRack: r.NearRack, maxPerWorker: r.MaxPerWorker, oneRack: r.OneRack,
+		isolated: r.Isolated, ignoreColdLimit: r.IgnoreColdLimit, need: r.Need, service: r.Service, label: r.Label, nearRack: r.NearRack, maxPerWorker: r.MaxPerWorker, oneRack: r.OneRack,
 		excludeSuspected: r.ExcludeSuspected, requireKnownHealthy: r.RequireKnownHealthy, successAfter: r.SuccessAfter, withheldNodes: r.WithheldNodes,
 	}
 	if r.Gang {
@@ -263,7 +265,7 @@
 		Count: len(u.tasks), Need: s.spec.Need, Service: s.job.submission.Queue.Service, Rank: u.rank, Gang: s.spec.Gang,
 		OneRack: s.spec.OneRack && s.spec.Gang, Label: s.spec.Label, NearRack: s.spec.NearRack, MaxPerWorker: s.spec.MaxPerWorker,
 		Excluded: s.exclusions.excluded(p.now), Avoided: s.exclusions.avoided(),
-		WithheldNodes: p.withheldNodes(u), Isolated: u.isolated,
+		WithheldNodes: p.withheldNodes(u), Isolated: u.isolated, PreferWarm: s.job.submission.Queue.Priority == 0, IgnoreColdLimit: p.ignoresColdLimit(s),
 	}
 	// A gang that fits in no rack may use several racks, on which it runs more slowly, because it could never start otherwise.
 	if r.OneRack && !p.fitsRack(r) {
@@ -328,6 +330,7 @@
 // startTask starts the next attempt of a task. Members of a gang use the attempt number of the gang.
 func (p *schedulingPass) startTask(t *task, w *worker) {
 	t.attempts++
+	p.countColdStart(w)
 	use := &p.pool(t.step.job.submission.Queue.Service).ready
 	use.used = use.used.Add(t.step.spec.Need)
 	clear(p.slots)
--- a/internal/dispatcher/status.go
+++ b/internal/dispatcher/status.go
@@ -57,6 +57,8 @@
 		return "closed"
 	case w.suspicion > 0:
 		return "doubtful"
+	case w.isCold(now):
+		return "cold"
 	}
 	return "ready"
 }
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -41,6 +41,8 @@
 	ackedSeq      int64     // sequence number of the last run end that was acknowledged to the worker
 	runs          map[model.RunRef]*run
 
+	coldStarts coldStarts
+
 	health
 }
 
--- a/internal/placer/node.go
+++ b/internal/placer/node.go
@@ -29,7 +29,10 @@
 	KnownHealthy  bool            // the worker has recently completed a task or made progress, without a failure since
 	LastSuccessAt time.Time       // time at which a task last succeeded on the worker; zero means never
 	Slowness      float64         // observed run time as a multiple of that on the fastest workers; 0 means unknown
-	Preemptible   []Allocation    // running work on the node that may be preempted
+	Cold          bool            // the worker is slow for a while, because its process or its failure domain is back
+	ColdLimited   bool            // only ColdSlots tasks may be started on the worker now
+	ColdSlots     int
+	Preemptible   []Allocation // running work on the node that may be preempted
 
 	ServiceIndex int // number of schedulable nodes of the service that precede this one
 
@@ -85,6 +88,8 @@
 	WithheldNodes       int                   // nodes with a ServiceIndex below this are withheld for more urgent work
 	Isolated            bool                  // use only nodes without runs, each for one task
 	UseQuarantined      bool                  // use quarantined nodes, too, if no other has room
+	PreferWarm          bool                  // use cold nodes only if no other has room
+	IgnoreColdLimit     bool                  // start as many tasks on a cold node as have room
 	ExcludeSuspected    bool                  // use only nodes without suspicion
 	RequireKnownHealthy bool                  // use only nodes that are known to be healthy
 	SuccessAfter        time.Time             // use only nodes with a success after this time; zero means no such restriction
@@ -120,6 +125,22 @@
 	return min(limit, max(0, r.MaxPerWorker-r.RunningPerWorker[n.ID]))
 }
 
+// startLimit returns how many more tasks of the request may be started on the node now, regardless of its free resources.
+func (r *Request) startLimit(n *Node) int {
+	if n.ColdLimited && !r.IgnoreColdLimit {
+		return min(r.taskLimit(n), max(0, n.ColdSlots))
+	}
+	return r.taskLimit(n)
+}
+
+// coldness returns 1 for a cold node if the request prefers warm ones, and 0 for any other.
+func (r *Request) coldness(n *Node) int {
+	if n.Cold && r.PreferWarm {
+		return 1
+	}
+	return 0
+}
+
 // UnusedSlots returns how many tasks of the request, whatever its Count, fit into the unused resources of the node.
 func (r *Request) UnusedSlots(n *Node) int {
 	slots := tasksThatFit(n.Unused, r.Need)
--- a/internal/placer/obstacle.go
+++ b/internal/placer/obstacle.go
@@ -15,6 +15,7 @@
 	obstacleOccupied      Obstacle = "occupied"
 	obstacleWithheld      Obstacle = "withheld"
 	obstacleFull          Obstacle = "full"
+	obstacleCold          Obstacle = "cold" // enough tasks were started on it for now
 )
 
 // IsFor reports whether the node belongs to the service of the request and has its label.
@@ -50,6 +51,9 @@
 	out := map[Obstacle]int{}
 	for _, n := range nodes {
 		o := r.obstacle(n)
+		if o == noObstacle && r.taskLimit(n) > 0 && r.startLimit(n) == 0 {
+			o = obstacleCold
+		}
 		if o == noObstacle && (!n.Free.CanFit(r.Need) || r.taskLimit(n) == 0) {
 			o = obstacleFull
 		}
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -25,7 +25,7 @@
 func eligibleNodes(nodes []*Node, r *Request) []*Node {
 	out := make([]*Node, 0, len(nodes))
 	for _, n := range nodes {
-		if r.admits(n) && n.Free.CanFit(r.Need) && r.taskLimit(n) > 0 {
+		if r.admits(n) && n.Free.CanFit(r.Need) && r.startLimit(n) > 0 {
 			out = append(out, n)
 		}
 	}
@@ -60,7 +60,7 @@
 	score := float64(taskSlots - r.Count)
 	maxSlowness := 0.0
 	for _, n := range places {
-		score += 100 * float64(n.Suspicion+r.avoidance(n))
+		score += 100*float64(n.Suspicion+r.avoidance(n)) + 50*float64(r.coldness(n))
 		maxSlowness = max(maxSlowness, n.Slowness)
 	}
 	if maxSlowness > slowTolerance {
@@ -70,13 +70,14 @@
 }
 
 // placeBestFit places tasks on one node after the other until it is full. Nodes that the request avoids come last. Of the others,
-// those with less suspicion come first, then those in the preferred rack, the faster ones, and those with the least leftover.
+// those with less suspicion come first, then the warm ones if the request prefers these, those in the preferred rack, the faster ones, and those with the least leftover.
 func placeBestFit(nodes []*Node, r *Request) []*Node {
 	sorted := slices.Clone(nodes)
 	slices.SortStableFunc(sorted, func(a, b *Node) int {
 		return cmp.Or(
 			cmp.Compare(r.avoidance(a), r.avoidance(b)),
 			cmp.Compare(a.Suspicion, b.Suspicion),
+			cmp.Compare(r.coldness(a), r.coldness(b)),
 			cmp.Compare(rackAffinity(b, r), rackAffinity(a, r)),
 			cmp.Compare(slownessClass(a), slownessClass(b)),
 			cmp.Compare(leftover(a, a.Free, r.Need), leftover(b, b.Free, r.Need)),
@@ -84,7 +85,7 @@
 	})
 	places := make([]*Node, 0, r.Count)
 	for _, n := range sorted {
-		for k := min(tasksThatFit(n.Free, r.Need), r.taskLimit(n), r.Count-len(places)); k > 0; k-- {
+		for k := min(tasksThatFit(n.Free, r.Need), r.startLimit(n), r.Count-len(places)); k > 0; k-- {
 			places = append(places, n)
 		}
 	}
--- a/internal/placer/preemption.go
+++ b/internal/placer/preemption.go
@@ -72,7 +72,7 @@
 				free = free.Add(a.Resources)
 			}
 		}
-		if n += min(tasksThatFit(free, r.Need), r.taskLimit(node)); n >= r.Count {
+		if n += min(tasksThatFit(free, r.Need), r.startLimit(node)); n >= r.Count {
 			return true
 		}
 	}
@@ -92,7 +92,7 @@
 			continue
 		}
 		n.candidateIndex = len(p.candidates)
-		p.candidates = append(p.candidates, candidate{node: n, free: n.Free, tasksLeft: r.taskLimit(n)})
+		p.candidates = append(p.candidates, candidate{node: n, free: n.Free, tasksLeft: r.startLimit(n)})
 		if !slices.IsSortedFunc(n.Preemptible, compareVictims) {
 			slices.SortStableFunc(n.Preemptible, compareVictims)
 		}
--- a/internal/resolver/table.go
+++ b/internal/resolver/table.go
@@ -21,6 +21,7 @@
 type Table struct {
 	Version      model.ConfigVersion
 	Guarantees   map[model.WorkspaceID]model.Accelerators // accelerators guaranteed to each workspace
+	ColdRates    map[model.ServiceID]float64              // number of tasks a second that a cold worker of a service can bear to start; no entry means no limit
 	MaxBodyBytes model.Bytes                              // maximum size of a request body; 0 selects the default
 
 	routesByHostName map[string][]Route           // by host name, longest prefix first
--- a/pkg/model/api.go
+++ b/pkg/model/api.go
@@ -58,7 +58,7 @@
 type WorkerStatus struct {
 	Worker       HostID       `json:"worker"`
 	Rack         RackID       `json:"rack"`
-	Health       string       `json:"health"`       // ready, doubtful (suspected), closed (quarantined), draining, unreachable, restarted (not listed since), evacuated or unlisted
+	Health       string       `json:"health"`       // ready, cold (slow for a while), doubtful (suspected), closed (quarantined), draining, unreachable, restarted (not listed since), evacuated or unlisted
 	Accelerators Accelerators `json:"accelerators"` // capacity of the worker
 	InUse        Accelerators `json:"in-use"`       // accelerators of the runs that are active or stopping
 }
--- a/pkg/model/submission.go
+++ b/pkg/model/submission.go
@@ -161,6 +161,9 @@
 	Capacity       Resources
 	State          WorkerState
 	MinRemainingMS Millis // minimum time until a draining worker stops
+	ColdLeftMS     Millis // time for which the worker was still slow when it was described
+	// ColdUntil is the time until which the worker is slow, as far as the list is accurate; zero if it is not.
+	ColdUntil time.Time
 }
 
 // Queue is the configuration of a queue.
