--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -134,6 +134,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	d.ctx = ctx
+	defer d.Metrics.setEvacuated(0, 0, 0) // the next leader counts
 	d.takeOver(jobs, fleet, listed)
 	timer := time.NewTimer(maxPassInterval)
 	defer timer.Stop()
--- a/internal/dispatcher/evacuation.go
+++ b/internal/dispatcher/evacuation.go
@@ -67,8 +67,18 @@
 
 // leftIn returns the number of workers in a failure domain, and of runs on them that are not being stopped.
 func (d *Dispatcher) leftIn(domain model.DomainID) (workers, runs int) {
+	return d.countLeft(func(w *worker) bool { return w.info.FailureDomain == domain })
+}
+
+// countEvacuated updates the metric of evacuated failure domains, and of the workers and runs left there.
+func (d *Dispatcher) countEvacuated() {
+	workers, runs := d.countLeft(func(w *worker) bool { return w.evacuated })
+	d.Metrics.setEvacuated(len(d.evacuated), workers, runs)
+}
+
+func (d *Dispatcher) countLeft(isIn func(*worker) bool) (workers, runs int) {
 	for _, w := range d.workers {
-		if w.info.FailureDomain != domain {
+		if !isIn(w) {
 			continue
 		}
 		workers++
@@ -81,16 +91,6 @@
 	return workers, runs
 }
 
-// countEvacuated updates the metric of evacuated failure domains, and of the workers and runs left there.
-func (d *Dispatcher) countEvacuated() {
-	workers, runs := 0, 0
-	for _, domain := range d.evacuated {
-		w, r := d.leftIn(domain)
-		workers, runs = workers+w, runs+r
-	}
-	d.Metrics.setEvacuated(len(d.evacuated), workers, runs)
-}
-
 // allEvacuated reports whether all workers that could get tasks are in evacuated failure domains, and there are such workers.
 func (d *Dispatcher) allEvacuated() bool {
 	evacuated := false
--- a/internal/dispatcher/metrics.go
+++ b/internal/dispatcher/metrics.go
@@ -16,7 +16,7 @@
 	Stops          *expvar.Map            // number of runs that were stopped by reason
 	Refusals       *expvar.Map            // number of refused start requests by reason
 	Appends        *expvar.Map            // number of appends to the log by outcome
-	Evacuated      *expvar.Map            // number of evacuated failure domains, and of workers and runs left there, as of this host's last term
+	Evacuated      *expvar.Map            // number of evacuated failure domains, and of workers and runs left there; 0 while this host does not lead
 	StartLatency   *recorder.HistogramSet // time from learning of a job until all tasks of its first step have started, by queue
 	CompletionTime *recorder.HistogramSet // time from learning of a job until it has finished, by queue
 	PassDuration   *recorder.HistogramSet // duration of scheduling passes
--- a/internal/evacuator/evacuator.go
+++ b/internal/evacuator/evacuator.go
@@ -14,7 +14,7 @@
 	// MaxViewAge is the longest age of a view at which tasks are started, however long the bound is. A read of the records takes at most
 	// 1.2 s before it fails, and a request in effect after 2 s leaves 0.5 s for a start request that was sent before.
 	MaxViewAge = 1500 * time.Millisecond
-	// MinBound is the shortest bound that can be kept. A view is confirmed every 0.5 s and a round trip to the log.
+	// MinBound is the shortest bound that can be kept. A view is confirmed at least every 0.5 s and a round trip to the log.
 	MinBound = StartTransit + 800*time.Millisecond
 )
 
