Let connections give way whose bodies or responses wait for their clients

A crowd on virtual time showed three ways in which a bounded crowd still kept ordinary callers out. Many small bodies that are withheld can use up the budget; a request whose body never begins, and a response that nobody reads, counted as served and kept their connections until a time-out.

A connection now waits for its client from the start of its body and while a part of a response is written, and when less than an eighth of the budget is left, the body that has waited longest gives way. The first buffer of a body has 8 KiB.

--- a/internal/bodyreader/budget.go
+++ b/internal/bodyreader/budget.go
@@ -12,10 +12,16 @@
 	// smallBodyDivisor divides the budget into parts, one of which is left for bodies of at most FirstStepBytes. Clients with
 	// large bodies can't use it up, so that ordinary requests, which are small, are served beside them.
 	smallBodyDivisor = 4
+	// pressureDivisor divides the budget into parts, the last of which is kept free while bodies can give way.
+	pressureDivisor = 8
 )
 
 // Budget limits the memory for the bodies of all requests in progress. The zero value sets no limit.
 type Budget struct {
+	// OnPressure is called when less than a pressureDivisor of the budget is left after a charge, or a charge is refused, so that
+	// bodies that wait for their clients can give way. It may be nil and must not be changed while bodies are read.
+	OnPressure func()
+
 	capacity, used atomic.Int64
 }
 
@@ -45,12 +51,18 @@
 	if bufferBytes > FirstStepBytes {
 		limit -= limit / smallBodyDivisor
 	}
-	if more := cost - c.cost; c.budget.used.Add(more) > limit {
+	more := cost - c.cost
+	used := c.budget.used.Add(more)
+	isAdmitted := used <= limit
+	if isAdmitted {
+		c.cost = cost
+	} else {
 		c.budget.used.Add(-more)
-		return false
 	}
-	c.cost = cost
-	return true
+	if used > limit-limit/pressureDivisor && c.budget.OnPressure != nil {
+		c.budget.OnPressure()
+	}
+	return isAdmitted
 }
 
 // Release ends the charge; further calls have no effect.
--- a/internal/bodyreader/reader.go
+++ b/internal/bodyreader/reader.go
@@ -10,8 +10,9 @@
 	"github.com/cockroachdb/errors"
 )
 
-// FirstStepBytes is the largest buffer that a request gets before any of its body has been read. An ordinary body fits.
-const FirstStepBytes = 16 << 10
+// FirstStepBytes is the largest buffer that a request gets before any of its body has been read. An ordinary body of about 5 KB
+// fits.
+const FirstStepBytes = 8 << 10
 
 // Errors of Read. After each of them nothing of the request has taken effect.
 var (
@@ -101,8 +102,12 @@
 		return b, ErrNoBudget
 	}
 	b.Data = make([]byte, 0, size)
+	if whole > 0 {
+		client.SetWaiting(true)
+		defer client.SetWaiting(false)
+	}
 	var start time.Time
-	for isWaiting := false; ; {
+	for {
 		if len(b.Data) == cap(b.Data) && int64(cap(b.Data)) < whole {
 			now := time.Now()
 			if start.IsZero() {
@@ -118,15 +123,9 @@
 		case int64(len(b.Data)) > limit:
 			return b, ErrTooLarge
 		case errors.Is(err, io.EOF):
-			if isWaiting {
-				client.SetWaiting(false)
-			}
 			return b, nil
 		case err != nil:
 			return b, err
-		case !isWaiting:
-			isWaiting = true
-			client.SetWaiting(true)
 		}
 	}
 }
--- a/internal/bodyreader/reader_test.go
+++ b/internal/bodyreader/reader_test.go
@@ -63,7 +63,7 @@
 func TestOnlyLargeBodiesHaveDeadlines(t *testing.T) {
 	is := is.New(t)
 	r := &Reader{Pace: Pace{Timeout: time.Second, MinRate: 1 << 10}}
-	for length, deadlines := range map[int]int{5_000: 0, FirstStepBytes: 0, FirstStepBytes + 1: 1, 262_144: 4} {
+	for length, deadlines := range map[int]int{5_000: 0, FirstStepBytes: 0, FirstStepBytes + 1: 1, 262_144: 5} {
 		client := &recordingClient{}
 		_, err := r.Read(strings.NewReader(strings.Repeat("x", length)), int64(length), 262_144, client)
 		is.NoErr(err)
--- a/internal/connlimiter/listener.go
+++ b/internal/connlimiter/listener.go
@@ -40,7 +40,7 @@
 }
 
 // Listen listens on an address. The buffers are set once, on the listening socket; its connections inherit them.
-func (l *Limiter) Listen(network, addr string, b Buffers) (net.Listener, error) {
+func Listen(network, addr string, b Buffers) (net.Listener, error) {
 	c := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		var optErr error
 		err := raw.Control(func(fd uintptr) {
@@ -52,11 +52,8 @@
 		})
 		return errors.CombineErrors(err, optErr)
 	}}
-	inner, err := c.Listen(context.Background(), network, addr)
-	if err != nil {
-		return nil, errors.Wrap(err, "connlimiter: listen")
-	}
-	return l.Wrap(inner), nil
+	l, err := c.Listen(context.Background(), network, addr)
+	return l, errors.Wrap(err, "connlimiter: listen")
 }
 
 // Wrap returns a listener whose connections are bounded.
@@ -100,14 +97,24 @@
 		l.conns = map[*Entry]*Conn{}
 	}
 	l.conns[entry] = conn
-	out := l.conns[evicted]
 	l.mu.Unlock()
-	if out != nil {
+	l.closeEvicted(evicted)
+	return conn
+}
+
+// EvictBody closes a connection that has waited long for the rest of a body, if there is one.
+func (l *Limiter) EvictBody() { l.closeEvicted(l.Table.EvictBody(time.Now())) }
+
+// closeEvicted closes a connection that was removed from the table; e may be nil.
+func (l *Limiter) closeEvicted(e *Entry) {
+	l.mu.Lock()
+	c := l.conns[e]
+	l.mu.Unlock()
+	if c != nil {
 		l.Evicted.Add(1)
-		out.lingers.Store(false)
-		_ = out.Close()
+		c.lingers.Store(false)
+		_ = c.Close()
 	}
-	return conn
 }
 
 // Conn is a connection of a client.
@@ -119,12 +126,12 @@
 	closed  atomic.Bool
 }
 
-// SetWaiting records whether the connection waits for its client. It does nothing if c is nil.
+// SetWaiting records whether the connection waits for the rest of a body. It does nothing if c is nil.
 func (c *Conn) SetWaiting(waiting bool) {
 	switch {
 	case c == nil:
 	case waiting:
-		c.entry.SetWaiting(time.Now())
+		c.entry.SetWaiting(time.Now(), true)
 	default:
 		c.entry.SetServed()
 	}
@@ -144,7 +151,7 @@
 	if c == nil || c.lingers.Load() {
 		return
 	}
-	c.SetWaiting(true)
+	c.entry.SetWaiting(time.Now(), false)
 	_ = c.SetReadDeadline(time.Now().Add(discardTime)) // fails only if the connection is closed
 }
 
@@ -159,6 +166,14 @@
 	_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only if the connection is closed
 }
 
+// Write writes a part of a response. Meanwhile the connection waits for its client, which may not read.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.entry.SetWaiting(time.Now(), false)
+	n, err := c.Conn.Write(p)
+	c.entry.SetServed()
+	return n, err
+}
+
 // CloseWrite closes the write side of the connection.
 func (c *Conn) CloseWrite() error {
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
@@ -170,7 +185,7 @@
 // Close closes the connection, after lingerTime if it was refused.
 func (c *Conn) Close() error {
 	if c.lingers.CompareAndSwap(true, false) && !c.closed.Load() {
-		c.SetWaiting(true)
+		c.entry.SetWaiting(time.Now(), false)
 		time.AfterFunc(lingerTime, func() { _ = c.Close() })
 		return c.CloseWrite()
 	}
@@ -217,9 +232,9 @@
 		}
 		switch state {
 		case http.StateActive:
-			conn.SetWaiting(false)
+			conn.entry.SetServed()
 		case http.StateIdle:
-			conn.SetWaiting(true)
+			conn.entry.SetWaiting(time.Now(), false)
 		}
 	}
 }
--- a/internal/connlimiter/listener_test.go
+++ b/internal/connlimiter/listener_test.go
@@ -15,11 +15,11 @@
 func serve(t *testing.T, l *Limiter, limits Limits, h http.HandlerFunc) string {
 	t.Helper()
 	l.SetLimits(limits)
-	ln, err := l.Listen("tcp", "127.0.0.1:0", Buffers{Receive: 16 << 10, Send: 16 << 10})
+	ln, err := Listen("tcp", "127.0.0.1:0", Buffers{Receive: 16 << 10, Send: 16 << 10})
 	is.New(t).NoErr(err)
 	s := &http.Server{Handler: h}
 	Attach(s)
-	go func() { _ = s.Serve(ln) }()
+	go func() { _ = s.Serve(l.Wrap(ln)) }()
 	t.Cleanup(func() { _ = s.Close() })
 	return ln.Addr().String()
 }
--- a/internal/connlimiter/table.go
+++ b/internal/connlimiter/table.go
@@ -34,15 +34,20 @@
 type Entry struct {
 	addr         netip.Addr
 	waitingSince atomic.Int64 // Unix nanoseconds since which the connection waits for its client; 0 while a request is served
+	holdsBody    atomic.Bool  // the connection waits for the rest of a body
 }
 
-// SetWaiting records that the connection waits for its client since now.
-func (e *Entry) SetWaiting(now time.Time) { e.waitingSince.Store(now.UnixNano()) }
+// SetWaiting records that the connection waits for its client since now, either for a request or for the rest of a body.
+func (e *Entry) SetWaiting(now time.Time, holdsBody bool) {
+	e.holdsBody.Store(holdsBody)
+	e.waitingSince.Store(now.UnixNano())
+}
 
 // SetServed records that the connection serves a request.
 func (e *Entry) SetServed() {
 	if e.waitingSince.Load() != 0 {
 		e.waitingSince.Store(0)
+		e.holdsBody.Store(false)
 	}
 }
 
@@ -81,13 +86,13 @@
 		candidates, isFull = t.entries, t.limits.Total > 0 && len(t.entries) >= t.limits.Total
 	}
 	if isFull {
-		if evicted = longestWaiting(candidates, now); evicted == nil {
+		if evicted = longestWaiting(candidates, now, false); evicted == nil {
 			return nil, nil
 		}
 		t.remove(evicted)
 	}
 	added = &Entry{addr: addr}
-	added.SetWaiting(now)
+	added.SetWaiting(now, false)
 	t.entries[added] = struct{}{}
 	if t.byAddr[addr] == nil {
 		t.byAddr[addr] = map[*Entry]struct{}{}
@@ -96,13 +101,24 @@
 	return added, evicted
 }
 
-// longestWaiting returns the connection that has waited longest for its client, or nil if none has waited for minWait. In a large
-// set it compares some only, chosen by the random order of a map.
-func longestWaiting(entries map[*Entry]struct{}, now time.Time) *Entry {
+// EvictBody removes and returns a connection that has waited long for the rest of a body, or nil if there is none.
+func (t *Table) EvictBody(now time.Time) *Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := longestWaiting(t.entries, now, true)
+	if e != nil {
+		t.remove(e)
+	}
+	return e
+}
+
+// longestWaiting returns the connection that has waited longest for its client, or for the rest of a body, or nil if none has
+// waited for minWait. In a large set it compares some only, chosen by the random order of a map.
+func longestWaiting(entries map[*Entry]struct{}, now time.Time, onlyBodies bool) *Entry {
 	var longest *Entry
 	since, compared := now.Add(-minWait).UnixNano()+1, 0
 	for e := range entries {
-		if w := e.waitingSince.Load(); w != 0 && w < since {
+		if w := e.waitingSince.Load(); w != 0 && w < since && (!onlyBodies || e.holdsBody.Load()) {
 			longest, since = e, w
 		}
 		if compared++; compared >= maxCompared {
--- a/internal/connlimiter/table_test.go
+++ b/internal/connlimiter/table_test.go
@@ -40,7 +40,7 @@
 						e.SetServed()
 						open[e] = state{addr: s.addr}
 					case 1:
-						e.SetWaiting(now)
+						e.SetWaiting(now, false)
 						open[e] = state{s.addr, now}
 					default:
 						table.Remove(e)
@@ -79,3 +79,16 @@
 	refused, evicted = table.Add(netip.Addr{}, now.Add(time.Hour))
 	is.True(refused == nil && evicted == nil)
 }
+
+// Guards against bodies that hold memory while others are refused, and idle connections that give way in place of them.
+func TestOnlyBodiesGiveWayForMemory(t *testing.T) {
+	is := is.New(t)
+	table, now := &Table{}, time.Unix(1000, 0)
+	_, _ = table.Add(netip.Addr{}, now.Add(-time.Minute))
+	body, _ := table.Add(netip.Addr{}, now)
+	is.True(table.EvictBody(now.Add(time.Minute)) == nil)
+	body.SetWaiting(now, true)
+	is.True(table.EvictBody(now.Add(minWait/2)) == nil)
+	is.Equal(table.EvictBody(now.Add(2*minWait)), body)
+	is.Equal(table.Len(), 1)
+}
--- a/internal/protector/protector.go
+++ b/internal/protector/protector.go
@@ -53,21 +53,34 @@
 	c.Settings.setDefaults()
 	p := &Protector{config: c}
 	p.Bodies.Pace = bodyreader.Pace{Timeout: c.Settings.BodyTimeout, Grace: bodyGrace, MinRate: c.Settings.MinBodyRate}
+	p.Bodies.Budget.OnPressure = p.evictBodies
 	p.Plan()
 	return p
 }
 
+// evictBodies closes a connection of each listener that has waited long for the rest of a body.
+func (p *Protector) evictBodies() {
+	for _, l := range p.listeners {
+		l.limiter.EvictBody()
+	}
+}
+
 // Listen listens on an address and bounds its connections: to maxConnections, or to what the other listeners leave if that is 0. It
 // must not be called after Run.
 func (p *Protector) Listen(network, addr string, maxConnections int) (net.Listener, error) {
-	l := &protectedListener{limiter: &connlimiter.Limiter{}, maxConnections: maxConnections}
-	ln, err := l.limiter.Listen(network, addr, connlimiter.Buffers{Receive: p.config.Settings.ReceiveBufferBytes, Send: sendBufferBytes})
+	ln, err := connlimiter.Listen(network, addr, connlimiter.Buffers{Receive: p.config.Settings.ReceiveBufferBytes, Send: sendBufferBytes})
 	if err != nil {
 		return nil, err
 	}
+	return p.Wrap(ln, maxConnections), nil
+}
+
+// Wrap is like Listen for a listener that exists.
+func (p *Protector) Wrap(ln net.Listener, maxConnections int) net.Listener {
+	l := &protectedListener{limiter: &connlimiter.Limiter{}, maxConnections: maxConnections}
 	p.listeners = append(p.listeners, l)
 	p.Plan()
-	return ln, nil
+	return l.limiter.Wrap(ln)
 }
 
 // Server returns a server for a protected listener, with limits of the time and the size of each request and the time of each
