Refuse held submissions only if that makes room for a more urgent one

A large urgent submission could displace several less urgent ones and still be refused for the budget. The less urgent ones are now looked at as a whole first.

--- a/internal/spooler/queue.go
+++ b/internal/spooler/queue.go
@@ -87,15 +87,21 @@
 	return batch
 }
 
-// lessUrgent returns the least urgent and youngest entry that was not sent and that is less urgent than e, or nil.
-func (q *queue) lessUrgent(e *entry) *entry {
+// lessUrgent returns the least urgent and youngest entries that were not sent and are less urgent than e, as many as take the given
+// memory, or nil if they take less.
+func (q *queue) lessUrgent(e *entry, need model.Bytes) []*entry {
+	var out []*entry
 	for _, other := range slices.Backward(q.entries) {
-		if other.Priority <= e.Priority {
-			return nil
+		if need <= 0 || other.Priority <= e.Priority {
+			break
 		}
 		if !other.wasSent() {
-			return other
+			out = append(out, other)
+			need -= other.size()
 		}
 	}
-	return nil
+	if need > 0 {
+		return nil
+	}
+	return out
 }
--- a/internal/spooler/spooler.go
+++ b/internal/spooler/spooler.go
@@ -103,13 +103,15 @@
 	if budget <= 0 {
 		budget = BudgetFor(0)
 	}
-	for s.entries > 0 && s.bytes+e.size() > budget {
-		other := s.queue.lessUrgent(e)
-		if other == nil {
+	if missing := s.bytes + e.size() - budget; s.entries > 0 && missing > 0 {
+		others := s.queue.lessUrgent(e, missing)
+		if others == nil {
 			s.finishLocked(e, s.refusalLocked(ReasonBudget, now))
 			return
 		}
-		s.dropLocked(other, s.refusalLocked(ReasonBudget, now))
+		for _, other := range others {
+			s.dropLocked(other, s.refusalLocked(ReasonBudget, now))
+		}
 	}
 	s.queue.add(e)
 	s.chargeLocked(1, e.size())
--- a/internal/spooler/spooler_test.go
+++ b/internal/spooler/spooler_test.go
@@ -182,6 +182,27 @@
 	})
 }
 
+// Guards against less urgent submissions that are refused without making room for the more urgent one.
+func TestBudgetRefusesOnlyWhatMakesRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := newTestLog(during(time.Second, log.FaultUnavailable))
+		s := &Spooler{Log: l, View: l.view, Budget: 4*entryOverhead + 1000}
+		time.Sleep(detectionDelay + time.Millisecond)
+		var calls sync.WaitGroup
+		for i, p := range []model.Priority{0, 0, 2} {
+			calls.Go(func() { is.NoErr(submit(s, l.submission(fmt.Sprint("j", i), p))) })
+		}
+		time.Sleep(10 * time.Millisecond)
+		large := l.submission("large", 1)
+		large.Record.Value = make([]byte, 1<<20)
+		var r *Refusal
+		is.True(errors.As(submit(s, large), &r))
+		is.Equal(r.Reason, ReasonBudget)
+		calls.Wait()
+	})
+}
+
 // Guards against callers that wait for an append of others whose response is lost, and against many callers with an unknown outcome
 // when the log goes silent.
 func TestOneLostResponseDelaysOnlyItsCallers(t *testing.T) {
