Learn run times from the runs that a leader sees

Callers' estimates of run times are wrong by up to nine tenths. The new package estimator learns from ended runs, and from runs that were stopped or still run, how long tasks take: by workspace, queue and step shape with a fall-back to wider kinds, as durations and as multiples of the caller's estimate, corrected for the speed of the worker. Nothing uses it yet.

--- /dev/null
+++ b/internal/estimator/forecast.go
@@ -0,0 +1,76 @@
+package estimator
+
+import "time"
+
+// maxRunTime limits what is expected, so that sums of a few run times fit into a time.Duration.
+const maxRunTime = 10 * 365 * 24 * time.Hour
+
+// Forecast is what is expected of the run times of tasks with the same key and estimate. It is valid until the next Update. The zero
+// value expects nothing.
+type Forecast struct {
+	Scope    Scope
+	Runs     int  // number of runs from which it was learned; 0 if it is the caller's estimate as it is
+	Relative bool // the runs say how wrong the caller's estimates are, rather than how long the tasks run
+
+	estimate time.Duration
+	sketch   *sketch
+	unit     time.Duration // value of bucket 0 of the sketch
+}
+
+// Forecast returns what is expected of the tasks with a key and an estimate of the caller, which is 0 if there is none. It goes by the
+// narrowest kind of which enough runs are known. Of their durations and of the caller's error, what varies less counts.
+func (e *Estimator) Forecast(key Key, estimate time.Duration) Forecast {
+	for _, sk := range key.scopes() {
+		k := e.kinds[sk]
+		if k == nil || k.timesKnown < minRuns {
+			continue
+		}
+		wide := sk.Scope == ScopeQueue || sk.Scope == ScopeAll
+		spread, relative := k.times.spread, false
+		if estimate > 0 && k.ratiosKnown >= minRuns && k.ratios.spread < spread {
+			spread, relative = k.ratios.spread, true
+		}
+		if wide && estimate > 0 && (spread > maxWideSpread || sk.Scope == ScopeAll && !relative) {
+			continue
+		}
+		if relative {
+			unit := time.Duration(float64(estimate) / float64(powers[unitRatioBucket]))
+			return Forecast{Scope: sk.Scope, Runs: k.ratiosKnown, Relative: true, estimate: estimate, sketch: &k.ratios, unit: max(unit, 1)}
+		}
+		return Forecast{Scope: sk.Scope, Runs: k.timesKnown, estimate: estimate, sketch: &k.times, unit: time.Millisecond}
+	}
+	return Forecast{Scope: ScopeNone, estimate: estimate}
+}
+
+// Total returns the mean run time of a task on a worker of usual speed. For a task that has run for some time, it is that of those tasks
+// that run for longer; it is more than elapsed.
+func (f Forecast) Total(elapsed time.Duration) time.Duration {
+	if f.sketch == nil {
+		return max(f.estimate, time.Duration(overdueFactor*float64(elapsed)))
+	}
+	return max(f.value(f.sketch.expected[f.bucket(elapsed)]), elapsed)
+}
+
+// Remaining returns the mean time that a task needs after it has run for the given time on a worker whose run times are slowness times
+// the usual ones.
+func (f Forecast) Remaining(elapsed time.Duration, slowness float64) time.Duration {
+	usual := time.Duration(float64(elapsed) / slowness)
+	return time.Duration(float64(f.Total(usual)-usual) * slowness)
+}
+
+// Quantile returns the run time that the share q of those tasks does not exceed that run for longer than elapsed.
+func (f Forecast) Quantile(q float64, elapsed time.Duration) time.Duration {
+	if f.sketch == nil {
+		return f.Total(elapsed)
+	}
+	return max(f.value(powers[f.sketch.quantileBucket(q, f.bucket(elapsed))]), elapsed)
+}
+
+func (f Forecast) bucket(elapsed time.Duration) int {
+	return bucketOf(float64(elapsed) / float64(f.unit))
+}
+
+// value converts a multiple of the value of bucket 0 to a duration.
+func (f Forecast) value(multiple float32) time.Duration {
+	return time.Duration(min(float64(multiple)*float64(f.unit), float64(maxRunTime)))
+}
