Gather what the dispatcher expects of run times

The remaining time of a run, the remaining work and the slack of a job, and the rule that a run without progress is stalled move to one file of the dispatcher, and the chain of dependent steps takes its run times as a function. No decision changes.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -61,17 +61,24 @@
 
 // CriticalPath returns the estimated run time of the longest chain of dependent steps, at most 10 years.
 func CriticalPath(s *model.Submission) time.Duration {
-	finishTimes := make([]time.Duration, len(s.Steps))
+	return LongestChain(s.Steps, func(i int) time.Duration {
+		return time.Duration(min(max(s.Steps[i].EstimatedRunMS, 0), model.Millis(maxDuration/time.Millisecond))) * time.Millisecond
+	})
+}
+
+// LongestChain returns the run time of the longest chain of dependent steps, at most 10 years, where runTime returns that of a task of
+// step i.
+func LongestChain(steps []model.Step, runTime func(i int) time.Duration) time.Duration {
+	finishTimes := make([]time.Duration, len(steps))
 	longest := time.Duration(0)
-	for i, st := range s.Steps {
+	for i, st := range steps {
 		start := time.Duration(0)
 		for _, dependency := range st.DependsOn {
 			if dependency >= 0 && dependency < i {
 				start = max(start, finishTimes[dependency])
 			}
 		}
-		run := min(max(st.EstimatedRunMS, 0), model.Millis(maxDuration/time.Millisecond))
-		finishTimes[i] = min(start+time.Duration(run)*time.Millisecond, maxDuration)
+		finishTimes[i] = min(start+min(max(runTime(i), 0), maxDuration), maxDuration)
 		longest = max(longest, finishTimes[i])
 	}
 	return longest
--- a/internal/dispatcher/health.go
+++ b/internal/dispatcher/health.go
@@ -18,8 +18,6 @@
 	// healthyWorkerWait is the time for which a task that has failed waits for a worker known to be healthy. After that, it may
 	// start on any worker that is not suspected.
 	healthyWorkerWait = 3 * time.Second
-	// stallTimeout is the time without progress after which a run counts as stalled. Reports arrive at least every 2 s.
-	stallTimeout = 2800 * time.Millisecond
 	// maxReportAge is the maximum age of a worker's last report for detecting stalled runs; an older one may miss progress.
 	maxReportAge = 2500 * time.Millisecond
 	// slownessWeight is the weight of the newest observation in the moving average of a worker's slowness.
@@ -147,7 +145,7 @@
 		return
 	}
 	for _, r := range w.runs {
-		if r.state != runRunning || r.task == nil || r.percentDone >= 100 || r.task.step.spec.LongRunning || now.Sub(r.lastProgressAt) < stallTimeout {
+		if !r.isStalled(now) {
 			continue
 		}
 		s := r.task.step
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"chestnutmux.example/chestnutmux/internal/admitter"
 	"chestnutmux.example/chestnutmux/internal/journaler"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
@@ -163,11 +162,6 @@
 	return s
 }
 
-// slack returns the difference between the target duration of the job and the estimated run time of its critical path.
-func (j *job) slack() time.Duration {
-	return admitter.TargetDuration(j.submission) - admitter.CriticalPath(j.submission)
-}
-
 // findTask returns the task with the given reference, or nil.
 func (j *job) findTask(ref model.TaskRef) *task {
 	n := len(j.submission.Steps)
--- a/internal/dispatcher/load.go
+++ b/internal/dispatcher/load.go
@@ -32,21 +32,3 @@
 // maxPriorities is the number of priorities whose work is counted. The load ignores priorities beyond it; the demand for headroom
 // counts them as the last one.
 const maxPriorities = 16
-
-// remainingWork estimates the accelerator-seconds that the job still needs, from its estimated run times and its progress.
-func (j *job) remainingWork(now time.Time) float64 {
-	sum := 0.0
-	for _, s := range j.steps {
-		perTask := float64(s.spec.EstimatedRunMS) / 1000 * float64(max(1, s.spec.Need.Accelerators))
-		for _, t := range s.tasks {
-			switch {
-			case t.done:
-			case t.activeRun != nil && t.activeRun.state == runRunning:
-				sum += t.activeRun.estimateRemaining(now).Seconds() * float64(max(1, s.spec.Need.Accelerators))
-			default:
-				sum += perTask
-			}
-		}
-	}
-	return sum
-}
--- a/internal/dispatcher/requests.go
+++ b/internal/dispatcher/requests.go
@@ -277,16 +277,3 @@
 		}
 	}
 }
-
-// estimateRemaining estimates the time until the run ends, from its progress and the estimated run time of its step.
-func (r *run) estimateRemaining(now time.Time) time.Duration {
-	estimate := time.Duration(r.task.step.spec.EstimatedRunMS) * time.Millisecond
-	elapsed := now.Sub(r.startConfirmedAt)
-	if r.percentDone > 5 && r.percentDone < 100 && !r.fromCheckpoint {
-		return time.Duration(float64(elapsed) * float64(100-r.percentDone) / float64(r.percentDone))
-	}
-	if r.percentDone > 0 {
-		return estimate * time.Duration(100-r.percentDone) / 100
-	}
-	return max(estimate-elapsed, 0)
-}
