Expect the run times that the leader has learned

The published load, the remaining time of runs (what ends soon, draining workers) and the rule for stalled runs go by learned run times and by the progress since the first report, unless the setting run-time-estimates is off. Progress of adopted and resumed runs is measured from their first report.

A run of an hour takes 36 s for each percent and was stopped after 2.8 s; it is stopped after four times the expected time for a percent now, at most 10 minutes.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -24,14 +24,16 @@
 	minRetryAfter = time.Second
 	maxRetryAfter = 60 * time.Second
 	// maxDuration limits target durations and critical paths, so that sums of a few of them fit into a time.Duration.
-	maxDuration = 10 * 365 * 24 * time.Hour
+	maxDuration   = 10 * 365 * 24 * time.Hour
+	maxDurationMS = model.Millis(maxDuration / time.Millisecond)
 )
 
 // Decide accepts a job if it is expected to finish, after the work ahead of it, before its result is worthless. It accepts every
 // job while the capacity is 0, which is the case until the leader has published a load.
 func Decide(load journaler.Load, s *model.Submission) Decision {
 	wait := estimateWait(load, s.Queue.Priority)
-	maxWait := maxLatenessFactor*TargetDuration(s) - CriticalPath(s)
+	path := expectedPath(load, s)
+	maxWait := maxLatenessFactor*targetDuration(s, path) - path
 	if wait <= maxWait || load.Capacity == 0 {
 		return Decision{Accepted: true, Wait: wait}
 	}
@@ -53,17 +55,40 @@
 	return time.Duration(total / float64(load.Capacity) * float64(time.Second))
 }
 
-// TargetDuration returns the time from the arrival of a job within which it is to end, at most 10 years.
-func TargetDuration(s *model.Submission) time.Duration {
-	d := float64(CriticalPath(s))*s.Queue.TargetStretch + float64(s.Queue.TargetOffsetMS)*float64(time.Millisecond)
+// expectedPath returns the critical path of a job by the caller's estimates, or by the run times that the leader has learned where these are
+// longer. Since the backlog counts the learned run times, a job with too short an estimate would not be given the time that it takes.
+func expectedPath(load journaler.Load, s *model.Submission) time.Duration {
+	learned, ok := load.RunTimes[s.Queue.ID]
+	if !ok {
+		return CriticalPath(s)
+	}
+	return LongestChain(s.Steps, func(i int) time.Duration {
+		estimate := estimatedRunTime(&s.Steps[i])
+		if learned.Factor > 0 && estimate > 0 {
+			return time.Duration(min(float64(estimate)*max(learned.Factor, 1), float64(maxDuration)))
+		}
+		return max(estimate, time.Duration(min(learned.MS, maxDurationMS))*time.Millisecond)
+	})
+}
+
+// TargetDuration returns the time from the arrival of a job within which it is to end, at most 10 years. It follows from the caller's
+// estimates only, since it is promised to the caller.
+func TargetDuration(s *model.Submission) time.Duration { return targetDuration(s, CriticalPath(s)) }
+
+// targetDuration returns the target duration of a job with the given critical path.
+func targetDuration(s *model.Submission, path time.Duration) time.Duration {
+	d := float64(path)*s.Queue.TargetStretch + float64(s.Queue.TargetOffsetMS)*float64(time.Millisecond)
 	return time.Duration(min(max(d, 0), float64(maxDuration)))
 }
 
 // CriticalPath returns the estimated run time of the longest chain of dependent steps, at most 10 years.
 func CriticalPath(s *model.Submission) time.Duration {
-	return LongestChain(s.Steps, func(i int) time.Duration {
-		return time.Duration(min(max(s.Steps[i].EstimatedRunMS, 0), model.Millis(maxDuration/time.Millisecond))) * time.Millisecond
-	})
+	return LongestChain(s.Steps, func(i int) time.Duration { return estimatedRunTime(&s.Steps[i]) })
+}
+
+// estimatedRunTime returns the caller's estimate of the run time of a task.
+func estimatedRunTime(s *model.Step) time.Duration {
+	return time.Duration(min(max(s.EstimatedRunMS, 0), maxDurationMS)) * time.Millisecond
 }
 
 // LongestChain returns the run time of the longest chain of dependent steps, at most 10 years, where runTime returns that of a task of
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -31,3 +31,22 @@
 	is.True(decision.RetryAfter >= minRetryAfter && decision.RetryAfter <= maxRetryAfter)
 	is.True(Decide(journaler.Load{}, job(2)).Accepted) // no load has been published yet
 }
+
+// Guards against jobs that are refused because their callers estimate too little while the backlog counts true run times, and against a
+// target duration that changes with what the leader learns.
+func TestLearnedRunTimesGiveJobsTheirTime(t *testing.T) {
+	is := is.New(t)
+	s := job(1)
+	s.Steps[0].EstimatedRunMS, s.Steps[1].EstimatedRunMS = 1_000, 500 // in truth ten times as long
+	load := journaler.Load{Capacity: 10, Backlog: []float64{0, 400}}
+	is.True(!Decide(load, s).Accepted)
+	target := TargetDuration(s)
+	for _, learned := range []journaler.LearnedRunTime{{MS: 7_500}, {MS: 100, Factor: 10}} {
+		load.RunTimes = map[model.QueueID]journaler.LearnedRunTime{s.Queue.ID: learned}
+		is.True(Decide(load, s).Accepted)
+		is.Equal(TargetDuration(s), target)
+	}
+	load.RunTimes = map[model.QueueID]journaler.LearnedRunTime{s.Queue.ID: {MS: 100, Factor: 0.1}}
+	load.Backlog[1] = 30
+	is.True(Decide(load, s).Accepted) // what was learned never shortens the time that the caller claims
+}
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -76,7 +76,7 @@
 }
 
 func (b *fakeBackend) Explain(_ context.Context, _ model.WorkspaceID, id model.JobID) (model.Explanation, error) {
-	return model.Explanation{Job: id, State: model.JobQueued, Leader: "a-e1", Reason: "no room", Remedy: "wait"}, b.err
+	return model.Explanation{Job: id, State: model.JobQueued, Leader: "a-e1", Reason: "no room", Remedy: "wait", Forecast: &model.JobForecast{RunMS: 9000, RemainingMS: 4000, Runs: 70}}, b.err
 }
 
 func (b *fakeBackend) Call(_ context.Context, r server.AuthenticatedCall) (client.CallResponse, error) {
@@ -294,7 +294,7 @@
 func TestOtherCommands(t *testing.T) {
 	is := is.New(t)
 	b := &fakeBackend{}
-	is.True(strings.Contains(runWithBackend(t, b, "caller", "explain", "j").stdout, "no room\nwait\n"))
+	is.True(strings.Contains(runWithBackend(t, b, "caller", "explain", "j").stdout, "no room\nwait\nexpected to run 9s, 4s of it left, from 70 runs\n"))
 	is.Equal(runWithBackend(t, b, "caller", "call", "--repeat", "--request-id", "r", "s", "-").stdout, "answer\n")
 	is.Equal(string(b.calls[0].Body), `{"from":"stdin"}`)
 	is.True(b.calls[0].IsRetry)
--- a/internal/cli/job.go
+++ b/internal/cli/job.go
@@ -301,7 +301,7 @@
 
 // Help implements kong.HelpProvider.
 func (explainCommand) Help() string {
-	return formatExamples("chestnutmux explain night-1") + "\n\nAny entry host answers from the log."
+	return formatExamples("chestnutmux explain night-1") + "\n\nAny entry host answers from the log. The leader adds how long the job is expected to run."
 }
 
 // Run prints the state of the job, the reason for the state and the remedy, if there is one.
@@ -319,5 +319,8 @@
 	if explanation.Remedy != "" {
 		e.printf("%s\n", explanation.Remedy)
 	}
+	if f := explanation.Forecast; f != nil {
+		e.printf("expected to run %s, %s of it left, from %d runs\n", time.Duration(f.RunMS)*time.Millisecond, time.Duration(f.RemainingMS)*time.Millisecond, f.Runs)
+	}
 	return nil
 }
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -98,6 +98,7 @@
 		e.printf("invariant %s violated %d times; see docs/OPERATIONS.md\n", invariant, count)
 	}
 	printWorkspaces(e, s.Workspaces)
+	printRunTimes(e, s.RunTimes)
 	printWorkers(e, s.Workers)
 	printRunners(e, s.Runners)
 	printPeers(e, s.Peers)
@@ -119,6 +120,14 @@
 	e.printTable("WORKER\tRACK\tHEALTH\tIN USE\tACCELERATORS", rows)
 }
 
+func printRunTimes(e *env, kinds []model.RunTimeStatus) {
+	rows := make([][]any, 0, len(kinds))
+	for _, k := range kinds {
+		rows = append(rows, []any{k.Workspace, k.Queue, k.Step, k.Need.Accelerators, k.Gang, k.Runs, k.MeanMS, k.MedianMS, k.P99MS})
+	}
+	e.printTable("WORKSPACE\tQUEUE\tSTEP\tACCELERATORS\tGANG\tRUNS\tMEAN MS\tP50 MS\tP99 MS", rows)
+}
+
 func printRunners(e *env, runners []model.RunnerStatus) {
 	rows := make([][]any, 0, len(runners))
 	for _, r := range runners {
--- a/internal/coordinator/cluster_test.go
+++ b/internal/coordinator/cluster_test.go
@@ -54,6 +54,7 @@
 	workers     dispatcher.WorkerClient           // nil means direct calls, with faults
 	wrapLog     func(journaler.Log) journaler.Log // nil means no change
 	registry    Registry                          // nil means the cluster
+	learns      bool                              // whether the leader learns run times
 	panicAt     string                            // log message of the leader at which its dispatcher panics; empty means none
 	pauseAt     string                            // log message of the leader at which its process is paused; empty means none
 	pauseLength time.Duration
@@ -121,7 +122,7 @@
 		Workers:  workers,
 		Registry: registry, Entitlements: func() dispatcher.Entitlements { return dispatcher.Entitlements{} },
 		Logger: logger, Metrics: dispatcher.NewMetrics(), Asserter: &asserter.Asserter{Logger: logger}, Recoverer: h.recoverer,
-		Processors: h.processors, LinkRate: h.linkRate, LeaseDuration: testLease, MaxLease: testMaxLease, JobRetention: testRetention,
+		Processors: h.processors, LinkRate: h.linkRate, LearnRunTimes: h.learns, LeaseDuration: testLease, MaxLease: testMaxLease, JobRetention: testRetention,
 	})
 	go h.coordinator.Run(ctx)
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -82,6 +82,7 @@
 	Processors    float64              // number of processors that the host can use; 0 means unknown
 	LeaseDuration time.Duration        // duration of a worker lease
 	MaxLease      time.Duration        // longest lease that a worker grants; 0 means LeaseDuration
+	LearnRunTimes bool                 // expect the run times of finished runs instead of the callers' estimates
 	JobRetention  time.Duration        // time for which the records of an ended job stay in the log
 }
 
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -52,7 +52,7 @@
 	}
 	d := &dispatcher.Dispatcher{
 		Term: t, TermOffset: offset, ElectedAt: electedAt, Log: c.cfg.Log, Workers: &recoveringClient{client: c.cfg.Workers, recoverer: c.cfg.Recoverer}, Logger: c.cfg.Logger.With("fence", t.Fence), Metrics: c.cfg.Metrics, Recoverer: c.cfg.Recoverer,
-		LeaseDuration: c.cfg.LeaseDuration, MaxLease: c.cfg.MaxLease, LinkRate: c.cfg.LinkRate, JobRetention: c.cfg.JobRetention, LookupJob: c.replica.Job, OnViolation: c.cfg.Asserter.RecordViolation,
+		LeaseDuration: c.cfg.LeaseDuration, MaxLease: c.cfg.MaxLease, LinkRate: c.cfg.LinkRate, LearnRunTimes: c.cfg.LearnRunTimes, JobRetention: c.cfg.JobRetention, LookupJob: c.replica.Job, OnViolation: c.cfg.Asserter.RecordViolation,
 	}
 	d.Init()
 	own := &ownTerm{fence: t.Fence, dispatcher: d, cancel: cancel, done: make(chan struct{})}
@@ -128,6 +128,38 @@
 	return own.dispatcher.WorkerStatuses(ctx)
 }
 
+// RunTimeStatuses returns what this host has learned of the run times of tasks while it is the leader, and nil otherwise.
+func (c *Coordinator) RunTimeStatuses(ctx context.Context) []model.RunTimeStatus {
+	d := c.ownDispatcher()
+	if d == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	return d.RunTimeStatuses(ctx)
+}
+
+// JobForecast returns what is expected of a job while this host is the leader and learns run times, and nil otherwise.
+func (c *Coordinator) JobForecast(ctx context.Context, id model.JobID) *model.JobForecast {
+	d := c.ownDispatcher()
+	if d == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	return d.JobForecast(ctx, id)
+}
+
+// ownDispatcher returns the dispatcher of this host's term, and nil while another host is the leader.
+func (c *Coordinator) ownDispatcher() *dispatcher.Dispatcher {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ownTerm == nil {
+		return nil
+	}
+	return c.ownTerm.dispatcher
+}
+
 // IsLeader reports whether this host is the leader.
 func (c *Coordinator) IsLeader() bool {
 	c.mu.Lock()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -86,6 +86,7 @@
 		Host: s.HostID, Log: jobStream, Workers: workerclient.NewClient(s.HostID, trafficMeter.Dialer(meter.PeerKindWorker)),
 		Registry:     &workerRegistry{hosts: d.hosts, pollInterval: settings.Duration(s.HostListPollIntervalMS)},
 		Entitlements: d.entitlements, Logger: logger, Metrics: dispatcherMetrics, Asserter: d.asserter, Recoverer: &recoverer.Recoverer{Logger: logger},
+		LearnRunTimes: s.RunTimeEstimates == settings.SwitchOn,
 		LeaseDuration: settings.Duration(s.LeaseDurationMS), JobRetention: settings.Duration(s.JobRetentionMS),
 	})
 	d.acceptor = &acceptor.Acceptor{
--- a/internal/daemon/jobs.go
+++ b/internal/daemon/jobs.go
@@ -259,6 +259,9 @@
 		explanation.Reason = fmt.Sprintf("the job waits for room; it is number %d of its priority and above", explanation.QueuePosition)
 		explanation.Remedy = "wait, use a more urgent class, or cancel other jobs of the workspace"
 	}
+	if !j.State().IsFinal() {
+		explanation.Forecast = d.coordinator.JobForecast(ctx, id)
+	}
 	return explanation, nil
 }
 
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -69,6 +69,7 @@
 		}
 	}
 	s.Workers = d.coordinator.WorkerStatuses(ctx)
+	s.RunTimes = d.coordinator.RunTimeStatuses(ctx)
 	s.Runners = d.router.Runners()
 	s.Workspaces = d.workspaceStatuses()
 	return s, nil
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -47,6 +47,7 @@
 	LeaseDuration time.Duration                           // duration of the worker lease, without which a worker may not run tasks
 	MaxLease      time.Duration                           // longest lease that a worker grants; 0 means LeaseDuration
 	LinkRate      pacer.BytesPerSecond                    // rate of this host's link; 0 means unknown
+	LearnRunTimes bool                                    // expect the run times of finished runs instead of the callers' estimates
 	JobRetention  time.Duration                           // time for which the records of an ended job stay in the log
 	LookupJob     func(model.JobID) (journaler.Job, bool) // returns a job by its ID, including ended jobs
 	// OnViolation is called when an invariant is violated; args are key and value pairs for the log line.
@@ -73,6 +74,7 @@
 	demandUpdatedAt   time.Time                           // time of the last update of demand
 	preemptionPlanner placer.PreemptionPlanner
 	pacer             pacer.Pacer
+	runTimes          runTimes
 	startsDeferred    bool      // the last pass has left work waiting because of the rate limit of start requests
 	adoptedGangs      []*step   // gangs that may have runs of former leaders, not yet checked for missing members
 	lastArrival       int64     // job.arrival of the newest job
@@ -154,6 +156,7 @@
 	}
 	d.scheduleUpToDate, d.startsDeferred = true, false
 	d.checkWorkers(now)
+	d.learn(now)
 	d.schedule(now)
 	took := time.Since(now)
 	d.lastPassAt = now
@@ -210,6 +213,9 @@
 	d.lastArrival++
 	added.arrival = d.lastArrival
 	added.predatesTerm = j.AcceptedOffset < d.TermOffset
+	if d.LearnRunTimes {
+		added.runTimes = &d.runTimes
+	}
 	d.jobs[added.submission.ID] = added
 	d.Metrics.Jobs.Add("accepted", 1)
 	return added
@@ -283,6 +289,7 @@
 			d.Logger.Info("worker removed", "worker", w.info.ID)
 			w.session.close()
 			delete(d.workers, w.info.ID)
+			d.runTimes.estimator.ForgetWorker(w.info.ID)
 			d.fleetDirty = true
 		}
 	}
--- a/internal/dispatcher/health.go
+++ b/internal/dispatcher/health.go
@@ -118,6 +118,9 @@
 	if t := r.task; t != nil && !t.step.spec.Gang && percent-r.percentDone >= minPaceProgress {
 		t.step.recordPace(r.worker, now.Sub(r.lastProgressAt).Seconds()/float64(percent-r.percentDone))
 	}
+	if r.paceFrom.IsZero() {
+		r.paceFrom, r.paceFromPercent = now, percent
+	}
 	r.percentDone, r.lastProgressAt = percent, now
 	if r.worker.consecutiveFailures == 0 {
 		r.worker.lastProgressAt = now
--- a/internal/dispatcher/load.go
+++ b/internal/dispatcher/load.go
@@ -26,6 +26,7 @@
 			load.Backlog[p] += j.remainingWork(now)
 		}
 	}
+	load.RunTimes = d.runTimes.published
 	return load
 }
 
--- a/internal/dispatcher/metrics.go
+++ b/internal/dispatcher/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"expvar"
+	"math"
 	"time"
 
 	"chestnutmux.example/chestnutmux/internal/recorder"
@@ -15,6 +16,7 @@
 	Runs           *expvar.Map            // number of events of runs, such as started, adopted or stop, and of run ends by kind
 	Stops          *expvar.Map            // number of runs that were stopped by reason
 	Refusals       *expvar.Map            // number of refused start requests by reason
+	RunTimes       *expvar.Map            // number of learned runs and kinds of runs, and by which factor callers' estimates and forecasts are off
 	Appends        *expvar.Map            // number of appends to the log by outcome
 	StartLatency   *recorder.HistogramSet // time from learning of a job until all tasks of its first step have started, by queue
 	CompletionTime *recorder.HistogramSet // time from learning of a job until it has finished, by queue
@@ -26,7 +28,7 @@
 	m := &Metrics{
 		StartLatency: recorder.NewCoarseHistogramSet(), CompletionTime: recorder.NewCoarseHistogramSet(), PassDuration: recorder.NewCoarseHistogramSet(),
 	}
-	for _, p := range []**expvar.Map{&m.Jobs, &m.Runs, &m.Stops, &m.Refusals, &m.Appends} {
+	for _, p := range []**expvar.Map{&m.Jobs, &m.Runs, &m.Stops, &m.Refusals, &m.RunTimes, &m.Appends} {
 		*p = new(expvar.Map).Init()
 	}
 	return m
@@ -35,7 +37,7 @@
 // Vars returns the metrics by their published names.
 func (m *Metrics) Vars() map[string]expvar.Var {
 	return map[string]expvar.Var{
-		"jobs": m.Jobs, "runs": m.Runs, "stops": m.Stops, "start-refusals": m.Refusals, "leader-appends": m.Appends,
+		"jobs": m.Jobs, "runs": m.Runs, "stops": m.Stops, "start-refusals": m.Refusals, "leader-appends": m.Appends, "run-times": m.RunTimes,
 		"job-start": m.StartLatency, "job-complete": m.CompletionTime, "planning": m.PassDuration,
 	}
 }
@@ -55,6 +57,18 @@
 	}
 }
 
+// recordRunTimes sets the metrics of learned run times.
+func (m *Metrics) recordRunTimes(l *runTimes) {
+	for name, v := range map[string]float64{
+		"runs": float64(l.estimator.Runs()), "kinds": float64(l.estimator.Kinds()), "caller-error-factor": math.Exp2(l.callerError),
+		"forecast-error-factor": math.Exp2(l.forecastError),
+	} {
+		f := new(expvar.Float)
+		f.Set(v)
+		m.RunTimes.Set(name, f)
+	}
+}
+
 // queueLabel returns the histogram label of the job's queue in the form WORKSPACE/QUEUE.
 func queueLabel(j *job) string {
 	return string(j.submission.Workspace) + "/" + string(j.submission.Queue.ID)
--- a/internal/dispatcher/report.go
+++ b/internal/dispatcher/report.go
@@ -152,6 +152,10 @@
 func (d *Dispatcher) markRunStarted(r *run, now time.Time) {
 	r.state = runRunning
 	r.startConfirmedAt, r.lastProgressAt = now, now
+	if !r.fromCheckpoint {
+		r.paceFrom = now
+	}
+	r.observeStart()
 }
 
 // markRunBegun notes that a run has begun, which a record that was written before does not tell.
@@ -202,6 +206,9 @@
 		t = j.findTask(end.Run.Task)
 	}
 	if r != nil {
+		if end.Kind == model.EndDone {
+			d.observeDone(r, now)
+		}
 		d.releaseRun(r)
 	}
 	if t == nil {
--- a/internal/dispatcher/requests.go
+++ b/internal/dispatcher/requests.go
@@ -65,6 +65,7 @@
 	if r.state == runStopping || r.state == runUnconfirmed {
 		return
 	}
+	r.observe(now)
 	r.state = runStopping
 	r.stopReason = reason
 	d.sendStop(r, 0)
--- a/internal/dispatcher/runtimes.go
+++ b/internal/dispatcher/runtimes.go
@@ -4,18 +4,63 @@
 	"time"
 
 	"chestnutmux.example/chestnutmux/internal/admitter"
+	"chestnutmux.example/chestnutmux/internal/estimator"
+	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
-// stallTimeout is the time without progress after which a run counts as stalled. Reports arrive at least every 2 s.
-const stallTimeout = 2800 * time.Millisecond
+const (
+	// stallTimeout is the time without progress after which a run counts as stalled. Reports arrive at least every 2 s.
+	stallTimeout = 2800 * time.Millisecond
+	// stallFactor is the time without progress after which a long run counts as stalled, as a multiple of the time that it is expected
+	// to take for each percent. The run may wait for its gang, or be on a worker that is slow for a while.
+	stallFactor = 4
+	// maxStallTimeout limits how long a stalled run keeps its resources, whatever its caller or other runs say.
+	maxStallTimeout = 10 * time.Minute
+	// stallQuantile is the share of the runs that may take less than what is assumed of a run without progress.
+	stallQuantile = 0.99
+	// minPacePercent is the progress in percent from which the pace of a run counts alone, and below it in proportion. Progress is
+	// reported in whole percents.
+	minPacePercent = 5
+	// maxCallerEstimate limits the estimates of callers, so that sums and multiples of a few fit into a time.Duration.
+	maxCallerEstimate = 10 * 365 * 24 * time.Hour
+)
+
+// forecast returns what is expected of the tasks of the step. It is looked up once for each update of the estimator.
+func (s *step) forecast() estimator.Forecast {
+	e := &s.job.runTimes.estimator
+	if s.runTimes.Scope == "" || s.runTimesVersion != e.Version() {
+		s.runTimes, s.runTimesVersion = e.Forecast(s.runTimesKey(), s.callerEstimate()), e.Version()
+	}
+	return s.runTimes
+}
+
+// runTimesKey returns what the tasks of the step have in common with others.
+func (s *step) runTimesKey() estimator.Key {
+	sub := s.job.submission
+	return estimator.Key{Workspace: sub.Workspace, Queue: sub.Queue.ID, Step: s.ref.Step, Need: s.spec.Need, Gang: s.spec.Gang}
+}
+
+// callerEstimate returns the caller's estimate of the run time of a task; 0 means none.
+func (s *step) callerEstimate() time.Duration {
+	return time.Duration(min(max(s.spec.EstimatedRunMS, 0), model.Millis(maxCallerEstimate/time.Millisecond))) * time.Millisecond
+}
+
+// usesForecast reports whether learned run times apply to the step.
+func (s *step) usesForecast() bool { return s.job.runTimes != nil && !s.spec.LongRunning }
 
 // expectedSeconds returns the expected run time of a task of the step.
 func (s *step) expectedSeconds() float64 {
+	if s.usesForecast() {
+		return s.forecast().Total(0).Seconds()
+	}
 	return float64(s.spec.EstimatedRunMS) / 1000
 }
 
 // estimateRemaining estimates the time until the run ends, from its progress and the expected run time of its step.
 func (r *run) estimateRemaining(now time.Time) time.Duration {
+	if r.task.step.usesForecast() {
+		return r.forecastRemaining(now)
+	}
 	estimate := time.Duration(r.task.step.spec.EstimatedRunMS) * time.Millisecond
 	elapsed := now.Sub(r.startConfirmedAt)
 	if r.percentDone > 5 && r.percentDone < 100 && !r.fromCheckpoint {
@@ -27,18 +72,66 @@
 	return max(estimate-elapsed, 0)
 }
 
+// forecastRemaining returns the expected time until the run ends, by its own pace as far as that is known, and otherwise by the run times
+// of other runs.
+func (r *run) forecastRemaining(now time.Time) time.Duration {
+	pace, percents := r.pace()
+	byPace := pace*time.Duration(100-r.percentDone) - min(now.Sub(r.lastProgressAt), maxReportAge)
+	if percents >= minPacePercent {
+		return max(byPace, 0)
+	}
+	f, slowness := r.task.step.forecast(), r.slowness()
+	if r.percentDone == 0 {
+		return f.Remaining(now.Sub(r.startConfirmedAt), slowness)
+	}
+	byRuns := time.Duration(float64(f.Total(0)) * slowness * float64(100-r.percentDone) / 100)
+	return max(byRuns+(byPace-byRuns)*time.Duration(percents)/minPacePercent, 0)
+}
+
+// pace returns the time that the run has taken for each percent of its progress, and the number of percents that it has made since its
+// start or, for a run that has not begun at 0 under this leader, since its first report. It returns 0 before the first percent.
+func (r *run) pace() (pace time.Duration, percents int) {
+	if r.paceFrom.IsZero() || r.percentDone <= r.paceFromPercent {
+		return 0, 0
+	}
+	percents = r.percentDone - r.paceFromPercent
+	return r.lastProgressAt.Sub(r.paceFrom) / time.Duration(percents), percents
+}
+
+// slowness returns the run times on the worker of the run as a multiple of the usual ones. That of a gang depends on all its workers.
+func (r *run) slowness() float64 {
+	if r.task.step.spec.Gang {
+		return 1
+	}
+	return r.task.step.job.runTimes.estimator.Slowness(r.worker.info.ID)
+}
+
 // isStalled reports whether the run makes no progress.
 func (r *run) isStalled(now time.Time) bool {
 	if r.state != runRunning || r.task == nil || r.percentDone >= 100 || r.task.step.spec.LongRunning {
 		return false
 	}
-	return now.Sub(r.lastProgressAt) >= stallTimeout
+	idle := now.Sub(r.lastProgressAt)
+	return idle >= stallTimeout && (!r.task.step.usesForecast() || idle >= r.longRunStallTimeout())
+}
+
+// longRunStallTimeout returns the time without progress after which the run counts as stalled if that is more than stallTimeout. A run of
+// an hour takes 36 s for each percent.
+func (r *run) longRunStallTimeout() time.Duration {
+	perPercent, percents := r.pace()
+	if percents == 0 {
+		perPercent = time.Duration(float64(r.task.step.forecast().Quantile(stallQuantile, 0))*r.slowness()) / 100
+	}
+	return min(stallFactor*perPercent, maxStallTimeout)
 }
 
 // remainingWork estimates the accelerator-seconds that the job still needs, from the expected run times of its tasks and its progress.
 func (j *job) remainingWork(now time.Time) float64 {
 	sum := 0.0
 	for _, s := range j.steps {
+		if s.tasksLeft == 0 {
+			continue
+		}
 		accelerators := float64(max(1, s.spec.Need.Accelerators))
 		perTask := s.expectedSeconds() * accelerators
 		for _, t := range s.tasks {
@@ -54,7 +147,39 @@
 	return sum
 }
 
-// slack returns the difference between the target duration of the job and the estimated run time of its critical path.
+// slack returns the difference between the target duration of the job and the estimated run time of its critical path. Both follow from the
+// caller's estimates, to which the target duration is promised.
 func (j *job) slack() time.Duration {
 	return admitter.TargetDuration(j.submission) - admitter.CriticalPath(j.submission)
 }
+
+// criticalPath returns the expected run time of the longest chain of dependent steps.
+func (j *job) criticalPath() time.Duration {
+	return j.longestChain(func(s *step) time.Duration {
+		return time.Duration(s.expectedSeconds() * float64(time.Second))
+	})
+}
+
+// remainingPath returns the expected run time of the longest chain of dependent steps that are not done, without the time that their tasks
+// wait.
+func (j *job) remainingPath(now time.Time) time.Duration {
+	return j.longestChain(func(s *step) time.Duration {
+		longest := time.Duration(0)
+		for _, t := range s.tasks {
+			switch {
+			case t.done:
+			case t.activeRun != nil && t.activeRun.state == runRunning:
+				longest = max(longest, t.activeRun.estimateRemaining(now))
+			default:
+				longest = max(longest, time.Duration(s.expectedSeconds()*float64(time.Second)))
+			}
+		}
+		return longest
+	})
+}
+
+// longestChain returns the longest chain of dependent steps of the last occurrence of the job.
+func (j *job) longestChain(runTime func(*step) time.Duration) time.Duration {
+	first := len(j.steps) - len(j.submission.Steps)
+	return admitter.LongestChain(j.submission.Steps, func(i int) time.Duration { return runTime(j.steps[first+i]) })
+}
--- a/internal/dispatcher/takeover.go
+++ b/internal/dispatcher/takeover.go
@@ -204,6 +204,7 @@
 func (d *Dispatcher) adoptRun(w *worker, progress model.RunProgress, now time.Time) {
 	r := &run{
 		id: progress.Run, worker: w, state: runRunning, hasBegun: true, startSentAt: now, startConfirmedAt: now, percentDone: progress.PercentDone, lastProgressAt: now,
+		adopted: true, paceFrom: now, paceFromPercent: progress.PercentDone,
 		endAnnounced: w.listed && w.info.State == model.WorkerDraining,
 	}
 	w.runs[progress.Run] = r
@@ -232,6 +233,7 @@
 			d.journal.markDirty(j, false) // the former leader did not record the run, or not that it had begun
 		}
 		t.activeRun, t.formerWorker = r, ""
+		r.observeStart()
 		d.markJobRunning(j)
 		d.Metrics.Runs.Add("adopted", 1)
 	}
--- a/internal/estimator/forecast.go
+++ b/internal/estimator/forecast.go
@@ -1,6 +1,12 @@
 package estimator
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"chestnutmux.example/chestnutmux/pkg/model"
+)
 
 // maxRunTime limits what is expected, so that sums of a few run times fit into a time.Duration.
 const maxRunTime = 10 * 365 * 24 * time.Hour
@@ -74,3 +80,62 @@
 func (f Forecast) value(multiple float32) time.Duration {
 	return time.Duration(min(float64(multiple)*float64(f.unit), float64(maxRunTime)))
 }
+
+// Correction is what was learned of a queue whose tasks run longer than their callers estimate.
+type Correction struct {
+	Queue   model.QueueID
+	Runs    int
+	RunTime time.Duration // mean run time
+	Factor  float64       // mean run time as a multiple of the caller's estimate, which says more than RunTime; 0 if it says less
+}
+
+// minCorrection is the mean run time as a multiple of the callers' estimates from which these count as too short.
+const minCorrection = 1.25
+
+// Corrections returns what was learned of the queues whose tasks run longer than their callers estimate, or for which they give no estimate,
+// at most limit of them.
+func (e *Estimator) Corrections(limit int) []Correction {
+	var out []Correction
+	for sk, k := range e.kinds {
+		if sk.Scope != ScopeQueue || k.timesKnown < minRuns {
+			continue
+		}
+		c := Correction{Queue: sk.Queue, Runs: k.timesKnown, RunTime: Forecast{sketch: &k.times, unit: time.Millisecond}.Total(0)}
+		if k.ratiosKnown >= minRuns {
+			factor := float64(k.ratios.expected[0] / powers[unitRatioBucket])
+			relative := k.ratios.spread < k.times.spread
+			if factor < minCorrection || !relative && k.times.spread > maxWideSpread {
+				continue
+			}
+			if relative {
+				c.Factor = factor
+			}
+		}
+		out = append(out, c)
+	}
+	slices.SortFunc(out, func(a, b Correction) int { return cmp.Or(cmp.Compare(b.Runs, a.Runs), cmp.Compare(a.Queue, b.Queue)) })
+	return out[:min(len(out), limit)]
+}
+
+// Summary is what is known of the runs with a key.
+type Summary struct {
+	Key               Key
+	Runs              int // number of runs that have ended done
+	Mean, Median, P99 time.Duration
+}
+
+// Summaries returns what is known of the keys with the most runs, at most limit of them. It sorts all kinds, so it is not for each pass.
+func (e *Estimator) Summaries(limit int) []Summary {
+	var out []Summary
+	for sk, k := range e.kinds {
+		if sk.Scope != ScopeWorkspace || k.timesKnown < minRuns {
+			continue
+		}
+		f := Forecast{Scope: sk.Scope, sketch: &k.times, unit: time.Millisecond}
+		out = append(out, Summary{Key: sk.Key, Runs: k.timesKnown, Mean: f.Total(0), Median: f.Quantile(0.5, 0), P99: f.Quantile(0.99, 0)})
+	}
+	slices.SortFunc(out, func(a, b Summary) int {
+		return cmp.Or(cmp.Compare(b.Runs, a.Runs), cmp.Compare(a.Key.Workspace, b.Key.Workspace), cmp.Compare(a.Key.Queue, b.Key.Queue), cmp.Compare(a.Key.Step, b.Key.Step))
+	})
+	return out[:min(len(out), limit)]
+}
--- a/internal/journaler/record.go
+++ b/internal/journaler/record.go
@@ -46,6 +46,14 @@
 type Load struct {
 	Capacity model.Accelerators `json:"capacity"`          // total number of accelerators of the workers that accept tasks
 	Backlog  []float64          `json:"waiting,omitempty"` // accepted work that is not done, in accelerator-seconds, by priority
+	// RunTimes has the queues whose tasks run longer than their callers estimate. It is empty unless the leader learns run times.
+	RunTimes map[model.QueueID]LearnedRunTime `json:"run-times,omitempty"`
+}
+
+// LearnedRunTime is how long the tasks of a queue run in the mean.
+type LearnedRunTime struct {
+	MS     model.Millis `json:"ms"`
+	Factor float64      `json:"factor,omitempty"` // multiple of the caller's estimate, where that says more than MS; 0 means that it says less
 }
 
 // FleetWorker is a worker to which a leader may have assigned tasks.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -38,6 +38,7 @@
 	HostListURL         string         `json:"host-list-url"`         // URL of the platform's host list
 	OperatorTokenSHA256 string         `json:"operator-token-sha256"` // hex digest of the token that may publish until an operator is configured
 	LogLevel            string         `json:"log-level"`             // trace, debug, info, warn or error
+	RunTimeEstimates    Switch         `json:"run-time-estimates"`    // on: expect the run times of finished runs; off: those that callers estimate
 
 	LeaseDurationMS        model.Millis `json:"task-lease-ms"`     // duration of a worker lease
 	StopTimeoutMS          model.Millis `json:"stop-ms"`           // time that a worker may take to stop a run; accepted, without effect
@@ -47,6 +48,15 @@
 	JobRetentionMS         model.Millis `json:"keep-jobs-ms"`      // time for which the state of an ended job is kept
 }
 
+// Switch turns a feature on or off.
+type Switch string
+
+// The values of a switch.
+const (
+	SwitchOn  Switch = "on"
+	SwitchOff Switch = "off"
+)
+
 // Duration converts milliseconds to a time.Duration.
 func Duration(ms model.Millis) time.Duration {
 	return time.Duration(ms) * time.Millisecond
@@ -65,7 +75,7 @@
 	return s, nil
 }
 
-// setDefaults gives each duration that is 0, and the log level if it is empty, its default.
+// setDefaults gives each duration that is 0, and each text with a default that is empty, its default.
 func (s *Settings) setDefaults() {
 	for _, d := range []struct {
 		field *model.Millis
@@ -82,6 +92,9 @@
 			*d.field = d.value
 		}
 	}
+	if s.RunTimeEstimates == "" {
+		s.RunTimeEstimates = SwitchOn
+	}
 	if s.LogLevel == "" {
 		s.LogLevel = "info"
 	}
@@ -107,6 +120,9 @@
 	if hclog.LevelFromString(s.LogLevel) == hclog.NoLevel {
 		addFault("log-level", "is unknown; use trace, debug, info, warn or error")
 	}
+	if s.RunTimeEstimates != SwitchOn && s.RunTimeEstimates != SwitchOff {
+		addFault("run-time-estimates", "is unknown; use on or off")
+	}
 	if n := len(s.OperatorTokenSHA256); n != 0 && n != sha256HexLen {
 		addFault("operator-token-sha256", "is no SHA-256 digest; give 64 hexadecimal digits")
 	}
--- a/pkg/model/api.go
+++ b/pkg/model/api.go
@@ -43,6 +43,7 @@
 	Workers             []WorkerStatus    `json:"workers,omitempty"` // reported by the leader only
 	Runners             []RunnerStatus    `json:"runners,omitempty"`
 	Workspaces          []WorkspaceStatus `json:"workspaces,omitempty"`
+	RunTimes            []RunTimeStatus   `json:"run-times,omitempty"`  // reported by the leader only, for the kinds of tasks with the most runs
 	InvariantViolations map[string]int64  `json:"violations,omitempty"` // number of violations per invariant since the host started
 }
 
@@ -62,6 +63,26 @@
 	InUse        Accelerators `json:"in-use"`       // accelerators of the runs that are active or stopping
 }
 
+// RunTimeStatus describes what the leader has learned of the run times of a kind of tasks in its term.
+type RunTimeStatus struct {
+	Workspace WorkspaceID `json:"workspace"`
+	Queue     QueueID     `json:"queue"`
+	Step      int         `json:"step"` // index of the step in its jobs
+	Need      Resources   `json:"need"` // resources of each task
+	Gang      bool        `json:"gang,omitempty"`
+	Runs      int         `json:"runs"` // number of runs that have ended done; a gang counts once
+	MeanMS    Millis      `json:"mean-ms"`
+	MedianMS  Millis      `json:"p50-ms"`
+	P99MS     Millis      `json:"p99-ms"`
+}
+
+// JobForecast is what the leader expects of a job. It is no promise.
+type JobForecast struct {
+	RunMS       Millis `json:"run-ms"`       // run time of the longest chain of dependent steps
+	RemainingMS Millis `json:"remaining-ms"` // the part of that which is left, without the time for which tasks wait
+	Runs        int    `json:"runs"`         // number of runs from which it was learned, for the step with the fewest; 0 means the caller's estimate
+}
+
 // RunnerStatus describes a runner from the view of the reporting entry host.
 type RunnerStatus struct {
 	Runner   HostID `json:"runner"`
@@ -81,10 +102,11 @@
 
 // Explanation is the reason for the state of a job and what its caller can do about it.
 type Explanation struct {
-	Job           JobID    `json:"job"`
-	State         JobState `json:"state"`
-	Leader        HostID   `json:"leader,omitempty"`
-	QueuePosition int      `json:"position,omitempty"` // position among the queued jobs of the same or higher priority, from 1; 0 means unknown
-	Reason        string   `json:"reason"`
-	Remedy        string   `json:"remedy,omitempty"`
+	Job           JobID        `json:"job"`
+	State         JobState     `json:"state"`
+	Leader        HostID       `json:"leader,omitempty"`
+	QueuePosition int          `json:"position,omitempty"` // position among the queued jobs of the same or higher priority, from 1; 0 means unknown
+	Reason        string       `json:"reason"`
+	Remedy        string       `json:"remedy,omitempty"`
+	Forecast      *JobForecast `json:"forecast,omitempty"` // reported by the leader only, if it learns run times
 }
