--- a/internal/dispatcher/learning.go
+++ b/internal/dispatcher/learning.go
@@ -49,17 +49,21 @@
 // beganAtZero reports whether this leader has seen the run begin without former progress.
 func (r *run) beganAtZero() bool { return !r.adopted && !r.fromCheckpoint }
 
-// observe records that the run has not ended by itself.
+// observe records that the run has not ended by itself. On a worker that does not report, it may have ended since the last report.
 func (r *run) observe(now time.Time) {
-	if r.observation != nil && r.state == runRunning && r.beganAtZero() {
-		r.task.step.job.runTimes.estimator.Observe(r.observation, now.Sub(r.startConfirmedAt))
+	if r.observation == nil || r.state != runRunning || !r.beganAtZero() {
+		return
+	}
+	if now.Sub(r.worker.lastReportAt) > maxReportAge {
+		now = r.worker.lastReportAt
 	}
+	r.task.step.job.runTimes.estimator.Observe(r.observation, now.Sub(r.startConfirmedAt))
 }
 
-// observeDone records that the run has ended done.
+// observeDone records that the run has ended done, unless its worker has not reported for so long that it is not known when.
 func (d *Dispatcher) observeDone(r *run, now time.Time) {
 	o := r.observation
-	if o == nil || r.startConfirmedAt.IsZero() {
+	if o == nil || r.startConfirmedAt.IsZero() || r.worker.reportGap > maxReportAge {
 		return
 	}
 	if r.beganAtZero() {
--- a/internal/dispatcher/report.go
+++ b/internal/dispatcher/report.go
@@ -24,6 +24,7 @@
 	}
 	w.isResponding = true
 	w.recordResponse()
+	w.reportGap = e.respondedAt.Sub(w.lastReportAt)
 	w.clock, w.clockAt, w.lastReportAt = e.report.Clock, e.respondedAt, e.respondedAt
 	if !e.sentAt.Before(w.restartListedAt) {
 		w.restartListedAt = time.Time{}
--- a/internal/dispatcher/runtimes_test.go
+++ b/internal/dispatcher/runtimes_test.go
@@ -157,6 +157,23 @@
 	}
 }
 
+// Guards against a worker that was cut off for a while, whose runs count as long ones because their ends are known late.
+func TestLateEndsTeachNothing(t *testing.T) {
+	is := is.New(t)
+	l := newLearner(t, true)
+	l.teach(20, 0, 2*time.Second, false)
+	for range 50 {
+		r := l.start(0, false)
+		l.advance(r, time.Second, 0)
+		l.now = l.now.Add(20 * time.Second)
+		l.learn(l.now)
+		l.worker.reportGap = 20 * time.Second
+		l.end(r, model.EndDone)
+		l.worker.reportGap = 0
+	}
+	is.True(about(l.start(0, false).task.step.forecast().Total(0), 2*time.Second))
+}
+
 // Guards against a leader that learns only from what it lets run to its end, which is the short part of its work.
 func TestStoppedRunsCountAsLonger(t *testing.T) {
 	is := is.New(t)
@@ -165,7 +182,7 @@
 		short, long := l.start(0, false), l.start(0, false)
 		l.advance(short, 2*time.Second, 0)
 		l.end(short, model.EndDone)
-		l.now = l.now.Add(8 * time.Second)
+		l.advance(long, 8*time.Second, 0)
 		l.stopRun(long, "preempted", l.now)
 		l.end(long, model.EndStopped)
 	}
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -27,6 +27,8 @@
 	confirmedAt      time.Time  // time at which the last report was requested that showed no restart
 	startLeaseEndsAt time.Time  // like the end of the session's grant, for leases granted by start requests and by former leaders
 
+	reportGap time.Duration // time between the last two reports
+
 	formerIncarnation int64 // incarnation that a former leader has recorded; 0 if unknown
 
 	// restartListedAt is the time at which the list showed a later incarnation than the last report; zero after the next report.
