Start work of the same rank by its due time

While the leader learns run times, jobs of a rank start in the order of arrival plus target duration, by the caller's estimate or by learned run times where these are longer. Jobs with equal targets keep the order of arrival, and so do all with the setting off. A forecast from tasks of other shapes now only corrects an estimate and doesn't replace it.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -33,7 +33,7 @@
 func Decide(load journaler.Load, s *model.Submission) Decision {
 	wait := estimateWait(load, s.Queue.Priority)
 	path := expectedPath(load, s)
-	maxWait := maxLatenessFactor*targetDuration(s, path) - path
+	maxWait := maxLatenessFactor*TargetFor(s, path) - path
 	if wait <= maxWait || load.Capacity == 0 {
 		return Decision{Accepted: true, Wait: wait}
 	}
@@ -73,10 +73,10 @@
 
 // TargetDuration returns the time from the arrival of a job within which it is to end, at most 10 years. It follows from the caller's
 // estimates only, since it is promised to the caller.
-func TargetDuration(s *model.Submission) time.Duration { return targetDuration(s, CriticalPath(s)) }
+func TargetDuration(s *model.Submission) time.Duration { return TargetFor(s, CriticalPath(s)) }
 
-// targetDuration returns the target duration of a job with the given critical path.
-func targetDuration(s *model.Submission, path time.Duration) time.Duration {
+// TargetFor returns the target duration of a job whose critical path takes the given time, at most 10 years.
+func TargetFor(s *model.Submission, path time.Duration) time.Duration {
 	d := float64(path)*s.Queue.TargetStretch + float64(s.Queue.TargetOffsetMS)*float64(time.Millisecond)
 	return time.Duration(min(max(d, 0), float64(maxDuration)))
 }
--- a/internal/coordinator/runtimes_test.go
+++ b/internal/coordinator/runtimes_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
@@ -16,12 +17,13 @@
 
 // estimates are the callers' estimates as a multiple of the usual run time of their kind of jobs.
 var estimates = map[string]func(rng *rand.Rand, kind model.QueueID) float64{
-	"true":              func(*rand.Rand, model.QueueID) float64 { return 1 },
-	"absent":            func(*rand.Rand, model.QueueID) float64 { return 0 },
-	"absent-new-leader": func(*rand.Rand, model.QueueID) float64 { return 0 },
-	"a-tenth":           func(*rand.Rand, model.QueueID) float64 { return 0.1 },
-	"ten-times":         func(*rand.Rand, model.QueueID) float64 { return 10 },
-	"any":               func(rng *rand.Rand, _ model.QueueID) float64 { return 0.1 + 1.8*rng.Float64() },
+	"true-mixed-lengths": func(*rand.Rand, model.QueueID) float64 { return 1 },
+	"true":               func(*rand.Rand, model.QueueID) float64 { return 1 },
+	"absent":             func(*rand.Rand, model.QueueID) float64 { return 0 },
+	"absent-new-leader":  func(*rand.Rand, model.QueueID) float64 { return 0 },
+	"a-tenth":            func(*rand.Rand, model.QueueID) float64 { return 0.1 },
+	"ten-times":          func(*rand.Rand, model.QueueID) float64 { return 10 },
+	"any":                func(rng *rand.Rand, _ model.QueueID) float64 { return 0.1 + 1.8*rng.Float64() },
 	"plan-ten-times": func(_ *rand.Rand, kind model.QueueID) float64 {
 		if kind == "plan" {
 			return 10
@@ -91,7 +93,7 @@
 
 // offeredLoad returns a load of about one and a half times what the workers of five racks can do, in which 3 of 100 jobs run seven times as
 // long as usual.
-func offeredLoad(estimate func(*rand.Rand, model.QueueID) float64) []*offeredJob {
+func offeredLoad(name string) []*offeredJob {
 	rng := rand.New(rand.NewPCG(1, 3))
 	load := generateLoad(rng, 40*time.Second, "", 1)
 	for _, a := range generateLoad(rng, 40*time.Second, "", 1) {
@@ -101,12 +103,15 @@
 	var out []*offeredJob
 	for _, a := range load {
 		usual := time.Duration(a.job.Steps[0].EstimatedRunMS) * time.Millisecond
+		if name == "true-mixed-lengths" && a.job.Queue.ID != "match" {
+			usual = time.Duration(float64(usual) * math.Exp2(3*rng.Float64()-2))
+		}
 		run := usual
 		if rng.IntN(100) < 3 {
 			run *= 7
 		}
 		a.job.Payload = fmt.Sprintf(`{"run-ms":%d}`, run.Milliseconds())
-		a.job.Steps[0].EstimatedRunMS = model.Millis(float64(usual.Milliseconds()) * estimate(rng, a.job.Queue.ID))
+		a.job.Steps[0].EstimatedRunMS = model.Millis(float64(usual.Milliseconds()) * estimates[name](rng, a.job.Queue.ID))
 		out = append(out, &offeredJob{at: a.at, next: a.at, usual: usual, job: a.job})
 	}
 	return out
@@ -134,12 +139,12 @@
 
 // Guards against learned run times that serve callers worse than their own estimates do, or that leave urgent jobs to the errors of these.
 func TestCallersWithLearnedRunTimes(t *testing.T) {
-	for name, estimate := range estimates {
+	for name := range estimates {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			load := offeredLoad(estimate)
+			load := offeredLoad(name)
 			without := offerTo(t, false, false, load)
-			load = offeredLoad(estimate)
+			load = offeredLoad(name)
 			with := offerTo(t, true, name == "absent-new-leader", load)
 			sumWith, sumWithout := 0.0, 0.0
 			for _, o := range load {
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -19,10 +19,12 @@
 	cancelled           bool
 	state               model.JobState
 	reason              string
-	predatesTerm        bool               // the job was accepted before this term, so former leaders may have started its tasks
-	arrival             int64              // position in the order in which this leader learned of the jobs
-	seenAt              time.Time          // time at which this host learned of the job, as a follower or as the leader
-	runTimes            *runTimes          // nil if the caller's estimates of run times are used as they are
+	predatesTerm        bool          // the job was accepted before this term, so former leaders may have started its tasks
+	arrival             int64         // position in the order in which this leader learned of the jobs
+	seenAt              time.Time     // time at which this host learned of the job, as a follower or as the leader
+	runTimes            *runTimes     // nil if the caller's estimates of run times are used as they are
+	target              time.Duration // see expectedTarget; kept until targetVersion of the estimator changes
+	targetVersion       int64
 	maxStepAccelerators model.Accelerators // accelerators needed by all tasks of the step that needs the most
 }
 
--- a/internal/dispatcher/plan.go
+++ b/internal/dispatcher/plan.go
@@ -14,6 +14,7 @@
 	step            *step
 	tasks           []*task
 	rank            placer.Rank // rank of the job; see jobRanks
+	due             time.Time   // see step.due; zero unless the leader learns run times
 	isolated        bool        // each task needs a worker without other runs
 	awaitingRestart bool        // the gang was interrupted and cannot start yet; its released resources are held
 }
@@ -39,7 +40,7 @@
 	}
 }
 
-// placementUnits returns the work to schedule, ordered by rank and arrival.
+// placementUnits returns the work to schedule, ordered by rank, by due time if the leader learns run times, and by arrival.
 func (d *Dispatcher) placementUnits(now time.Time) []*placementUnit {
 	ranks := d.jobRanks()
 	var out []*placementUnit
@@ -67,8 +68,11 @@
 			}
 		}
 	}
+	for _, u := range out {
+		u.due = u.step.due()
+	}
 	slices.SortFunc(out, func(a, b *placementUnit) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.step.job.arrival, b.step.job.arrival),
+		return cmp.Or(cmp.Compare(a.rank, b.rank), a.due.Compare(b.due), cmp.Compare(a.step.job.arrival, b.step.job.arrival),
 			cmp.Compare(a.step.ref.Occurrence, b.step.ref.Occurrence), cmp.Compare(a.step.ref.Step, b.step.ref.Step),
 			cmp.Compare(len(a.tasks), len(b.tasks)))
 	})
--- a/internal/dispatcher/runtimes.go
+++ b/internal/dispatcher/runtimes.go
@@ -153,6 +153,28 @@
 	return admitter.TargetDuration(j.submission) - admitter.CriticalPath(j.submission)
 }
 
+// due returns the time by which the job, or its occurrence, is to end; zero unless the leader learns run times. Work of the same rank starts
+// in this order, so that short jobs end in time that arrive behind long ones whose targets are far off. No job is passed over for longer
+// than the difference of the target durations. Answers mixed run times in one rank (TestWorkStartsByDueTime).
+func (s *step) due() time.Time {
+	if s.job.runTimes == nil {
+		return time.Time{}
+	}
+	return latest(s.job.seenAt, s.dueAt).Add(s.job.expectedTarget())
+}
+
+// expectedTarget returns the target duration by the caller's estimates, or by learned run times where these are longer, as in admission. So
+// too short an estimate does not put a job ahead of others of its kind for good.
+func (j *job) expectedTarget() time.Duration {
+	if v := j.runTimes.estimator.Version(); j.target == 0 || j.targetVersion != v {
+		path := j.longestChain(func(s *step) time.Duration {
+			return max(s.callerEstimate(), time.Duration(s.expectedSeconds()*float64(time.Second)))
+		})
+		j.target, j.targetVersion = admitter.TargetFor(j.submission, path), v
+	}
+	return j.target
+}
+
 // criticalPath returns the expected run time of the longest chain of dependent steps.
 func (j *job) criticalPath() time.Duration {
 	return j.longestChain(func(s *step) time.Duration {
--- a/internal/estimator/forecast.go
+++ b/internal/estimator/forecast.go
@@ -24,20 +24,20 @@
 }
 
 // Forecast returns what is expected of the tasks with a key and an estimate of the caller, which is 0 if there is none. It goes by the
-// narrowest kind of which enough runs are known. Of their durations and of the caller's error, what varies less counts.
+// narrowest kind of which enough runs are known. Of their durations and of the caller's error, what varies less counts; of runs of other
+// shapes in the queue only the latter if there is an estimate.
 func (e *Estimator) Forecast(key Key, estimate time.Duration) Forecast {
 	for _, sk := range key.scopes() {
 		k := e.kinds[sk]
 		if k == nil || k.timesKnown < minRuns {
 			continue
 		}
-		wide := sk.Scope == ScopeQueue || sk.Scope == ScopeAll
-		spread, relative := k.times.spread, false
-		if estimate > 0 && k.ratiosKnown >= minRuns && k.ratios.spread < spread {
-			spread, relative = k.ratios.spread, true
-		}
-		if wide && estimate > 0 && (spread > maxWideSpread || sk.Scope == ScopeAll && !relative) {
-			continue
+		relative := estimate > 0 && k.ratiosKnown >= minRuns && k.ratios.spread < k.times.spread
+		if estimate > 0 && (sk.Scope == ScopeQueue || sk.Scope == ScopeAll) {
+			// Runs of other shapes tell how wrong their callers are, not how long this task runs.
+			if relative = sk.Scope == ScopeQueue && k.ratiosKnown >= minRuns && k.ratios.spread <= maxWideSpread; !relative {
+				continue
+			}
 		}
 		if relative {
 			unit := time.Duration(float64(estimate) / float64(powers[unitRatioBucket]))
