--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -29,7 +29,8 @@
 	// in some seconds still has retries left when capacity is back.
 	evacuatedRetryAfter = 5 * time.Second
 	// maxDuration limits target durations and critical paths, so that sums of a few of them fit into a time.Duration.
-	maxDuration = 10 * 365 * 24 * time.Hour
+	maxDuration   = 10 * 365 * 24 * time.Hour
+	maxDurationMS = model.Millis(maxDuration / time.Millisecond)
 )
 
 // Decide accepts a job if it is expected to finish, after the work ahead of it, before its result is worthless. It accepts every
@@ -39,7 +40,8 @@
 		return Decision{RetryAfter: evacuatedRetryAfter, Reason: "all failure domains are evacuated"}
 	}
 	wait := estimateWait(load, s.Queue.Priority)
-	maxWait := maxLatenessFactor*TargetDuration(s) - CriticalPath(s)
+	path := expectedPath(load, s)
+	maxWait := maxLatenessFactor*TargetFor(s, path) - path
 	if wait <= maxWait || load.Capacity == 0 {
 		return Decision{Accepted: true, Wait: wait}
 	}
@@ -61,25 +63,55 @@
 	return time.Duration(total / float64(load.Capacity) * float64(time.Second))
 }
 
-// TargetDuration returns the time from the arrival of a job within which it is to end, at most 10 years.
-func TargetDuration(s *model.Submission) time.Duration {
-	d := float64(CriticalPath(s))*s.Queue.TargetStretch + float64(s.Queue.TargetOffsetMS)*float64(time.Millisecond)
+// expectedPath returns the critical path of a job by the caller's estimates, or by the run times that the leader has learned where these are
+// longer. Since the backlog counts the learned run times, a job with too short an estimate would not be given the time that it takes.
+func expectedPath(load journaler.Load, s *model.Submission) time.Duration {
+	learned, ok := load.RunTimes[s.Queue.ID]
+	if !ok {
+		return CriticalPath(s)
+	}
+	return LongestChain(s.Steps, func(i int) time.Duration {
+		estimate := estimatedRunTime(&s.Steps[i])
+		if learned.Factor > 0 && estimate > 0 {
+			return time.Duration(min(float64(estimate)*max(learned.Factor, 1), float64(maxDuration)))
+		}
+		return max(estimate, time.Duration(min(learned.MS, maxDurationMS))*time.Millisecond)
+	})
+}
+
+// TargetDuration returns the time from the arrival of a job within which it is to end, at most 10 years. It follows from the caller's
+// estimates only, since it is promised to the caller.
+func TargetDuration(s *model.Submission) time.Duration { return TargetFor(s, CriticalPath(s)) }
+
+// TargetFor returns the target duration of a job whose critical path takes the given time, at most 10 years.
+func TargetFor(s *model.Submission, path time.Duration) time.Duration {
+	d := float64(path)*s.Queue.TargetStretch + float64(s.Queue.TargetOffsetMS)*float64(time.Millisecond)
 	return time.Duration(min(max(d, 0), float64(maxDuration)))
 }
 
 // CriticalPath returns the estimated run time of the longest chain of dependent steps, at most 10 years.
 func CriticalPath(s *model.Submission) time.Duration {
-	finishTimes := make([]time.Duration, len(s.Steps))
+	return LongestChain(s.Steps, func(i int) time.Duration { return estimatedRunTime(&s.Steps[i]) })
+}
+
+// estimatedRunTime returns the caller's estimate of the run time of a task.
+func estimatedRunTime(s *model.Step) time.Duration {
+	return time.Duration(min(max(s.EstimatedRunMS, 0), maxDurationMS)) * time.Millisecond
+}
+
+// LongestChain returns the run time of the longest chain of dependent steps, at most 10 years, where runTime returns that of a task of
+// step i.
+func LongestChain(steps []model.Step, runTime func(i int) time.Duration) time.Duration {
+	finishTimes := make([]time.Duration, len(steps))
 	longest := time.Duration(0)
-	for i, st := range s.Steps {
+	for i, st := range steps {
 		start := time.Duration(0)
 		for _, dependency := range st.DependsOn {
 			if dependency >= 0 && dependency < i {
 				start = max(start, finishTimes[dependency])
 			}
 		}
-		run := min(max(st.EstimatedRunMS, 0), model.Millis(maxDuration/time.Millisecond))
-		finishTimes[i] = min(start+time.Duration(run)*time.Millisecond, maxDuration)
+		finishTimes[i] = min(start+min(max(runTime(i), 0), maxDuration), maxDuration)
 		longest = max(longest, finishTimes[i])
 	}
 	return longest
--- a/internal/coordinator/cluster_test.go
+++ b/internal/coordinator/cluster_test.go
@@ -59,6 +59,7 @@
 	workers     dispatcher.WorkerClient           // nil means direct calls, with faults
 	wrapLog     func(journaler.Log) journaler.Log // nil means no change
 	registry    Registry                          // nil means the cluster
+	learns      bool                              // whether the leader learns run times
 	panicAt     string                            // log message of the leader at which its dispatcher panics; empty means none
 	pauseAt     string                            // log message of the leader at which its process is paused; empty means none
 	pauseLength time.Duration
@@ -128,7 +129,7 @@
 		Workers:  workers,
 		Registry: registry, Entitlements: h.cluster.currentEntitlements, Evacuator: h.evacuator,
 		Logger: logger, Metrics: h.metrics, Asserter: &asserter.Asserter{Logger: logger}, Recoverer: h.recoverer,
-		Processors: h.processors, LinkRate: h.linkRate, MemoryLimit: h.memory, ReadMemory: h.readMemory, LeaseDuration: testLease, MaxLease: testMaxLease, JobRetention: testRetention,
+		Processors: h.processors, LinkRate: h.linkRate, MemoryLimit: h.memory, ReadMemory: h.readMemory, LearnRunTimes: h.learns, LeaseDuration: testLease, MaxLease: testMaxLease, JobRetention: testRetention,
 	})
 	go h.coordinator.Run(ctx)
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -86,6 +86,7 @@
 	ReadMemory    func() elector.MemoryUse // returns what the process uses of its memory; nil means that a leader doesn't resign for it
 	LeaseDuration time.Duration            // duration of a worker lease
 	MaxLease      time.Duration            // longest lease that a worker grants; 0 means LeaseDuration
+	LearnRunTimes bool                     // expect the run times of finished runs instead of the callers' estimates
 	JobRetention  time.Duration            // time for which the records of an ended job stay in the log
 }
 
--- a/internal/daemon/jobs.go
+++ b/internal/daemon/jobs.go
@@ -263,6 +263,9 @@
 			explanation.Remedy += ", or ask the operator to take the evacuation back"
 		}
 	}
+	if !j.State().IsFinal() {
+		explanation.Forecast = d.coordinator.JobForecast(ctx, id)
+	}
 	return explanation, nil
 }
 
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -49,6 +49,7 @@
 	LeaseDuration time.Duration                           // duration of the worker lease, without which a worker may not run tasks
 	MaxLease      time.Duration                           // longest lease that a worker grants; 0 means LeaseDuration
 	LinkRate      pacer.BytesPerSecond                    // rate of this host's link; 0 means unknown
+	LearnRunTimes bool                                    // expect the run times of finished runs instead of the callers' estimates
 	JobRetention  time.Duration                           // time for which the records of an ended job stay in the log
 	LookupJob     func(model.JobID) (journaler.Job, bool) // returns a job by its ID, including ended jobs
 	// Evacuator says in which failure domains nothing is started; nil means that there are none. UpdateEvacuations notifies the dispatcher of
@@ -80,6 +81,7 @@
 	preemptionBudget  preemptor.Budget
 	decisionLoggedAt  time.Time // time of the last log line on a step that does not preempt
 	pacer             pacer.Pacer
+	runTimes          runTimes
 	startsDeferred    bool             // the last pass has left work waiting because of the rate limit of start requests
 	adoptedGangs      []*step          // gangs that may have runs of former leaders, not yet checked for missing members
 	evacuated         []model.DomainID // evacuated failure domains at the last event
@@ -166,6 +168,7 @@
 	}
 	d.scheduleUpToDate, d.startsDeferred = true, false
 	d.checkWorkers(now)
+	d.learn(now)
 	d.schedule(now)
 	took := time.Since(now)
 	d.lastPassAt = now
@@ -222,6 +225,9 @@
 	d.lastArrival++
 	added.arrival = d.lastArrival
 	added.predatesTerm = j.AcceptedOffset < d.TermOffset
+	if d.LearnRunTimes {
+		added.runTimes = &d.runTimes
+	}
 	d.jobs[added.submission.ID] = added
 	d.Metrics.Jobs.Add("accepted", 1)
 	return added
@@ -295,6 +301,7 @@
 			d.Logger.Info("worker removed", "worker", w.info.ID)
 			w.session.close()
 			delete(d.workers, w.info.ID)
+			d.runTimes.estimator.ForgetWorker(w.info.ID)
 			d.fleetDirty = true
 		}
 	}
--- a/internal/dispatcher/report.go
+++ b/internal/dispatcher/report.go
@@ -24,6 +24,7 @@
 	}
 	w.isResponding = true
 	w.recordResponse()
+	w.reportGap = e.respondedAt.Sub(w.lastReportAt)
 	w.clock, w.clockAt, w.lastReportAt = e.report.Clock, e.respondedAt, e.respondedAt
 	if !e.sentAt.Before(w.restartListedAt) {
 		w.restartListedAt = time.Time{}
@@ -152,6 +153,10 @@
 func (d *Dispatcher) markRunStarted(r *run, now time.Time) {
 	r.state = runRunning
 	r.startConfirmedAt, r.lastProgressAt = now, now
+	if !r.fromCheckpoint {
+		r.paceFrom = now
+	}
+	r.observeStart()
 }
 
 // markRunBegun notes that a run has begun, which a record that was written before does not tell.
@@ -202,7 +207,9 @@
 		t = j.findTask(end.Run.Task)
 	}
 	if r != nil {
-		if end.Kind != model.EndDone && r.state != runStopping {
+		if end.Kind == model.EndDone {
+			d.observeDone(r, now)
+		} else if r.state != runStopping {
 			d.Metrics.recordLostWork(r, string(end.Kind), now)
 		}
 		d.releaseRun(r)
--- a/internal/journaler/record.go
+++ b/internal/journaler/record.go
@@ -56,6 +56,14 @@
 	// AllEvacuated says that no worker may be used because an operator has evacuated all failure domains. A Capacity of 0 alone says nothing.
 	AllEvacuated bool      `json:"all-evacuated,omitempty"`
 	Backlog      []float64 `json:"waiting,omitempty"` // accepted work that is not done, in accelerator-seconds, by priority
+	// RunTimes has the queues whose tasks run longer than their callers estimate. It is empty unless the leader learns run times.
+	RunTimes map[model.QueueID]LearnedRunTime `json:"run-times,omitempty"`
+}
+
+// LearnedRunTime is how long the tasks of a queue run in the mean.
+type LearnedRunTime struct {
+	MS     model.Millis `json:"ms"`
+	Factor float64      `json:"factor,omitempty"` // multiple of the caller's estimate, where that says more than MS; 0 means that it says less
 }
 
 // FleetWorker is a worker to which a leader may have assigned tasks.
