Refuse jobs for now that fit only evacuated failure domains

Cause: on the project's own protocol, a job that only the declared racks of an evacuated domain can hold was accepted and waited without end.

A job that is accepted already is still answered as accepted.

--- a/internal/daemon/jobs.go
+++ b/internal/daemon/jobs.go
@@ -46,7 +46,7 @@
 		}
 		return jobView(existing), nil
 	}
-	if err := d.checkQueueLimits(s); err != nil {
+	if err := cmp.Or(d.checkQueueLimits(s), d.checkEvacuated(s)); err != nil {
 		return model.Job{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
@@ -108,10 +108,7 @@
 	nodes := declaredNodes(set)
 	quota := set.Workspaces[s.Workspace].Quota
 	for _, step := range s.Steps {
-		r := &placer.Request{
-			Count: step.Count, Need: step.Need, Gang: step.Gang, OneRack: step.OneRack, Label: step.Label, MaxPerWorker: step.MaxPerWorker,
-		}
-		if !placer.Feasible(nodes, r) {
+		if !placer.Feasible(nodes, requestFor(&step)) {
 			return neverRunnableError("the declared inventory can never hold the job")
 		}
 		if need := step.Need.Accelerators; step.Gang && need*model.Accelerators(step.Count) > quota || need > quota {
@@ -121,6 +118,34 @@
 	return nil
 }
 
+// requestFor returns the placer's request for all tasks of a step.
+func requestFor(step *model.Step) *placer.Request {
+	return &placer.Request{
+		Count: step.Count, Need: step.Need, Gang: step.Gang, OneRack: step.OneRack, Label: step.Label, MaxPerWorker: step.MaxPerWorker,
+	}
+}
+
+// checkEvacuated returns an error for a job that could run only in evacuated failure domains. How long that lasts is unknown.
+func (d *Daemon) checkEvacuated(s *model.Submission) error {
+	set := d.config.Load().set
+	if len(set.Evacuations) == 0 {
+		return nil
+	}
+	nodes := slices.DeleteFunc(declaredNodes(set), func(n *placer.Node) bool {
+		_, evacuated := set.Evacuations[n.Domain]
+		return evacuated
+	})
+	for _, step := range s.Steps {
+		if !placer.Feasible(nodes, requestFor(&step)) {
+			return &model.Error{
+				Outcome: model.OutcomeNotRun, Kind: model.ErrorKindOverloaded, Message: "the failure domains that are not evacuated can't hold the job",
+				Remedy: "retry later, or ask an operator to take the evacuation back", RetryAfterMS: overloadRetryAfterMS,
+			}
+		}
+	}
+	return nil
+}
+
 // declaredNodes returns a node without load for each declared worker, except those of lost failure domains.
 func declaredNodes(set model.ConfigSet) []*placer.Node {
 	var out []*placer.Node
