Test hosts under crowds that withhold no body

The same crowd of 420 clients now also leaves connections idle, sends 262,144 bytes of a header without its end, closes its side in the middle of a body, and sends requests whose responses it does not read.

--- a/internal/fake/crowd/crowd.go
+++ b/internal/fake/crowd/crowd.go
@@ -24,6 +24,17 @@
 // Ways lists all ways of sending a body.
 var Ways = []Way{Whole, Pieces, LargeChunks, ByteChunks}
 
+// Ways of using connections otherwise.
+const (
+	Idle       Way = "idle"        // nothing is sent
+	LongHeader Way = "long-header" // a header as long as a body, without its end
+	HalfClosed Way = "half-closed" // the body ends too early, with the end of the client's side
+	Pipelined  Way = "pipelined"   // requests without bodies, as long as a body together, whose responses are not read
+)
+
+// OtherWays lists all ways of using connections without withholding the end of a body.
+var OtherWays = []Way{Idle, LongHeader, HalfClosed, Pipelined}
+
 const (
 	largeChunkBytes = 64 << 10
 	pieceBytes      = 4 << 10
@@ -67,6 +78,15 @@
 
 // encode returns the header of the request and its body without the last byte, as they are sent.
 func (r Request) encode(way Way) (header, body []byte) {
+	switch way {
+	case Idle:
+		return nil, nil
+	case LongHeader:
+		return []byte(r.requestLine()), []byte("X: " + strings.Repeat("x", r.BodyBytes))
+	case Pipelined:
+		one := r.requestLine() + "Content-Length: 0\r\n\r\n"
+		return nil, []byte(strings.Repeat(one, r.BodyBytes/len(one)))
+	}
 	text := []byte(bodyStart + strings.Repeat("x", r.BodyBytes-len(bodyStart)))
 	framing := fmt.Sprintf("Content-Length: %d", r.BodyBytes)
 	chunkBytes := 0
@@ -85,9 +105,13 @@
 		}
 		text = b.Bytes()[:b.Len()-len("\r\n")]
 	}
-	header = fmt.Appendf(nil, "%s %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nContent-Type: application/json\r\n%s%s\r\n\r\n",
-		r.Method, r.Path, r.Host, r.Token, r.Headers, framing)
-	return header, text[:len(text)-1]
+	return []byte(r.requestLine() + framing + "\r\n\r\n"), text[:len(text)-1]
+}
+
+// requestLine returns the request line and the headers that do not depend on the body.
+func (r Request) requestLine() string {
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nContent-Type: application/json\r\n%s",
+		r.Method, r.Path, r.Host, r.Token, r.Headers)
 }
 
 // send connects and sends a request, and reports whether all of it was sent.
@@ -118,6 +142,9 @@
 		}
 		body = body[n:]
 	}
+	if way == HalfClosed {
+		return conn.(*net.TCPConn).CloseWrite() == nil
+	}
 	return true
 }
 
--- a/test/process/crowd_test.go
+++ b/test/process/crowd_test.go
@@ -42,7 +42,12 @@
 }
 
 // Guards against clients that stop before the end of their bodies and thereby exhaust the memory or the descriptors of a host.
-func TestCrowdOfClientsLeavesHostUsable(t *testing.T) {
+func TestCrowdOfClientsLeavesHostUsable(t *testing.T) { testCrowd(t, crowd.Ways) }
+
+// Guards against clients that exhaust a host by idle connections, headers, half-closed connections or responses that they don't read.
+func TestCrowdOfConnectionsLeavesHostUsable(t *testing.T) { testCrowd(t, crowd.OtherWays) }
+
+func testCrowd(t *testing.T, ways []crowd.Way) {
 	unlock, err := crowd.Lock()
 	is.New(t).NoErr(err)
 	defer unlock()
@@ -53,7 +58,7 @@
 					HostsPerDomain: twoHostsPerDomain(domainA),
 					AdjustSettings: func(s *settings.Settings) { s.MemoryMB, s.MaxFDs = crowdMemoryMB, crowdMaxFDs },
 				})
-				for _, way := range crowd.Ways {
+				for _, way := range ways {
 					h := c.leader()
 					if role == "follower" {
 						h = c.follower()
