Bound the plans of preemption in a pass, look for one stop only after several

Decisions take two plans over all nodes. With many waiting gangs on a large fleet, a pass would take long, so units without a guarantee plan over at most 6,000 nodes in a pass. A single stop that frees enough is looked for only where several would be needed, the target of a job is computed once, and running work takes fewer allocations.

--- a/internal/dispatcher/bench_test.go
+++ b/internal/dispatcher/bench_test.go
@@ -131,3 +131,24 @@
 		})
 	}
 }
+
+// BenchmarkDecisions measures a pass over a full fleet in which many gangs without a guarantee decide whether they preempt.
+func BenchmarkDecisions(b *testing.B) {
+	for _, n := range []int{350, 1000, 8800} {
+		b.Run(fmt.Sprint("workers=", n), func(b *testing.B) {
+			d := newLoadedDispatcher(b, n, 0)
+			var waiting []*step
+			for i := range 40 {
+				s := newSubmission(fmt.Sprint("urgent", i), 0, 8)
+				s.Steps[0].Gang, s.Steps[0].Need.Accelerators = true, 8
+				waiting = append(waiting, d.addJob(journaler.Job{Submission: s}, time.Now()).steps[0])
+			}
+			for b.Loop() {
+				for _, s := range waiting { // they wait for room
+					s.preemption, s.heldUntil, s.job.seenAt = stepPreemption{}, time.Now().Add(time.Hour), time.Now()
+				}
+				d.schedule(time.Now())
+			}
+		})
+	}
+}
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -23,6 +23,7 @@
 	predatesTerm        bool               // the job was accepted before this term, so former leaders may have started its tasks
 	arrival             int64              // position in the order in which this leader learned of the jobs
 	seenAt              time.Time          // time at which this host learned of the job, as a follower or as the leader
+	targetDuration      time.Duration      // time from the arrival of the job within which it is to end
 	maxStepAccelerators model.Accelerators // accelerators needed by all tasks of the step that needs the most
 }
 
@@ -113,6 +114,7 @@
 	s := j.Submission
 	out := &job{
 		submission: s, cancelled: j.Cancelled, state: j.State(), arrival: int64(j.AcceptedOffset), seenAt: now,
+		targetDuration: admitter.TargetDuration(s),
 	}
 	if !j.LearnedAt.IsZero() {
 		out.seenAt = j.LearnedAt
--- a/internal/dispatcher/plan.go
+++ b/internal/dispatcher/plan.go
@@ -123,6 +123,7 @@
 	workerOf          map[*placer.Node]*worker
 	nodeOf            map[*worker]*placer.Node
 	reserved          map[*worker]model.Resources      // resources of each worker that reservations take
+	plannedNodes      int                              // nodes that the preemption plans of this pass have gone through
 	preemptionTargets []preemptionTarget               // indexed by PreemptionUnit.ID
 	infeasible        map[requestKey]bool              // requests for which this pass found neither free resources nor less urgent running work
 	rackFits          map[requestKey]bool              // cached results of fitsRack
--- a/internal/dispatcher/preemption.go
+++ b/internal/dispatcher/preemption.go
@@ -9,11 +9,15 @@
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
+// maxPlannedNodes is the number of nodes that the plans of units without a guarantee go through in a pass, before further units wait for the
+// next pass. A decision takes two plans over all nodes, and on a large fleet many units may wait.
+const maxPlannedNodes = 6000
+
 // planPreemption returns places for the tasks of the unit, and the victims to preempt for them. It returns nil if the step does not
 // preempt now; the preemptor says why.
 func (p *schedulingPass) planPreemption(u *placementUnit) ([]*placer.Node, []*placer.PreemptionUnit) {
 	s := u.step
-	if p.preemptionWait(u) > 0 || u.rank > 0 && p.now.Before(s.preemption.retryAt) {
+	if p.preemptionWait(u) > 0 || u.rank > 0 && (p.now.Before(s.preemption.retryAt) || p.plannedNodes > maxPlannedNodes) {
 		return nil, nil
 	}
 	waiting := p.describeWaiting(u)
@@ -21,6 +25,9 @@
 		p.noteDecision(u, d)
 		return nil, nil
 	}
+	if u.rank > 0 {
+		p.plannedNodes += 2 * len(p.nodes)
+	}
 	p.listPreemptible()
 	r := p.placementRequest(u)
 	r.SparesProtected = u.rank > 0
--- a/internal/placer/node.go
+++ b/internal/placer/node.go
@@ -36,6 +36,9 @@
 	candidateIndex int // index of the node's candidate in PreemptionPlanner.candidates
 }
 
+// usualAllocations is the number of allocations for which a node gets storage with its first one.
+const usualAllocations = 8
+
 // Allocation holds the resources that a preemption unit uses on a node.
 type Allocation struct {
 	*PreemptionUnit
@@ -44,11 +47,17 @@
 
 // AddMember adds a task that runs on the node to the preemption unit, and its resources to the node's preemptible work.
 func (n *Node) AddMember(u *PreemptionUnit, need model.Resources) {
+	if u.Members == nil {
+		u.Members = u.first[:0]
+	}
 	u.Members = append(u.Members, Member{Node: n, Need: need})
 	if i := slices.IndexFunc(n.Preemptible, func(p Allocation) bool { return p.PreemptionUnit == u }); i >= 0 {
 		n.Preemptible[i].Resources = n.Preemptible[i].Resources.Add(need)
 		return
 	}
+	if n.Preemptible == nil {
+		n.Preemptible = make([]Allocation, 0, usualAllocations)
+	}
 	n.Preemptible = append(n.Preemptible, Allocation{PreemptionUnit: u, Resources: need})
 }
 
@@ -60,6 +69,8 @@
 	Protected        bool    // the unit is spared by requests with SparesProtected
 	RemainingSeconds float64 // estimated seconds until the unit ends on its own
 	Members          []Member
+
+	first [1]Member // storage of Members for a single task
 }
 
 // Member is one task of a preemption unit.
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -187,3 +187,29 @@
 		}
 	}
 }
+
+// Guards against a plan that stops many small tasks where the stop of one large one costs less, and against one that stops protected work.
+func TestPlanPrefersOneStopToMany(t *testing.T) {
+	is := is.New(t)
+	nodes := newFleet(1, 1)
+	for i := range 4 {
+		addUnit(i, nodes[0], 5, 1, 3)
+	}
+	large := addUnit(9, nodes[0], 3, 4, 8)
+	r := &Request{Count: 1, Need: accelerators(4), Rank: 1}
+	_, victims := (&PreemptionPlanner{}).Plan(nodes, r)
+	is.Equal(victims, []*PreemptionUnit{large})
+	large.Protected, r.SparesProtected = true, true
+	_, victims = (&PreemptionPlanner{}).Plan(nodes, r)
+	is.Equal(len(victims), 4)
+}
+
+// Guards against an estimate of free room that counts less urgent work only, although more urgent work ends sooner.
+func TestMinimizeWaitCountsWorkOfAllRanks(t *testing.T) {
+	is := is.New(t)
+	nodes := newFleet(1, 1)
+	late, early := addUnit(1, nodes[0], 5, 4, 1), addUnit(2, nodes[0], 0, 4, 1)
+	late.RemainingSeconds, early.RemainingSeconds = 9, 1
+	_, ending := (&PreemptionPlanner{}).Plan(nodes, &Request{Count: 1, Need: accelerators(4), Rank: 3, MinimizeWait: true})
+	is.Equal(ending, []*PreemptionUnit{early})
+}
--- a/internal/placer/preemption.go
+++ b/internal/placer/preemption.go
@@ -182,30 +182,36 @@
 		return nil, true
 	}
 	var victims []Allocation
-	var single *PreemptionUnit // the cheapest unit whose stop is enough
 	for _, a := range n.Preemptible {
-		if !p.request.mayFree(a) || p.preempted[a.PreemptionUnit] {
+		if !p.mayStop(a) {
 			continue
 		}
-		if !free.CanFit(p.request.Need) {
-			victims = append(victims, a)
-			free = free.Add(a.Resources)
-		}
-		if p.request.MinimizeWait {
-			continue
-		}
-		if (single == nil || a.Cost < single.Cost) && c.free.Add(a.Resources).CanFit(p.request.Need) {
-			single = a.PreemptionUnit
+		victims = append(victims, a)
+		if free = free.Add(a.Resources); free.CanFit(p.request.Need) {
+			return p.cheaperVictims(c, dropUnneededVictims(victims, free, p.request.Need)), true
 		}
 	}
-	if !free.CanFit(p.request.Need) {
-		return nil, false
+	return nil, false
+}
+
+// mayStop reports whether the plan may stop the unit of an allocation in addition to its victims.
+func (p *PreemptionPlanner) mayStop(a Allocation) bool {
+	return p.request.mayFree(a) && !p.preempted[a.PreemptionUnit]
+}
+
+// cheaperVictims returns the cheapest single unit whose stop makes room for one more task on the candidate, if that costs less than to stop
+// several victims.
+func (p *PreemptionPlanner) cheaperVictims(c *candidate, victims []*PreemptionUnit) []*PreemptionUnit {
+	if len(victims) < 2 || p.request.MinimizeWait {
+		return victims
 	}
-	out := dropUnneededVictims(victims, free, p.request.Need)
-	if single != nil && single.Cost < totalCost(out) {
-		return []*PreemptionUnit{single}, true
+	least, out := totalCost(victims), victims
+	for _, a := range c.node.Preemptible {
+		if a.Cost < least && p.mayStop(a) && c.free.Add(a.Resources).CanFit(p.request.Need) {
+			least, out = a.Cost, []*PreemptionUnit{a.PreemptionUnit}
+		}
 	}
-	return out, true
+	return out
 }
 
 func totalCost(units []*PreemptionUnit) float64 {
--- a/internal/preemptor/cost.go
+++ b/internal/preemptor/cost.go
@@ -13,7 +13,7 @@
 const coresPerAccelerator = 8
 
 // restartTime is the time that a preempted run loses until it runs again, in addition to its lost work and its wait for other workers: the
-// run ends, its end is reported, and the start request is sent and answered.
+// run ends, its end is reported, the start request waits for its turn on the link of the leader, and a gang waits for its last member.
 const restartTime = time.Second
 
 // requeueTime is the time for which a preempted run is expected to wait for other workers. The work that took its place runs for seconds.
