--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -26,6 +26,7 @@
 	runTimes            *runTimes     // nil if the caller's estimates of run times are used as they are
 	target              time.Duration // see expectedTarget; kept until targetVersion of the estimator changes
 	targetVersion       int64
+	targetDuration      time.Duration      // time from the arrival of the job within which it is to end
 	maxStepAccelerators model.Accelerators // accelerators needed by all tasks of the step that needs the most
 }
 
@@ -122,6 +123,7 @@
 	s := j.Submission
 	out := &job{
 		submission: s, cancelled: j.Cancelled, state: j.State(), arrival: int64(j.AcceptedOffset), seenAt: now,
+		targetDuration: admitter.TargetDuration(s),
 	}
 	if !j.LearnedAt.IsZero() {
 		out.seenAt = j.LearnedAt
