--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"chestnutmux.example/chestnutmux/internal/admitter"
 	"chestnutmux.example/chestnutmux/internal/estimator"
 	"chestnutmux.example/chestnutmux/internal/journaler"
 	"chestnutmux.example/chestnutmux/internal/preemptor"
