Give jobs of unknown kinds the mean run time in admission

A leader knows the kinds that end soon first. Their learned backlog kept out jobs without an estimate in queues that were not known yet, which had no run time of their own to be judged by; they get the mean of all runs now.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -59,18 +59,22 @@
 // longer. Since the backlog counts the learned run times, a job with too short an estimate would not be given the time that it takes.
 func expectedPath(load journaler.Load, s *model.Submission) time.Duration {
 	learned, ok := load.RunTimes[s.Queue.ID]
-	if !ok {
-		return CriticalPath(s)
-	}
 	return LongestChain(s.Steps, func(i int) time.Duration {
 		estimate := estimatedRunTime(&s.Steps[i])
+		if !ok && estimate == 0 {
+			return learnedRunTime(load.RunTimes[""])
+		}
 		if learned.Factor > 0 && estimate > 0 {
 			return time.Duration(min(float64(estimate)*max(learned.Factor, 1), float64(maxDuration)))
 		}
-		return max(estimate, time.Duration(min(learned.MS, maxDurationMS))*time.Millisecond)
+		return max(estimate, learnedRunTime(learned))
 	})
 }
 
+func learnedRunTime(l journaler.LearnedRunTime) time.Duration {
+	return time.Duration(min(max(l.MS, 0), maxDurationMS)) * time.Millisecond
+}
+
 // TargetDuration returns the time from the arrival of a job within which it is to end, at most 10 years. It follows from the caller's
 // estimates only, since it is promised to the caller.
 func TargetDuration(s *model.Submission) time.Duration { return TargetFor(s, CriticalPath(s)) }
--- a/internal/estimator/forecast.go
+++ b/internal/estimator/forecast.go
@@ -93,7 +93,7 @@
 const minCorrection = 1.25
 
 // Corrections returns what was learned of the queues whose tasks run longer than their callers estimate, or for which they give no estimate,
-// at most limit of them.
+// at most limit of them. If some callers give no estimate, one more without a queue has the mean of all runs.
 func (e *Estimator) Corrections(limit int) []Correction {
 	var out []Correction
 	for sk, k := range e.kinds {
@@ -114,7 +114,11 @@
 		out = append(out, c)
 	}
 	slices.SortFunc(out, func(a, b Correction) int { return cmp.Or(cmp.Compare(b.Runs, a.Runs), cmp.Compare(a.Queue, b.Queue)) })
-	return out[:min(len(out), limit)]
+	out = out[:min(len(out), limit)]
+	if all := e.kinds[kindKey{Scope: ScopeAll}]; all != nil && all.timesKnown >= minRuns && all.ratiosKnown < all.timesKnown {
+		out = append(out, Correction{Runs: all.timesKnown, RunTime: Forecast{sketch: &all.times, unit: time.Millisecond}.Total(0)})
+	}
+	return out
 }
 
 // Summary is what is known of the runs with a key.
--- a/internal/journaler/record.go
+++ b/internal/journaler/record.go
@@ -46,7 +46,8 @@
 type Load struct {
 	Capacity model.Accelerators `json:"capacity"`          // total number of accelerators of the workers that accept tasks
 	Backlog  []float64          `json:"waiting,omitempty"` // accepted work that is not done, in accelerator-seconds, by priority
-	// RunTimes has the queues whose tasks run longer than their callers estimate. It is empty unless the leader learns run times.
+	// RunTimes has the queues whose tasks run longer than their callers estimate, and under the empty name the mean of all runs if some callers
+	// give no estimate. It is empty unless the leader learns run times.
 	RunTimes map[model.QueueID]LearnedRunTime `json:"run-times,omitempty"`
 }
 
