Keep the order of arrival within guarantees

A guarantee holds from the acknowledgement of a job, so a job with a far target must not be passed by later ones there. New fields of jobs, steps and runs stand apart, so that the others keep their lines.

--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -19,39 +19,41 @@
 	cancelled           bool
 	state               model.JobState
 	reason              string
-	predatesTerm        bool          // the job was accepted before this term, so former leaders may have started its tasks
-	arrival             int64         // position in the order in which this leader learned of the jobs
-	seenAt              time.Time     // time at which this host learned of the job, as a follower or as the leader
-	runTimes            *runTimes     // nil if the caller's estimates of run times are used as they are
-	target              time.Duration // see expectedTarget; kept until targetVersion of the estimator changes
-	targetVersion       int64
+	predatesTerm        bool               // the job was accepted before this term, so former leaders may have started its tasks
+	arrival             int64              // position in the order in which this leader learned of the jobs
+	seenAt              time.Time          // time at which this host learned of the job, as a follower or as the leader
 	maxStepAccelerators model.Accelerators // accelerators needed by all tasks of the step that needs the most
+
+	runTimes      *runTimes     // nil if the caller's estimates of run times are used as they are
+	target        time.Duration // see expectedTarget; kept until targetVersion of the estimator changes
+	targetVersion int64
 }
 
 // step is a step of one occurrence of a job.
 type step struct {
-	job             *job
-	ref             model.StepRef
-	spec            *model.Step
-	tasks           []*task
-	dueAt           time.Time                // earliest start time; zero means immediately
-	tasksLeft       int                      // number of tasks that are not done
-	gangAttempts    int                      // number of starts of the gang in this term
-	failedRuns      map[model.RunNumber]bool // numbers of the failed runs of all tasks, including those of former terms
-	checkpoint      model.Checkpoint         // last checkpoint of the gang; empty if there is none
-	reservation     *reservation             // nil if the step has none
-	heldWorkers     []*worker                // workers held for the waiting gang; they get no less urgent work
-	heldUntil       time.Time                // time after which other workers may be held instead
-	notBefore       time.Time                // earliest start time of the next attempt
-	preemptedAt     time.Time                // time at which tasks of the step were last preempted in this term; zero before that
-	pausingSince    time.Time                // time of the first preemption of those that were each followed by another within preemptionPause
-	exclusions      exclusions               // workers on which the step has failed
-	allStartedAt    time.Time                // time at which all tasks were first seen started; zero before that
-	roomSince       time.Time                // start of the first pass since which the step waits beside ample room; zero while it does not
-	waitLog         waitLog                  // when the step began to wait, and was last logged as waiting
-	runTimes        estimator.Forecast       // see forecast; its scope is empty before the first call
-	runTimesVersion int64                    // version of the estimator from which runTimes is
-	bestPace        float64                  // pace of the fastest worker, in seconds per percent of progress; 0 means unknown
+	job          *job
+	ref          model.StepRef
+	spec         *model.Step
+	tasks        []*task
+	dueAt        time.Time                // earliest start time; zero means immediately
+	tasksLeft    int                      // number of tasks that are not done
+	gangAttempts int                      // number of starts of the gang in this term
+	failedRuns   map[model.RunNumber]bool // numbers of the failed runs of all tasks, including those of former terms
+	checkpoint   model.Checkpoint         // last checkpoint of the gang; empty if there is none
+	reservation  *reservation             // nil if the step has none
+	heldWorkers  []*worker                // workers held for the waiting gang; they get no less urgent work
+	heldUntil    time.Time                // time after which other workers may be held instead
+	notBefore    time.Time                // earliest start time of the next attempt
+	preemptedAt  time.Time                // time at which tasks of the step were last preempted in this term; zero before that
+	pausingSince time.Time                // time of the first preemption of those that were each followed by another within preemptionPause
+	exclusions   exclusions               // workers on which the step has failed
+	allStartedAt time.Time                // time at which all tasks were first seen started; zero before that
+	roomSince    time.Time                // start of the first pass since which the step waits beside ample room; zero while it does not
+	waitLog      waitLog                  // when the step began to wait, and was last logged as waiting
+	bestPace     float64                  // pace of the fastest worker, in seconds per percent of progress; 0 means unknown
+
+	runTimes        estimator.Forecast // see forecast; its scope is empty before the first call
+	runTimesVersion int64              // version of the estimator from which runTimes is
 }
 
 // task is one task of a step.
@@ -88,22 +90,23 @@
 	startConfirmedAt time.Time // time at which a response or report confirmed the start; counts as the start time of the run
 	stopConfirmedAt  time.Time // time at which the worker confirmed the stop request
 	stops            stopRequests
-	percentDone      int            // progress of the run in percent
-	lastProgressAt   time.Time      // time at which percentDone last increased, or the run started
-	incarnation      int64          // incarnation of the worker, as known when the start request was sent
-	hasBegun         bool           // a response or report of the worker has shown the run
-	listedAt         time.Time      // time of the last report that listed the run as running
-	startCutOffAt    time.Time      // time at which the connection of the start request was closed, as if the worker had crashed; else zero
-	workerSeenAt     time.Time      // time of the last response of the worker before the start request was sent
-	crashCounted     bool           // the crash of the worker was counted against the task
-	endAnnounced     bool           // the list has shown the worker as draining during the run, so its end is no crash
-	suspected        bool           // the run counts in possibleCrashes of the task
-	fromCheckpoint   bool           // the run resumes from a checkpoint
-	stopReason       string         // why the run is being stopped
-	adopted          bool           // a former leader has started the run
-	paceFrom         time.Time      // time since which the pace of the run is measured; zero before its first report if it resumes from a checkpoint
-	paceFromPercent  int            // progress at paceFrom
-	observation      *estimator.Run // nil if nothing is learned from the run
+	percentDone      int       // progress of the run in percent
+	lastProgressAt   time.Time // time at which percentDone last increased, or the run started
+	incarnation      int64     // incarnation of the worker, as known when the start request was sent
+	hasBegun         bool      // a response or report of the worker has shown the run
+	listedAt         time.Time // time of the last report that listed the run as running
+	startCutOffAt    time.Time // time at which the connection of the start request was closed, as if the worker had crashed; else zero
+	workerSeenAt     time.Time // time of the last response of the worker before the start request was sent
+	crashCounted     bool      // the crash of the worker was counted against the task
+	endAnnounced     bool      // the list has shown the worker as draining during the run, so its end is no crash
+	suspected        bool      // the run counts in possibleCrashes of the task
+	fromCheckpoint   bool      // the run resumes from a checkpoint
+	stopReason       string    // why the run is being stopped
+
+	adopted         bool           // a former leader has started the run
+	paceFrom        time.Time      // time since which the pace of the run is measured; zero before its first report if it resumes from a checkpoint
+	paceFromPercent int            // progress at paceFrom
+	observation     *estimator.Run // nil if nothing is learned from the run
 }
 
 type runState string
--- a/internal/dispatcher/plan.go
+++ b/internal/dispatcher/plan.go
@@ -69,7 +69,9 @@
 		}
 	}
 	for _, u := range out {
-		u.due = u.step.due()
+		if u.rank > 0 { // a guarantee holds from the acknowledgement of a job, whatever its target duration
+			u.due = u.step.due()
+		}
 	}
 	slices.SortFunc(out, func(a, b *placementUnit) int {
 		return cmp.Or(cmp.Compare(a.rank, b.rank), a.due.Compare(b.due), cmp.Compare(a.step.job.arrival, b.step.job.arrival),
