--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -21,14 +21,15 @@
 	cancelled           bool
 	state               model.JobState
 	reason              string
-	predatesTerm        bool          // the job was accepted before this term, so former leaders may have started its tasks
-	arrival             int64         // position in the order in which this leader learned of the jobs
-	seenAt              time.Time     // time at which this host learned of the job, as a follower or as the leader
-	runTimes            *runTimes     // nil if the caller's estimates of run times are used as they are
-	target              time.Duration // see expectedTarget; kept until targetVersion of the estimator changes
-	targetVersion       int64
+	predatesTerm        bool               // the job was accepted before this term, so former leaders may have started its tasks
+	arrival             int64              // position in the order in which this leader learned of the jobs
+	seenAt              time.Time          // time at which this host learned of the job, as a follower or as the leader
 	targetDuration      time.Duration      // time from the arrival of the job within which it is to end
 	maxStepAccelerators model.Accelerators // accelerators needed by all tasks of the step that needs the most
+
+	runTimes      *runTimes     // nil if the caller's estimates of run times are used as they are
+	target        time.Duration // see expectedTarget; kept until targetVersion of the estimator changes
+	targetVersion int64
 }
 
 // step is a step of one occurrence of a job.
@@ -92,22 +93,23 @@
 	startConfirmedAt time.Time // time at which a response or report confirmed the start; counts as the start time of the run
 	stopConfirmedAt  time.Time // time at which the worker confirmed the stop request
 	stops            stopRequests
-	percentDone      int            // progress of the run in percent
-	lastProgressAt   time.Time      // time at which percentDone last increased, or the run started
-	incarnation      int64          // incarnation of the worker, as known when the start request was sent
-	hasBegun         bool           // a response or report of the worker has shown the run
-	listedAt         time.Time      // time of the last report that listed the run as running
-	startCutOffAt    time.Time      // time at which the connection of the start request was closed, as if the worker had crashed; else zero
-	workerSeenAt     time.Time      // time of the last response of the worker before the start request was sent
-	crashCounted     bool           // the crash of the worker was counted against the task
-	endAnnounced     bool           // the list has shown the worker as draining during the run, so its end is no crash
-	suspected        bool           // the run counts in possibleCrashes of the task
-	fromCheckpoint   bool           // the run resumes from a checkpoint
-	stopReason       string         // why the run is being stopped
-	adopted          bool           // a former leader has started the run
-	paceFrom         time.Time      // time since which the pace of the run is measured; zero before its first report if it resumes from a checkpoint
-	paceFromPercent  int            // progress at paceFrom
-	observation      *estimator.Run // nil if nothing is learned from the run
+	percentDone      int       // progress of the run in percent
+	lastProgressAt   time.Time // time at which percentDone last increased, or the run started
+	incarnation      int64     // incarnation of the worker, as known when the start request was sent
+	hasBegun         bool      // a response or report of the worker has shown the run
+	listedAt         time.Time // time of the last report that listed the run as running
+	startCutOffAt    time.Time // time at which the connection of the start request was closed, as if the worker had crashed; else zero
+	workerSeenAt     time.Time // time of the last response of the worker before the start request was sent
+	crashCounted     bool      // the crash of the worker was counted against the task
+	endAnnounced     bool      // the list has shown the worker as draining during the run, so its end is no crash
+	suspected        bool      // the run counts in possibleCrashes of the task
+	fromCheckpoint   bool      // the run resumes from a checkpoint
+	stopReason       string    // why the run is being stopped
+
+	adopted         bool           // a former leader has started the run
+	paceFrom        time.Time      // time since which the pace of the run is measured; zero before its first report if it resumes from a checkpoint
+	paceFromPercent int            // progress at paceFrom
+	observation     *estimator.Run // nil if nothing is learned from the run
 }
 
 type runState string
--- a/internal/journaler/record.go
+++ b/internal/journaler/record.go
@@ -56,7 +56,8 @@
 	// AllEvacuated says that no worker may be used because an operator has evacuated all failure domains. A Capacity of 0 alone says nothing.
 	AllEvacuated bool      `json:"all-evacuated,omitempty"`
 	Backlog      []float64 `json:"waiting,omitempty"` // accepted work that is not done, in accelerator-seconds, by priority
-	// RunTimes has the queues whose tasks run longer than their callers estimate. It is empty unless the leader learns run times.
+	// RunTimes has the queues whose tasks run longer than their callers estimate, and under the empty name the mean of all runs if some callers
+	// give no estimate. It is empty unless the leader learns run times.
 	RunTimes map[model.QueueID]LearnedRunTime `json:"run-times,omitempty"`
 }
 
