--- a/internal/coordinator/loaded_day_test.go
+++ b/internal/coordinator/loaded_day_test.go
@@ -159,14 +159,18 @@
 		time.Sleep(time.Second)
 		start := time.Now()
 		took := runLoad(c, load)
+		client.mu.Lock()
 		out.addJobs(load, took, client.started, start)
 		out.starts += client.starts
+		client.mu.Unlock()
 		h.metrics.Stops.Do(func(kv expvar.KeyValue) { out.stops.Add(kv.Key, kv.Value.(*expvar.Int).Value()) })
 		h.metrics.LostWork.Do(func(kv expvar.KeyValue) { out.lost.AddFloat(kv.Key, kv.Value.(*expvar.Float).Value()) })
+		c.logs.mu.Lock()
+		out.preemptions += strings.Count(c.logs.buf.String(), "preempting runs")
 		if *dayLogs != "" {
 			is.New(t).NoErr(os.WriteFile(fmt.Sprint(*dayLogs, factor, "-", seed), c.logs.buf.Bytes(), 0o600))
 		}
-		out.preemptions += strings.Count(c.logs.buf.String(), "preempting runs")
+		c.logs.mu.Unlock()
 		c.checkWorkerViolations()
 	})
 }
