Count only peers that were silent lately as silent

A peer that had failed once, hours ago, and was not called since counted as silent, so a host could take an outage of the log for its own isolation in the first second.

--- a/internal/peerlog/append_test.go
+++ b/internal/peerlog/append_test.go
@@ -90,4 +90,7 @@
 	responding, silent = peers.CountResponding()
 	is.Equal(responding, 1)
 	is.Equal(silent, 1)
+	peers.backoffs["127.0.0.1:1"] = backoff{until: time.Now().Add(-time.Minute), failures: 1} // it was not called since
+	_, silent = peers.CountResponding()
+	is.Equal(silent, 0)
 }
--- a/internal/peerlog/client.go
+++ b/internal/peerlog/client.go
@@ -160,8 +160,8 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	for _, addr := range p.Addresses() {
-		switch {
-		case p.backoffs[addr].failures > 0:
+		switch b := p.backoffs[addr]; {
+		case b.failures > 0 && now.Sub(b.until) < responseRetention:
 			silent++
 		case now.Sub(p.respondedAt[addr]) < responseRetention:
 			responding++
