--- a/internal/protector/crowd_test.go
+++ b/internal/protector/crowd_test.go
@@ -104,7 +104,7 @@
 							mu.Unlock()
 						})
 					}
-					mostConnections = max(mostConnections, p.listeners[0].limiter.Len())
+					mostConnections = max(mostConnections, p.all()[0].limiter.Len())
 					mostBytes = max(mostBytes, p.Bodies.Budget.Used())
 					time.Sleep(time.Second / hostileRate)
 				}
@@ -115,7 +115,7 @@
 				is.Equal(len(statuses), 1)
 				is.True(statuses[http.StatusOK] > 0)
 				is.True(mostConnections <= maxConnections && mostBytes <= bodyMemory)
-				is.Equal(p.listeners[0].limiter.Len(), 0)
+				is.Equal(p.all()[0].limiter.Len(), 0)
 				is.Equal(p.Bodies.Budget.Used(), int64(0))
 			})
 		})
--- a/internal/protector/protector.go
+++ b/internal/protector/protector.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"os"
 	"runtime/metrics"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -35,8 +37,8 @@
 	Bodies bodyreader.Reader
 
 	config    Config
-	listeners []*protectedListener
-	other     int // descriptors other than those of clients' connections, when they were last counted
+	listeners atomic.Pointer[[]*protectedListener] // replaced when one is added, since others may already serve
+	other     int                                  // descriptors other than those of clients' connections, when they were last counted
 	plans     int
 	logged    refusals
 	loggedAt  time.Time
@@ -58,9 +60,17 @@
 	return p
 }
 
+// all returns the protected listeners.
+func (p *Protector) all() []*protectedListener {
+	if l := p.listeners.Load(); l != nil {
+		return *l
+	}
+	return nil
+}
+
 // evictBodies closes a connection of each listener that has waited long for the rest of a body.
 func (p *Protector) evictBodies() {
-	for _, l := range p.listeners {
+	for _, l := range p.all() {
 		l.limiter.EvictBody()
 	}
 }
@@ -78,7 +88,8 @@
 // Wrap is like Listen for a listener that exists.
 func (p *Protector) Wrap(ln net.Listener, maxConnections int) net.Listener {
 	l := &protectedListener{limiter: &connlimiter.Limiter{}, maxConnections: maxConnections}
-	p.listeners = append(p.listeners, l)
+	all := append(slices.Clone(p.all()), l)
+	p.listeners.Store(&all)
 	p.Plan()
 	return l.limiter.Wrap(ln)
 }
@@ -112,7 +123,7 @@
 // Plan sets the bounds by what the process uses now. It must not be called beside Run.
 func (p *Protector) Plan() {
 	u := Usage{HeldBytes: heldBytes(), BodyBytes: p.Bodies.Budget.Used()}
-	for _, l := range p.listeners {
+	for _, l := range p.all() {
 		u.Connections += l.limiter.Len()
 	}
 	if p.plans%countInterval == 0 || u.Connections > minConnections {
@@ -138,19 +149,19 @@
 // of half of them.
 func (p *Protector) setConnections(total int) {
 	rest, bounded := total, 0
-	for _, l := range p.listeners {
+	for _, l := range p.all() {
 		if l.maxConnections > 0 {
 			bounded++
 		}
 	}
-	for _, l := range p.listeners {
+	for _, l := range p.all() {
 		if l.maxConnections > 0 {
 			n := max(1, min(l.maxConnections, total/2/bounded))
 			rest -= n
 			l.limiter.SetLimits(connlimiter.Limits{Total: n})
 		}
 	}
-	for _, l := range p.listeners {
+	for _, l := range p.all() {
 		if l.maxConnections == 0 {
 			l.limiter.SetLimits(connlimiter.Limits{Total: rest, PerAddress: p.config.Settings.perAddress(rest)})
 		}
@@ -196,7 +207,7 @@
 
 func (p *Protector) refusals() refusals {
 	r := refusals{bodies: p.Bodies.Refused.Value(), slowBodies: p.Bodies.TooSlow.Value(), largeBodies: p.Bodies.TooLarge.Value()}
-	for _, l := range p.listeners {
+	for _, l := range p.all() {
 		r.connections += l.limiter.Refused.Value()
 		r.evictions += l.limiter.Evicted.Value()
 	}
@@ -221,7 +232,7 @@
 	sum := func(f func(*connlimiter.Limiter) int64) expvar.Func {
 		return func() any {
 			n := int64(0)
-			for _, l := range p.listeners {
+			for _, l := range p.all() {
 				n += f(l.limiter)
 			}
 			return n
