Order waiting work of a rank by what its result can still be

Cause: under a load beyond the capacity, work of a rank started in the order of acceptance. Once the queue is as long as the target, all work is late, because late work delays work that could still be in time.

Change: within a rank, jobs that can still end within their target come first, then those that can end within three times the target, then the rest. Guaranteed work keeps its order. Queues whose estimates were often wrong, and jobs whose runs have overrun, are not placed by their estimates.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -20,8 +20,8 @@
 }
 
 const (
-	// maxLatenessFactor is the multiple of its target duration after which the result of a job is worthless to its caller.
-	maxLatenessFactor = 3
+	// MaxLatenessFactor is the multiple of its target duration after which the result of a job is worthless to its caller.
+	MaxLatenessFactor = 3
 	// minRetryAfter and maxRetryAfter bound Decision.RetryAfter.
 	minRetryAfter = time.Second
 	maxRetryAfter = 60 * time.Second
@@ -39,7 +39,7 @@
 		return Decision{RetryAfter: evacuatedRetryAfter, Reason: "all failure domains are evacuated"}
 	}
 	wait := estimateWait(load, s.Queue.Priority)
-	maxWait := maxLatenessFactor*TargetDuration(s) - CriticalPath(s)
+	maxWait := MaxLatenessFactor*TargetDuration(s) - CriticalPath(s)
 	if wait <= maxWait || load.Capacity == 0 {
 		return Decision{Accepted: true, Wait: wait}
 	}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -16,6 +16,7 @@
 	"chestnutmux.example/chestnutmux/internal/placer"
 	"chestnutmux.example/chestnutmux/internal/preemptor"
 	"chestnutmux.example/chestnutmux/internal/recoverer"
+	"chestnutmux.example/chestnutmux/internal/sequencer"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
@@ -84,9 +85,11 @@
 	adoptedGangs      []*step          // gangs that may have runs of former leaders, not yet checked for missing members
 	evacuated         []model.DomainID // evacuated failure domains at the last event
 	oldView           oldView
-	lastArrival       int64     // job.arrival of the newest job
-	waitLoggedAt      time.Time // time of the last log line on a waiting step
-	err               error     // makes Run return when it is set
+	lastArrival       int64                            // job.arrival of the newest job
+	waitLoggedAt      time.Time                        // time of the last log line on a waiting step
+	orderLoggedAt     time.Time                        // time of the last log line on work that waits beyond its target
+	accuracy          map[queueKey]*sequencer.Accuracy // accuracy of the estimated run times of each queue
+	err               error                            // makes Run return when it is set
 }
 
 // Init prepares the dispatcher. It must be called once, before any other method.
@@ -138,6 +141,7 @@
 	defer cancel()
 	d.ctx = ctx
 	defer d.Metrics.setEvacuated(0, 0, 0) // the next leader counts
+	defer d.Metrics.setWaiting(nil)
 	d.takeOver(jobs, fleet, listed)
 	timer := time.NewTimer(maxPassInterval)
 	defer timer.Stop()
--- a/internal/dispatcher/metrics.go
+++ b/internal/dispatcher/metrics.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"chestnutmux.example/chestnutmux/internal/recorder"
+	"chestnutmux.example/chestnutmux/internal/sequencer"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
@@ -19,6 +20,7 @@
 	Refusals       *expvar.Map            // number of refused start requests by reason
 	Appends        *expvar.Map            // number of appends to the log by outcome
 	Evacuated      *expvar.Map            // number of evacuated failure domains, and of workers and runs left there; 0 while this host does not lead
+	Waiting        *expvar.Map            // number of tasks that wait for workers in the last pass by usefulness, without guaranteed work
 	StartLatency   *recorder.HistogramSet // time from learning of a job until all tasks of its first step have started, by queue
 	CompletionTime *recorder.HistogramSet // time from learning of a job until it has finished, by queue
 	PassDuration   *recorder.HistogramSet // duration of scheduling passes
@@ -29,7 +31,7 @@
 	m := &Metrics{
 		StartLatency: recorder.NewCoarseHistogramSet(), CompletionTime: recorder.NewCoarseHistogramSet(), PassDuration: recorder.NewCoarseHistogramSet(),
 	}
-	for _, p := range []**expvar.Map{&m.Jobs, &m.Runs, &m.Stops, &m.LostWork, &m.Decisions, &m.Refusals, &m.Appends, &m.Evacuated} {
+	for _, p := range []**expvar.Map{&m.Jobs, &m.Runs, &m.Stops, &m.LostWork, &m.Decisions, &m.Refusals, &m.Appends, &m.Evacuated, &m.Waiting} {
 		*p = new(expvar.Map).Init()
 	}
 	return m
@@ -38,7 +40,7 @@
 // Vars returns the metrics by their published names.
 func (m *Metrics) Vars() map[string]expvar.Var {
 	return map[string]expvar.Var{
-		"jobs": m.Jobs, "runs": m.Runs, "stops": m.Stops, "lost-core-seconds": m.LostWork, "preemption-decisions": m.Decisions, "start-refusals": m.Refusals, "leader-appends": m.Appends, "evacuated": m.Evacuated,
+		"jobs": m.Jobs, "runs": m.Runs, "stops": m.Stops, "lost-core-seconds": m.LostWork, "preemption-decisions": m.Decisions, "start-refusals": m.Refusals, "leader-appends": m.Appends, "evacuated": m.Evacuated, "waiting-tasks": m.Waiting,
 		"job-start": m.StartLatency, "job-complete": m.CompletionTime, "planning": m.PassDuration,
 	}
 }
@@ -77,3 +79,12 @@
 		m.Evacuated.Set(name, v)
 	}
 }
+
+// setWaiting sets the numbers of waiting tasks.
+func (m *Metrics) setWaiting(tasks map[sequencer.Usefulness]int) {
+	for _, u := range []sequencer.Usefulness{sequencer.InTime, sequencer.Late, sequencer.Expired} {
+		v := new(expvar.Int)
+		v.Set(int64(tasks[u]))
+		m.Waiting.Set(string(u), v)
+	}
+}
--- a/internal/dispatcher/plan.go
+++ b/internal/dispatcher/plan.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"chestnutmux.example/chestnutmux/internal/placer"
+	"chestnutmux.example/chestnutmux/internal/sequencer"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
@@ -13,9 +14,10 @@
 type placementUnit struct {
 	step            *step
 	tasks           []*task
-	rank            placer.Rank // rank of the job; see jobRanks
-	isolated        bool        // each task needs a worker without other runs
-	awaitingRestart bool        // the gang was interrupted and cannot start yet; its released resources are held
+	rank            placer.Rank          // rank of the job; see jobRanks
+	usefulness      sequencer.Usefulness // empty for guaranteed work
+	isolated        bool                 // each task needs a worker without other runs
+	awaitingRestart bool                 // the gang was interrupted and cannot start yet; its released resources are held
 }
 
 // dropStarted removes the tasks that have started since the unit was built. A step may have two units, and the reservation that
@@ -39,7 +41,7 @@
 	}
 }
 
-// placementUnits returns the work to schedule, ordered by rank and arrival.
+// placementUnits returns the work to schedule, ordered by compareUnits.
 func (d *Dispatcher) placementUnits(now time.Time) []*placementUnit {
 	ranks := d.jobRanks()
 	var out []*placementUnit
@@ -67,11 +69,8 @@
 			}
 		}
 	}
-	slices.SortFunc(out, func(a, b *placementUnit) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.step.job.arrival, b.step.job.arrival),
-			cmp.Compare(a.step.ref.Occurrence, b.step.ref.Occurrence), cmp.Compare(a.step.ref.Step, b.step.ref.Step),
-			cmp.Compare(len(a.tasks), len(b.tasks)))
-	})
+	d.setUsefulness(out, now)
+	slices.SortFunc(out, compareUnits)
 	return out
 }
 
--- a/internal/dispatcher/report.go
+++ b/internal/dispatcher/report.go
@@ -205,6 +205,9 @@
 		if end.Kind != model.EndDone && r.state != runStopping {
 			d.Metrics.recordLostWork(r, string(end.Kind), now)
 		}
+		if end.Kind == model.EndDone {
+			d.observeEstimate(r, now)
+		}
 		d.releaseRun(r)
 	}
 	if t == nil {
