Order equally urgent and useful work by the shares of the workspaces

Cause: a burst of a large workspace went before what small ones submitted after it, however much of the fleet the large one used.

Change: of equally urgent and useful work, next is the first of the workspace whose use of its scarcest resource is the smallest multiple of its guarantee or an equal share. Guaranteed work keeps its order. Metric waiting-workspaces, log line "workspace waits beyond its share".

--- a/internal/coordinator/burst_day_test.go
+++ b/internal/coordinator/burst_day_test.go
@@ -171,7 +171,8 @@
 	return worth
 }
 
-// Guards against accepted work that never runs because more useful work keeps arriving.
+// Guards against accepted work that never runs because other work keeps arriving, and against small workspaces that the bursts of a large one
+// push out.
 func TestDayOfBursts(t *testing.T) {
 	t.Parallel()
 	var callers []*burstCaller
@@ -180,5 +181,10 @@
 	}
 	burstShares(t, callers, func(b *burstCaller) string { return string(b.job.Queue.ID) })
 	burstShares(t, callers, func(b *burstCaller) string { return string(b.job.Workspace)[:5] })
-	burstShares(t, callers, func(b *burstCaller) string { return fmt.Sprintf("%s %.5s", b.job.Queue.ID, b.job.Workspace) })
+	worth := burstShares(t, callers, func(b *burstCaller) string { return fmt.Sprintf("%s %.5s", b.job.Queue.ID, b.job.Workspace) })
+	is := is.New(t)
+	for _, k := range dayKinds {
+		is.True(worth[k.name+" small"] >= worth[k.name+" large"])
+	}
+	is.True(worth["urgent small"] >= 0.95) // nearly all that they get without bursts
 }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -88,6 +88,7 @@
 	lastArrival       int64                            // job.arrival of the newest job
 	waitLoggedAt      time.Time                        // time of the last log line on a waiting step
 	orderLoggedAt     time.Time                        // time of the last log line on work that waits beyond its target
+	sharesLoggedAt    time.Time                        // time of the last log line on a workspace that waits beyond its share
 	accuracy          map[queueKey]*sequencer.Accuracy // accuracy of the estimated run times of each queue
 	err               error                            // makes Run return when it is set
 }
@@ -142,6 +143,7 @@
 	d.ctx = ctx
 	defer d.Metrics.setEvacuated(0, 0, 0) // the next leader counts
 	defer d.Metrics.setWaiting(nil)
+	defer d.Metrics.setWorkspaces(0, 0)
 	d.takeOver(jobs, fleet, listed)
 	timer := time.NewTimer(maxPassInterval)
 	defer timer.Stop()
--- a/internal/dispatcher/metrics.go
+++ b/internal/dispatcher/metrics.go
@@ -21,6 +21,7 @@
 	Appends        *expvar.Map            // number of appends to the log by outcome
 	Evacuated      *expvar.Map            // number of evacuated failure domains, and of workers and runs left there; 0 while this host does not lead
 	Waiting        *expvar.Map            // number of tasks that wait for workers in the last pass by usefulness, without guaranteed work
+	Workspaces     *expvar.Map            // number of workspaces with waiting work, and of those that use more than their share, without guaranteed work
 	StartLatency   *recorder.HistogramSet // time from learning of a job until all tasks of its first step have started, by queue
 	CompletionTime *recorder.HistogramSet // time from learning of a job until it has finished, by queue
 	PassDuration   *recorder.HistogramSet // duration of scheduling passes
@@ -31,7 +32,7 @@
 	m := &Metrics{
 		StartLatency: recorder.NewCoarseHistogramSet(), CompletionTime: recorder.NewCoarseHistogramSet(), PassDuration: recorder.NewCoarseHistogramSet(),
 	}
-	for _, p := range []**expvar.Map{&m.Jobs, &m.Runs, &m.Stops, &m.LostWork, &m.Decisions, &m.Refusals, &m.Appends, &m.Evacuated, &m.Waiting} {
+	for _, p := range []**expvar.Map{&m.Jobs, &m.Runs, &m.Stops, &m.LostWork, &m.Decisions, &m.Refusals, &m.Appends, &m.Evacuated, &m.Waiting, &m.Workspaces} {
 		*p = new(expvar.Map).Init()
 	}
 	return m
@@ -40,7 +41,7 @@
 // Vars returns the metrics by their published names.
 func (m *Metrics) Vars() map[string]expvar.Var {
 	return map[string]expvar.Var{
-		"jobs": m.Jobs, "runs": m.Runs, "stops": m.Stops, "lost-core-seconds": m.LostWork, "preemption-decisions": m.Decisions, "start-refusals": m.Refusals, "leader-appends": m.Appends, "evacuated": m.Evacuated, "waiting-tasks": m.Waiting,
+		"jobs": m.Jobs, "runs": m.Runs, "stops": m.Stops, "lost-core-seconds": m.LostWork, "preemption-decisions": m.Decisions, "start-refusals": m.Refusals, "leader-appends": m.Appends, "evacuated": m.Evacuated, "waiting-tasks": m.Waiting, "waiting-workspaces": m.Workspaces,
 		"job-start": m.StartLatency, "job-complete": m.CompletionTime, "planning": m.PassDuration,
 	}
 }
@@ -88,3 +89,12 @@
 		m.Waiting.Set(string(u), v)
 	}
 }
+
+// setWorkspaces sets the numbers of workspaces with waiting work.
+func (m *Metrics) setWorkspaces(waiting, beyondShare int) {
+	for name, n := range map[string]int{"waiting": waiting, "beyond-share": beyondShare} {
+		v := new(expvar.Int)
+		v.Set(int64(n))
+		m.Workspaces.Set(name, v)
+	}
+}
--- a/internal/dispatcher/plan.go
+++ b/internal/dispatcher/plan.go
@@ -41,7 +41,8 @@
 	}
 }
 
-// placementUnits returns the work to schedule, ordered by compareUnits.
+// placementUnits returns the work to schedule, ordered by compareUnits and, where it is equally urgent and useful, by the shares of
+// the workspaces.
 func (d *Dispatcher) placementUnits(now time.Time) []*placementUnit {
 	ranks := d.jobRanks()
 	var out []*placementUnit
@@ -71,6 +72,7 @@
 	}
 	d.setUsefulness(out, now)
 	slices.SortFunc(out, compareUnits)
+	d.shareOut(out, now)
 	return out
 }
 
