--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -1,6 +1,7 @@
 package admitter
 
 import (
+	"math"
 	"time"
 
 	"chestnutmux.example/chestnutmux/internal/journaler"
@@ -12,8 +13,7 @@
 	Accepted bool
 	// Wait is the estimated time until the workers have finished the work ahead of the job.
 	Wait time.Duration
-	// RetryAfter is the time after which a refused job would be accepted if no other work arrived, limited to the range
-	// from minRetryAfter to maxRetryAfter; 0 if the job was accepted.
+	// RetryAfter is the time after which a refused job may return, see retryAfter; 0 if the job was accepted.
 	RetryAfter time.Duration
 	// Reason says why the job was refused; empty if it was accepted.
 	Reason string
@@ -22,7 +22,7 @@
 const (
 	// MaxLatenessFactor is the multiple of its target duration after which the result of a job is worthless to its caller.
 	MaxLatenessFactor = 3
-	// minRetryAfter and maxRetryAfter bound Decision.RetryAfter.
+	// minRetryAfter and maxRetryAfter bound the earliest return of a refused job.
 	minRetryAfter = time.Second
 	maxRetryAfter = 60 * time.Second
 	// evacuatedRetryAfter is RetryAfter while all workers are evacuated. How long that lasts is unknown; a caller that is told to come back
@@ -38,27 +38,43 @@
 	if load.AllEvacuated {
 		return Decision{RetryAfter: evacuatedRetryAfter, Reason: "all failure domains are evacuated"}
 	}
-	wait := estimateWait(load, s.Queue.Priority)
-	maxWait := MaxLatenessFactor*TargetDuration(s) - CriticalPath(s)
+	wait := estimateWait(load, s.Workspace, s.Queue.Priority)
+	target, path := TargetDuration(s), CriticalPath(s)
+	maxWait := MaxLatenessFactor*target - path
 	if wait <= maxWait || load.Capacity == 0 {
 		return Decision{Accepted: true, Wait: wait}
 	}
-	return Decision{Wait: wait, RetryAfter: min(max(wait-maxWait, minRetryAfter), maxRetryAfter), Reason: "the work ahead of the job takes too long"}
+	return Decision{Wait: wait, RetryAfter: retryAfter(s.ID, wait, maxWait, target-path), Reason: "the work ahead of the job takes too long"}
 }
 
-// estimateWait returns the time that all workers together need for the accepted work of the same or a more urgent priority
-// that is not done.
-func estimateWait(load journaler.Load, p model.Priority) time.Duration {
+// estimateWait returns the time that all workers together need for the accepted work that is not done and goes before a new job: what is
+// more urgent and, of the same priority, all work or what the workspace waits for within its share, whichever is less.
+func estimateWait(load journaler.Load, ws model.WorkspaceID, p model.Priority) time.Duration {
 	if load.Capacity <= 0 {
 		return 0
 	}
 	total := 0.0
 	for i, work := range load.Backlog {
-		if i <= int(p) {
+		switch {
+		case i < int(p):
 			total += work
+		case i == int(p):
+			total += min(work, sharedWork(load, ws, i))
 		}
 	}
-	return time.Duration(total / float64(load.Capacity) * float64(time.Second))
+	return time.Duration(min(total/float64(load.Capacity)*float64(time.Second), float64(maxDuration)))
+}
+
+// sharedWork returns the work of a priority for which a workspace waits within its share; infinity if that was not published.
+func sharedWork(load journaler.Load, ws model.WorkspaceID, p int) float64 {
+	work, listed := load.Shared[ws]
+	if !listed {
+		work = load.SharedOthers
+	}
+	if p >= len(work) {
+		return math.Inf(1)
+	}
+	return work[p]
 }
 
 // TargetDuration returns the time from the arrival of a job within which it is to end, at most 10 years.
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -144,6 +144,7 @@
 	defer d.Metrics.setEvacuated(0, 0, 0) // the next leader counts
 	defer d.Metrics.setWaiting(nil)
 	defer d.Metrics.setWorkspaces(0, 0)
+	defer d.Metrics.setBacklog(journaler.Load{})
 	d.takeOver(jobs, fleet, listed)
 	timer := time.NewTimer(maxPassInterval)
 	defer timer.Stop()
--- a/internal/dispatcher/metrics.go
+++ b/internal/dispatcher/metrics.go
@@ -2,8 +2,10 @@
 
 import (
 	"expvar"
+	"strconv"
 	"time"
 
+	"chestnutmux.example/chestnutmux/internal/journaler"
 	"chestnutmux.example/chestnutmux/internal/recorder"
 	"chestnutmux.example/chestnutmux/internal/sequencer"
 	"chestnutmux.example/chestnutmux/pkg/model"
@@ -22,6 +24,7 @@
 	Evacuated      *expvar.Map            // number of evacuated failure domains, and of workers and runs left there; 0 while this host does not lead
 	Waiting        *expvar.Map            // number of tasks that wait for workers in the last pass by usefulness, without guaranteed work
 	Workspaces     *expvar.Map            // number of workspaces with waiting work, and of those that use more than their share, without guaranteed work
+	Backlog        *expvar.Map            // milliseconds for which the work of each priority and more urgent work fill the workers, as published; empty while this host does not lead
 	StartLatency   *recorder.HistogramSet // time from learning of a job until all tasks of its first step have started, by queue
 	CompletionTime *recorder.HistogramSet // time from learning of a job until it has finished, by queue
 	PassDuration   *recorder.HistogramSet // duration of scheduling passes
@@ -32,7 +35,7 @@
 	m := &Metrics{
 		StartLatency: recorder.NewCoarseHistogramSet(), CompletionTime: recorder.NewCoarseHistogramSet(), PassDuration: recorder.NewCoarseHistogramSet(),
 	}
-	for _, p := range []**expvar.Map{&m.Jobs, &m.Runs, &m.Stops, &m.LostWork, &m.Decisions, &m.Refusals, &m.Appends, &m.Evacuated, &m.Waiting, &m.Workspaces} {
+	for _, p := range []**expvar.Map{&m.Jobs, &m.Runs, &m.Stops, &m.LostWork, &m.Decisions, &m.Refusals, &m.Appends, &m.Evacuated, &m.Waiting, &m.Workspaces, &m.Backlog} {
 		*p = new(expvar.Map).Init()
 	}
 	return m
@@ -41,7 +44,7 @@
 // Vars returns the metrics by their published names.
 func (m *Metrics) Vars() map[string]expvar.Var {
 	return map[string]expvar.Var{
-		"jobs": m.Jobs, "runs": m.Runs, "stops": m.Stops, "lost-core-seconds": m.LostWork, "preemption-decisions": m.Decisions, "start-refusals": m.Refusals, "leader-appends": m.Appends, "evacuated": m.Evacuated, "waiting-tasks": m.Waiting, "waiting-workspaces": m.Workspaces,
+		"jobs": m.Jobs, "runs": m.Runs, "stops": m.Stops, "lost-core-seconds": m.LostWork, "preemption-decisions": m.Decisions, "start-refusals": m.Refusals, "leader-appends": m.Appends, "evacuated": m.Evacuated, "waiting-tasks": m.Waiting, "waiting-workspaces": m.Workspaces, "backlog-ms": m.Backlog,
 		"job-start": m.StartLatency, "job-complete": m.CompletionTime, "planning": m.PassDuration,
 	}
 }
@@ -98,3 +101,17 @@
 		m.Workspaces.Set(name, v)
 	}
 }
+
+// setBacklog sets the published backlog.
+func (m *Metrics) setBacklog(load journaler.Load) {
+	m.Backlog.Init()
+	total := 0.0
+	for p, work := range load.Backlog {
+		if load.Capacity > 0 {
+			total += work / float64(load.Capacity)
+		}
+		v := new(expvar.Int)
+		v.Set(int64(total * 1000))
+		m.Backlog.Set(strconv.Itoa(p), v)
+	}
+}
--- a/internal/journaler/record.go
+++ b/internal/journaler/record.go
@@ -56,6 +56,10 @@
 	// AllEvacuated says that no worker may be used because an operator has evacuated all failure domains. A Capacity of 0 alone says nothing.
 	AllEvacuated bool      `json:"all-evacuated,omitempty"`
 	Backlog      []float64 `json:"waiting,omitempty"` // accepted work that is not done, in accelerator-seconds, by priority
+	// Shared is, for the workspaces with the most work, the work that a workspace waits for within its share of the capacity, by priority and
+	// like Backlog. SharedOthers is the most of any other workspace. Both are empty while there is little work or one workspace.
+	Shared       map[model.WorkspaceID][]float64 `json:"shared,omitempty"`
+	SharedOthers []float64                       `json:"shared-others,omitempty"`
 }
 
 // FleetWorker is a worker to which a leader may have assigned tasks.
