--- a/internal/dispatcher/load.go
+++ b/internal/dispatcher/load.go
@@ -4,31 +4,30 @@
 	"time"
 
 	"chestnutmux.example/chestnutmux/internal/journaler"
+	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
-// pendingLoad returns the schedulable capacity in accelerators, and the remaining work of each priority in accelerator-seconds, without what
-// runs in evacuated failure domains.
+// pendingLoad returns the schedulable capacity in accelerators, and the remaining work of each priority as the accelerator-seconds of the
+// capacity that it fills by the scarcest resource, without what runs in evacuated failure domains.
 func (d *Dispatcher) pendingLoad(now time.Time) journaler.Load {
 	var load journaler.Load
+	var capacity model.Resources
 	for _, w := range d.workers {
 		if w.isSchedulable(now) {
-			load.Capacity += w.info.Capacity.Accelerators
+			capacity = capacity.Add(w.info.Capacity)
 		}
 	}
+	load.Capacity = capacity.Accelerators
 	load.AllEvacuated = load.Capacity == 0 && d.allEvacuated()
+	var b backlog
 	for _, j := range d.jobs {
-		if j.state.IsFinal() {
-			continue
-		}
-		p := int(j.submission.Queue.Priority)
-		for len(load.Backlog) <= p && p < maxPriorities {
-			load.Backlog = append(load.Backlog, 0)
-		}
-		if p < len(load.Backlog) {
-			load.Backlog[p] += j.remainingWork(now)
+		if !j.state.IsFinal() {
+			b.addJob(j, now)
 		}
 	}
+	b.publish(&load, capacity, d.entitlements.Guaranteed)
 	load.RunTimes = d.runTimes.published
+	d.Metrics.setBacklog(load)
 	return load
 }
 
--- a/internal/dispatcher/metrics.go
+++ b/internal/dispatcher/metrics.go
@@ -3,9 +3,12 @@
 import (
 	"expvar"
 	"math"
+	"strconv"
 	"time"
 
+	"chestnutmux.example/chestnutmux/internal/journaler"
 	"chestnutmux.example/chestnutmux/internal/recorder"
+	"chestnutmux.example/chestnutmux/internal/sequencer"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
@@ -21,6 +24,9 @@
 	RunTimes       *expvar.Map            // number of learned runs and kinds of runs, and by which factor callers' estimates and forecasts are off
 	Appends        *expvar.Map            // number of appends to the log by outcome
 	Evacuated      *expvar.Map            // number of evacuated failure domains, and of workers and runs left there; 0 while this host does not lead
+	Waiting        *expvar.Map            // number of tasks that wait for workers in the last pass by usefulness, without guaranteed work
+	Workspaces     *expvar.Map            // number of workspaces with waiting work, and of those that use more than their share, without guaranteed work
+	Backlog        *expvar.Map            // milliseconds for which the work of each priority and more urgent work fill the workers, as published; empty while this host does not lead
 	StartLatency   *recorder.HistogramSet // time from learning of a job until all tasks of its first step have started, by queue
 	CompletionTime *recorder.HistogramSet // time from learning of a job until it has finished, by queue
 	PassDuration   *recorder.HistogramSet // duration of scheduling passes
@@ -31,7 +37,7 @@
 	m := &Metrics{
 		StartLatency: recorder.NewCoarseHistogramSet(), CompletionTime: recorder.NewCoarseHistogramSet(), PassDuration: recorder.NewCoarseHistogramSet(),
 	}
-	for _, p := range []**expvar.Map{&m.Jobs, &m.Runs, &m.Stops, &m.LostWork, &m.Decisions, &m.Refusals, &m.RunTimes, &m.Appends, &m.Evacuated} {
+	for _, p := range []**expvar.Map{&m.Jobs, &m.Runs, &m.Stops, &m.LostWork, &m.Decisions, &m.Refusals, &m.RunTimes, &m.Appends, &m.Evacuated, &m.Waiting, &m.Workspaces, &m.Backlog} {
 		*p = new(expvar.Map).Init()
 	}
 	return m
@@ -40,7 +46,7 @@
 // Vars returns the metrics by their published names.
 func (m *Metrics) Vars() map[string]expvar.Var {
 	return map[string]expvar.Var{
-		"jobs": m.Jobs, "runs": m.Runs, "stops": m.Stops, "lost-core-seconds": m.LostWork, "preemption-decisions": m.Decisions, "start-refusals": m.Refusals, "leader-appends": m.Appends, "evacuated": m.Evacuated, "run-times": m.RunTimes,
+		"jobs": m.Jobs, "runs": m.Runs, "stops": m.Stops, "lost-core-seconds": m.LostWork, "preemption-decisions": m.Decisions, "start-refusals": m.Refusals, "leader-appends": m.Appends, "evacuated": m.Evacuated, "run-times": m.RunTimes, "waiting-tasks": m.Waiting, "waiting-workspaces": m.Workspaces, "backlog-ms": m.Backlog,
 		"job-start": m.StartLatency, "job-complete": m.CompletionTime, "planning": m.PassDuration,
 	}
 }
@@ -91,3 +97,35 @@
 		m.Evacuated.Set(name, v)
 	}
 }
+
+// setWaiting sets the numbers of waiting tasks.
+func (m *Metrics) setWaiting(tasks map[sequencer.Usefulness]int) {
+	for _, u := range []sequencer.Usefulness{sequencer.InTime, sequencer.Late, sequencer.Expired} {
+		v := new(expvar.Int)
+		v.Set(int64(tasks[u]))
+		m.Waiting.Set(string(u), v)
+	}
+}
+
+// setWorkspaces sets the numbers of workspaces with waiting work.
+func (m *Metrics) setWorkspaces(waiting, beyondShare int) {
+	for name, n := range map[string]int{"waiting": waiting, "beyond-share": beyondShare} {
+		v := new(expvar.Int)
+		v.Set(int64(n))
+		m.Workspaces.Set(name, v)
+	}
+}
+
+// setBacklog sets the published backlog.
+func (m *Metrics) setBacklog(load journaler.Load) {
+	m.Backlog.Init()
+	total := 0.0
+	for p, work := range load.Backlog {
+		if load.Capacity > 0 {
+			total += work / float64(load.Capacity)
+		}
+		v := new(expvar.Int)
+		v.Set(int64(total * 1000))
+		m.Backlog.Set(strconv.Itoa(p), v)
+	}
+}
--- a/internal/dispatcher/plan.go
+++ b/internal/dispatcher/plan.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"chestnutmux.example/chestnutmux/internal/placer"
+	"chestnutmux.example/chestnutmux/internal/sequencer"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
@@ -13,10 +14,11 @@
 type placementUnit struct {
 	step            *step
 	tasks           []*task
-	rank            placer.Rank // rank of the job; see jobRanks
-	due             time.Time   // see step.due; zero unless the leader learns run times
-	isolated        bool        // each task needs a worker without other runs
-	awaitingRestart bool        // the gang was interrupted and cannot start yet; its released resources are held
+	rank            placer.Rank          // rank of the job; see jobRanks
+	usefulness      sequencer.Usefulness // empty for guaranteed work
+	due             time.Time            // see step.due; zero unless the leader learns run times, and for guaranteed work
+	isolated        bool                 // each task needs a worker without other runs
+	awaitingRestart bool                 // the gang was interrupted and cannot start yet; its released resources are held
 }
 
 // dropStarted removes the tasks that have started since the unit was built. A step may have two units, and the reservation that
@@ -40,7 +42,8 @@
 	}
 }
 
-// placementUnits returns the work to schedule, ordered by rank, by due time if the leader learns run times, and by arrival.
+// placementUnits returns the work to schedule, ordered by compareUnits and, where it is equally urgent and useful, by the shares of
+// the workspaces.
 func (d *Dispatcher) placementUnits(now time.Time) []*placementUnit {
 	ranks := d.jobRanks()
 	var out []*placementUnit
@@ -73,11 +76,9 @@
 			u.due = u.step.due()
 		}
 	}
-	slices.SortFunc(out, func(a, b *placementUnit) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), a.due.Compare(b.due), cmp.Compare(a.step.job.arrival, b.step.job.arrival),
-			cmp.Compare(a.step.ref.Occurrence, b.step.ref.Occurrence), cmp.Compare(a.step.ref.Step, b.step.ref.Step),
-			cmp.Compare(len(a.tasks), len(b.tasks)))
-	})
+	d.setUsefulness(out, now)
+	slices.SortFunc(out, compareUnits)
+	d.shareOut(out, now)
 	return out
 }
 
--- a/internal/dispatcher/runtimes.go
+++ b/internal/dispatcher/runtimes.go
@@ -125,23 +125,22 @@
 	return min(stallFactor*perPercent, maxStallTimeout)
 }
 
-// remainingWork estimates the accelerator-seconds that the job still needs, from the expected run times of its tasks and its progress.
-func (j *job) remainingWork(now time.Time) float64 {
-	sum := 0.0
+// remainingWork estimates the work that the job still needs, from the expected run times of its tasks and its progress.
+func (j *job) remainingWork(now time.Time) resourceSeconds {
+	var sum resourceSeconds
 	for _, s := range j.steps {
 		if s.tasksLeft == 0 {
 			continue
 		}
-		accelerators := float64(max(1, s.spec.Need.Accelerators))
-		perTask := s.expectedSeconds() * accelerators
+		perTask := s.expectedSeconds()
 		for _, t := range s.tasks {
 			switch {
 			case t.done:
 			case t.activeRun != nil && t.activeRun.state == runRunning && t.activeRun.worker.evacuated:
 			case t.activeRun != nil && t.activeRun.state == runRunning:
-				sum += t.activeRun.estimateRemaining(now).Seconds() * accelerators
+				sum = sum.add(s.spec.Need, t.activeRun.estimateRemaining(now).Seconds())
 			default:
-				sum += perTask
+				sum = sum.add(s.spec.Need, perTask)
 			}
 		}
 	}
