Move the headroom policy to a package of its own

The dispatcher decided itself how many workers it withholds for more urgent work, so the policy could not be tested or changed apart from it. internal/reserver now owns the smoothed demand and the policy, without network and clock. The dispatcher describes the workers, the runs and the waiting work. No decision changes; the tests of the dispatcher pass.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -16,6 +16,7 @@
 	"chestnutmux.example/chestnutmux/internal/placer"
 	"chestnutmux.example/chestnutmux/internal/preemptor"
 	"chestnutmux.example/chestnutmux/internal/recoverer"
+	"chestnutmux.example/chestnutmux/internal/reserver"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
@@ -69,13 +70,13 @@
 	fleetDirty        bool // the fleet record in the log is outdated
 	entitlements      Entitlements
 	journal           journal
-	leaseLimit        leaseLimit                          // shared with the sessions
-	scheduleUpToDate  bool                                // no event since the last pass requires another one
-	lastPassAt        time.Time                           // start time of the last pass
-	nextPassAt        time.Time                           // earliest start time of the next pass
-	formerRunsKnown   bool                                // all runs that former leaders may have started are known, or can no longer be active
-	demand            map[model.ServiceID]*priorityDemand // smoothed demand per service, from which headroom is derived
-	demandUpdatedAt   time.Time                           // time of the last update of demand
+	leaseLimit        leaseLimit                             // shared with the sessions
+	scheduleUpToDate  bool                                   // no event since the last pass requires another one
+	lastPassAt        time.Time                              // start time of the last pass
+	nextPassAt        time.Time                              // earliest start time of the next pass
+	formerRunsKnown   bool                                   // all runs that former leaders may have started are known, or can no longer be active
+	demand            map[model.ServiceID]*reserver.Reserver // smoothed demand per service, from which headroom is derived
+	demandUpdatedAt   time.Time                              // time of the last update of demand
 	preemptionPlanner placer.PreemptionPlanner
 	preemptionBudget  preemptor.Budget
 	decisionLoggedAt  time.Time // time of the last log line on a step that does not preempt
@@ -97,7 +98,7 @@
 	d.workers = map[model.HostID]*worker{}
 	d.possibleCrashes = map[model.HostID]*possibleCrash{}
 	d.pendingStarts = pendingStarts{}
-	d.demand = map[model.ServiceID]*priorityDemand{}
+	d.demand = map[model.ServiceID]*reserver.Reserver{}
 	d.pacer.LinkRate = d.LinkRate
 	d.MaxLease = max(d.MaxLease, d.LeaseDuration)
 	if d.ElectedAt.IsZero() {
--- a/internal/dispatcher/evacuation_test.go
+++ b/internal/dispatcher/evacuation_test.go
@@ -106,7 +106,7 @@
 	d.evacuate("d1", 1, false, now)
 	p := newSchedulingPass(d, now)
 	p.updateDemand(nil)
-	is.Equal(p.pool("").schedulable, 8)
+	is.Equal(p.pool("").Schedulable, 8)
 	is.Equal(p.pool("").ready.capacity.Accelerators, model.Accelerators(64))
 	r := p.placementRequest(&placementUnit{step: gang, tasks: gang.tasks})
 	is.Equal(p.freeSlots(r), 8)
--- a/internal/dispatcher/idle_random_test.go
+++ b/internal/dispatcher/idle_random_test.go
@@ -49,7 +49,7 @@
 			w.info.Labels = []string{"fast"}
 		}
 	}
-	f.expectUrgentWork(float64(f.IntN(len(f.ids)+1)), f.now)
+	f.expectUrgentWork(f.IntN(len(f.ids)+1), f.now)
 	return f
 }
 
--- a/internal/dispatcher/idle_test.go
+++ b/internal/dispatcher/idle_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"chestnutmux.example/chestnutmux/internal/reserver"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
@@ -34,8 +35,13 @@
 }
 
 // expectUrgentWork makes the smoothed demand of priority 0 as large as the given number of workers.
-func (d *Dispatcher) expectUrgentWork(workers float64, now time.Time) {
-	d.demand[""] = &priorityDemand{smoothed: workersByPriority{workers}, updatedAt: now}
+func (d *Dispatcher) expectUrgentWork(workers int, now time.Time) {
+	var pool reserver.Pool
+	pool.AddWorker(model.Resources{Accelerators: 1})
+	pool.AddWaiting(0, model.Resources{Accelerators: 1}, workers)
+	d.demand[""] = &reserver.Reserver{}
+	d.demand[""].Observe(&pool, now.Add(-time.Minute))
+	d.demand[""].Observe(&pool, now)
 }
 
 // startsWithin runs passes until the step has a run or a reservation, and reports whether that took less than the limit.
--- a/internal/dispatcher/load.go
+++ b/internal/dispatcher/load.go
@@ -31,8 +31,7 @@
 	return load
 }
 
-// maxPriorities is the number of priorities whose work is counted. The load ignores priorities beyond it; the demand for headroom
-// counts them as the last one.
+// maxPriorities is the number of priorities whose work is counted. The load ignores priorities beyond it.
 const maxPriorities = 16
 
 // remainingWork estimates the accelerator-seconds that the job still needs, from its estimated run times and its progress.
--- a/internal/dispatcher/preemption.go
+++ b/internal/dispatcher/preemption.go
@@ -40,7 +40,7 @@
 	offer := &preemptor.Offer{Victims: p.describeVictims(victims), RoomIn: -1}
 	if u.rank > 0 {
 		offer.RoomIn = p.roomIn(r)
-		offer.Left = p.d.preemptionBudget.Left(u.step.account(), p.pool(r.Service).capacity, p.now)
+		offer.Left = p.d.preemptionBudget.Left(u.step.account(), p.pool(r.Service).Capacity, p.now)
 	}
 	return waiting.Decide(offer)
 }
