Compute the keys by which workers are sorted once for each worker

placeBestFit computed the leftover and the other keys of two nodes in each comparison of its sort. It now computes them once.

--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -69,22 +69,43 @@
 	return score
 }
 
-// placeBestFit places tasks on one node after the other until it is full. Nodes that the request avoids come last. Of the others,
-// those with less suspicion come first, then the warm ones if the request prefers these, those in the preferred rack, the faster ones, and those with the least leftover.
+// rankedNode is a node with the keys by which placeBestFit sorts; lower is better.
+type rankedNode struct {
+	node  *Node
+	class nodeClass
+	score float64 // leftover
+}
+
+// nodeClass orders nodes by what counts before the fit, the most important property in the highest bits.
+type nodeClass int64
+
+// suspicionBits and slownessBits are the numbers of bits of a nodeClass for these properties. Larger values are cut off.
+const (
+	suspicionBits = 8
+	slownessBits  = 16
+)
+
+// classOf returns the class of a node. Nodes that the request avoids come last. Of the others, those with less suspicion come first,
+// then the warm ones if the request prefers these, those in the preferred rack, and the faster ones.
+func (r *Request) classOf(n *Node) nodeClass {
+	c := nodeClass(r.avoidance(n))<<suspicionBits + nodeClass(min(n.Suspicion, 1<<suspicionBits-1))
+	c = c<<2 + nodeClass(r.coldness(n))<<1 + nodeClass(1-rackAffinity(n, r))
+	return c<<slownessBits + nodeClass(min(slownessClass(n), 1<<slownessBits-1))
+}
+
+// placeBestFit places tasks on one node after the other until it is full, in the order of their classes and, within a class, of those
+// with the least leftover first.
 func placeBestFit(nodes []*Node, r *Request) []*Node {
-	sorted := slices.Clone(nodes)
-	slices.SortStableFunc(sorted, func(a, b *Node) int {
-		return cmp.Or(
-			cmp.Compare(r.avoidance(a), r.avoidance(b)),
-			cmp.Compare(a.Suspicion, b.Suspicion),
-			cmp.Compare(r.coldness(a), r.coldness(b)),
-			cmp.Compare(rackAffinity(b, r), rackAffinity(a, r)),
-			cmp.Compare(slownessClass(a), slownessClass(b)),
-			cmp.Compare(leftover(a, a.Free, r.Need), leftover(b, b.Free, r.Need)),
-		)
+	sorted := make([]rankedNode, len(nodes))
+	for i, n := range nodes {
+		sorted[i] = rankedNode{node: n, class: r.classOf(n), score: leftover(n, n.Free, r.Need)}
+	}
+	slices.SortStableFunc(sorted, func(a, b rankedNode) int {
+		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.score, b.score))
 	})
 	places := make([]*Node, 0, r.Count)
-	for _, n := range sorted {
+	for _, s := range sorted {
+		n := s.node
 		for k := min(tasksThatFit(n.Free, r.Need), r.startLimit(n), r.Count-len(places)); k > 0; k-- {
 			places = append(places, n)
 		}
