List preemptible work only for units that may preempt

A pass in which work waits listed all that runs, with the cost of its stop, also when only the rank of the least urgent run was asked for. That rank now comes from the jobs, and the list is made when a unit is more urgent than something that runs. No decision changes.

--- a/internal/dispatcher/plan.go
+++ b/internal/dispatcher/plan.go
@@ -118,7 +118,7 @@
 type schedulingPass struct {
 	d                 *Dispatcher
 	now               time.Time
-	ranks             map[*job]placer.Rank // set by listPreemptible
+	ranks             map[*job]placer.Rank // set by leastUrgentRunning
 	nodes             []*placer.Node       // all listed workers outside of evacuated failure domains, ordered by rack and ID
 	workerOf          map[*placer.Node]*worker
 	nodeOf            map[*worker]*placer.Node
@@ -128,7 +128,7 @@
 	rackFits          map[requestKey]bool              // cached results of fitsRack
 	slots             map[slotsKey]int                 // cached results of freeSlots
 	held              map[*placer.Node]model.Resources // resources of each node that are held for waiting gangs
-	leastUrgent       placer.Rank                      // rank of the least urgent running work; set by listPreemptible
+	leastUrgent       placer.Rank                      // rank of the least urgent running work; set by leastUrgentRunning
 	pools             map[model.ServiceID]*servicePool // totals of the workers of each service
 	preemptibleListed bool                             // listPreemptible has run in this pass
 }
@@ -252,12 +252,26 @@
 	return key
 }
 
-// leastUrgentRunning returns the rank of the least urgent running work.
+// leastUrgentRunning returns the rank of the least urgent running work. It does not list all of that, which takes long on a large fleet
+// and is needed only for a unit that is more urgent.
 func (p *schedulingPass) leastUrgentRunning() placer.Rank {
-	p.listPreemptible()
+	if p.ranks != nil {
+		return p.leastUrgent
+	}
+	p.ranks = p.d.jobRanks()
+	for _, j := range p.d.jobs {
+		if r := p.ranks[j]; r > p.leastUrgent && slices.ContainsFunc(j.steps, p.hasPreemptibleRun) {
+			p.leastUrgent = r
+		}
+	}
 	return p.leastUrgent
 }
 
+// hasPreemptibleRun reports whether a task of the step runs and could be preempted.
+func (p *schedulingPass) hasPreemptibleRun(s *step) bool {
+	return slices.ContainsFunc(s.tasks, func(t *task) bool { return p.isPreemptible(t.activeRun) })
+}
+
 // placementRequest returns the placer's request for the tasks of the unit.
 func (p *schedulingPass) placementRequest(u *placementUnit) *placer.Request {
 	s := u.step
--- a/internal/dispatcher/preemption.go
+++ b/internal/dispatcher/preemption.go
@@ -164,14 +164,14 @@
 	}
 }
 
-// listPreemptible fills the Preemptible fields of the nodes with the running work, and sets ranks and leastUrgent. It does nothing
+// listPreemptible fills the Preemptible fields of the nodes with the running work. It does nothing
 // when it is called again in the same pass.
 func (p *schedulingPass) listPreemptible() {
 	if p.preemptibleListed {
 		return
 	}
 	p.preemptibleListed = true
-	p.ranks = p.d.jobRanks()
+	p.leastUrgentRunning() // sets ranks
 	for _, j := range p.d.jobs {
 		for _, s := range j.steps {
 			p.listPreemptibleStep(s)
@@ -179,6 +179,11 @@
 	}
 }
 
+// isPreemptible reports whether a run, which may be nil, could be preempted.
+func (p *schedulingPass) isPreemptible(r *run) bool {
+	return r != nil && r.state == runRunning && p.nodeOf[r.worker] != nil
+}
+
 // listPreemptibleStep adds the running tasks of a step to their nodes. The members of a gang form one preemption unit; any other
 // task forms its own.
 func (p *schedulingPass) listPreemptibleStep(s *step) {
@@ -186,7 +191,7 @@
 	var owner preemptor.Job
 	for _, t := range s.tasks {
 		r := t.activeRun
-		if r == nil || r.state != runRunning || p.nodeOf[r.worker] == nil {
+		if !p.isPreemptible(r) {
 			continue
 		}
 		if owner.ID == "" {
@@ -196,7 +201,6 @@
 		u := gang
 		if u == nil {
 			u = &placer.PreemptionUnit{ID: len(p.preemptionTargets), Rank: p.ranks[s.job]}
-			p.leastUrgent = max(p.leastUrgent, u.Rank)
 			target := preemptionTarget{run: r}
 			if s.spec.Gang {
 				gang = u
