Allocate the nodes of a scheduling pass at once

A pass allocated a node for each worker, let two maps grow, ranked all jobs twice, and computed what a run fills of a worker anew for each run. It now allocates the nodes and maps in their size, ranks once, and keeps the share of equal needs. No decision changes.

--- a/internal/dispatcher/plan.go
+++ b/internal/dispatcher/plan.go
@@ -28,11 +28,13 @@
 
 // schedule runs one scheduling pass, which starts the work that fits, most urgent first, and preempts less urgent work for the rest.
 func (d *Dispatcher) schedule(now time.Time) {
-	units := d.placementUnits(now)
+	ranks := d.jobRanks()
+	units := d.placementUnits(ranks, now)
 	if len(units) == 0 && now.Sub(d.demandUpdatedAt) < demandUpdateInterval {
 		return
 	}
 	p := newSchedulingPass(d, now)
+	p.ranks = ranks
 	p.updateDemand(units)
 	for _, u := range units {
 		p.scheduleUnit(u)
@@ -40,8 +42,7 @@
 }
 
 // placementUnits returns the work to schedule, ordered by rank and arrival.
-func (d *Dispatcher) placementUnits(now time.Time) []*placementUnit {
-	ranks := d.jobRanks()
+func (d *Dispatcher) placementUnits(ranks map[*job]placer.Rank, now time.Time) []*placementUnit {
 	var out []*placementUnit
 	for _, j := range d.jobs {
 		if j.state.IsFinal() || j.predatesTerm && !d.formerRunsKnown {
@@ -118,7 +119,7 @@
 type schedulingPass struct {
 	d                 *Dispatcher
 	now               time.Time
-	ranks             map[*job]placer.Rank // set by leastUrgentRunning
+	ranks             map[*job]placer.Rank // ranks of all jobs; set by schedule or leastUrgentRunning
 	nodes             []*placer.Node       // all listed workers outside of evacuated failure domains, ordered by rack and ID
 	workerOf          map[*placer.Node]*worker
 	nodeOf            map[*worker]*placer.Node
@@ -130,23 +131,27 @@
 	held              map[*placer.Node]model.Resources // resources of each node that are held for waiting gangs
 	leastUrgent       placer.Rank                      // rank of the least urgent running work; set by leastUrgentRunning
 	pools             map[model.ServiceID]*servicePool // totals of the workers of each service
+	leastUrgentKnown  bool                             // leastUrgentRunning has run in this pass
 	preemptibleListed bool                             // listPreemptible has run in this pass
 }
 
 // newSchedulingPass returns a pass with a node for each listed worker. Workers of evacuated failure domains have none, so that nothing
 // counts on them: neither what fits a rack or is feasible, nor headroom and ample room.
 func newSchedulingPass(d *Dispatcher, now time.Time) *schedulingPass {
+	count := len(d.workers)
 	p := &schedulingPass{
-		d: d, now: now, workerOf: map[*placer.Node]*worker{}, nodeOf: map[*worker]*placer.Node{}, infeasible: map[requestKey]bool{},
+		d: d, now: now, nodes: make([]*placer.Node, 0, count), workerOf: make(map[*placer.Node]*worker, count), nodeOf: make(map[*worker]*placer.Node, count), infeasible: map[requestKey]bool{},
 		rackFits: map[requestKey]bool{}, slots: map[slotsKey]int{}, held: map[*placer.Node]model.Resources{}, pools: map[model.ServiceID]*servicePool{},
 	}
 	p.reserved = d.reservedResources(now)
+	nodes := make([]placer.Node, count)
 	for _, w := range d.workers {
 		if !w.listed || w.evacuated {
 			continue
 		}
 		free, unused := p.freeResources(w)
-		n := &placer.Node{
+		n := &nodes[len(p.nodes)]
+		*n = placer.Node{
 			ID: w.info.ID, Service: w.info.Service, Domain: w.info.FailureDomain, Rack: w.info.Rack, Labels: w.info.Labels,
 			Capacity: w.info.Capacity, Free: free, Unused: unused, Unschedulable: !w.isSchedulable(now) || w.hostsSuspect(), Occupied: len(w.runs) > 0, Suspicion: w.suspicion,
 			Quarantined: now.Before(w.quarantinedUntil) && w.canStartTasks() && !w.hostsSuspect(), KnownHealthy: w.isKnownHealthy(now), LastSuccessAt: w.lastSuccessAt, Slowness: w.slowness,
@@ -255,10 +260,13 @@
 // leastUrgentRunning returns the rank of the least urgent running work. It does not list all of that, which takes long on a large fleet
 // and is needed only for a unit that is more urgent.
 func (p *schedulingPass) leastUrgentRunning() placer.Rank {
-	if p.ranks != nil {
+	if p.leastUrgentKnown {
 		return p.leastUrgent
 	}
-	p.ranks = p.d.jobRanks()
+	p.leastUrgentKnown = true
+	if p.ranks == nil {
+		p.ranks = p.d.jobRanks()
+	}
 	for _, j := range p.d.jobs {
 		if r := p.ranks[j]; r > p.leastUrgent && slices.ContainsFunc(j.steps, p.hasPreemptibleRun) {
 			p.leastUrgent = r
--- a/internal/reserver/pool.go
+++ b/internal/reserver/pool.go
@@ -25,7 +25,10 @@
 	demand      workersByPriority   // current demand of each priority
 	placed      workersByPriority   // the part of the demand that has a run
 	workers     []workersByPriority // what the runs of each priority fill of each schedulable worker
-	withheld    [maxPriorities]int  // cached results of Reserver.withheldFrom plus 1; 0 means not computed
+	lastNeed    model.Resources     // need for which lastShare was computed
+	lastShare   float64             // share of a mean worker that lastNeed fills
+	lastKnown   bool
+	withheld    [maxPriorities]int // cached results of Reserver.withheldFrom plus 1; 0 means not computed
 }
 
 // AddWorker adds a schedulable worker.
@@ -33,6 +36,7 @@
 	p.Schedulable++
 	p.Capacity = p.Capacity.Add(capacity)
 	p.workers = append(p.workers, workersByPriority{})
+	p.lastKnown = false
 }
 
 // Outside is the index of a worker that is not in the pool.
@@ -65,7 +69,10 @@
 
 // workersFilled returns how many workers of mean capacity a number of equal tasks fill.
 func (p *Pool) workersFilled(need model.Resources, tasks int) float64 {
-	return placer.DominantShare(need, p.meanCapacity()) * float64(tasks)
+	if !p.lastKnown || need != p.lastNeed {
+		p.lastNeed, p.lastShare, p.lastKnown = need, placer.DominantShare(need, p.meanCapacity()), true
+	}
+	return p.lastShare * float64(tasks)
 }
 
 // meanCapacity returns the mean capacity of the schedulable workers.
