--- a/internal/dispatcher/load.go
+++ b/internal/dispatcher/load.go
@@ -31,6 +31,5 @@
 	return load
 }
 
-// maxPriorities is the number of priorities whose work is counted. The load ignores priorities beyond it; the demand for headroom
-// counts them as the last one.
+// maxPriorities is the number of priorities whose work is counted. The load ignores priorities beyond it.
 const maxPriorities = 16
--- a/internal/dispatcher/order_test.go
+++ b/internal/dispatcher/order_test.go
@@ -25,7 +25,7 @@
 // order returns the jobs of the units in the order of the next pass.
 func (d *Dispatcher) order(now time.Time) string {
 	var out []string
-	for _, u := range d.placementUnits(now) {
+	for _, u := range d.placementUnits(d.jobRanks(), now) {
 		out = append(out, string(u.step.ref.Job))
 	}
 	return strings.Join(out, " ")
--- a/internal/dispatcher/runtimes_test.go
+++ b/internal/dispatcher/runtimes_test.go
@@ -219,7 +219,7 @@
 		add("urgent-short", 0, gang, 1_000, 5*time.Second) // within the guarantee as well
 		add("less-urgent", 2, single, 1_000, 5*time.Second)
 		var got []model.JobID
-		for _, u := range l.placementUnits(l.now.Add(6 * time.Second)) {
+		for _, u := range l.placementUnits(l.jobRanks(), l.now.Add(6 * time.Second)) {
 			got = append(got, u.step.ref.Job)
 		}
 		if learns {
