--- a/internal/dispatcher/headroom.go
+++ b/internal/dispatcher/headroom.go
@@ -30,14 +30,10 @@
 		}
 	}
 	for _, w := range p.d.workers {
-		index := reserver.Outside
-		if n := p.nodeOf[w]; n != nil && !n.Unschedulable {
-			index = n.ServiceIndex
-		}
 		for _, r := range w.runs {
 			if r.task != nil && (r.state == runStarting || r.state == runRunning) {
 				pool := p.pool(w.info.Service)
-				pool.AddRun(r.task.step.job.submission.Queue.Priority, r.need, index, w.evacuated)
+				pool.AddRun(r.task.step.job.submission.Queue.Priority, r.need, w.evacuated)
 				if w.mayGetTasks() {
 					pool.ready.used = pool.ready.used.Add(r.need)
 				}
@@ -49,6 +45,9 @@
 		p.pool(q.Service).AddWaiting(q.Priority, u.step.spec.Need, len(u.tasks))
 	}
 	for id, pool := range p.pools {
+		if p.d.demand[id] == nil {
+			p.d.demand[id] = &reserver.Reserver{}
+		}
 		p.d.demand[id].Observe(&pool.Pool, p.now)
 	}
 	p.d.demandUpdatedAt = p.now
@@ -58,10 +57,7 @@
 func (p *schedulingPass) pool(id model.ServiceID) *servicePool {
 	pool := p.pools[id]
 	if pool == nil {
-		if p.d.demand[id] == nil {
-			p.d.demand[id] = &reserver.Reserver{}
-		}
-		pool = &servicePool{Pool: p.d.demand[id].NewPool()}
+		pool = &servicePool{}
 		p.pools[id] = pool
 	}
 	return pool
--- a/internal/reserver/pool.go
+++ b/internal/reserver/pool.go
@@ -16,40 +16,27 @@
 	return min(int(p), maxPriorities-1)
 }
 
-// Pool holds the totals of the workers of a service for one scheduling pass. Workers are added before
-// work, and work before Observe. The zero value is empty.
+// Pool holds the totals of the workers of a service for one scheduling pass. Workers are added before work. The zero value is empty.
 type Pool struct {
-	Schedulable int                 // number of schedulable workers
-	Capacity    model.Resources     // total capacity of the schedulable workers
-	inUse       float64             // number of workers that active runs fill, without those in evacuated failure domains
-	demand      workersByPriority   // current demand of each priority
-	placed      workersByPriority   // the part of the demand that has a run
-	workers     []workersByPriority // what the runs of each priority fill of each schedulable worker
-	lastNeed    model.Resources     // need for which lastShare was computed
-	lastShare   float64             // share of a mean worker that lastNeed fills
+	Schedulable int               // number of schedulable workers
+	Capacity    model.Resources   // total capacity of the schedulable workers
+	inUse       float64           // number of workers that active runs fill, without those in evacuated failure domains
+	demand      workersByPriority // current demand of each priority
+	lastNeed    model.Resources   // need for which lastShare was computed
+	lastShare   float64           // share of a mean worker that lastNeed fills
 	lastKnown   bool
-	withheld    [maxPriorities]int // cached results of Reserver.withheldFrom plus 1; 0 means not computed
 }
 
 // AddWorker adds a schedulable worker.
 func (p *Pool) AddWorker(capacity model.Resources) {
 	p.Schedulable++
 	p.Capacity = p.Capacity.Add(capacity)
-	p.workers = append(p.workers, workersByPriority{})
 	p.lastKnown = false
 }
 
-// Outside is the index of a worker that is not in the pool.
-const Outside = -1
-
-// AddRun adds an active run on a worker, which has the index with which it was added, or Outside. The run counts as use of the pool
-// unless its worker is in an evacuated failure domain.
-func (p *Pool) AddRun(priority model.Priority, need model.Resources, worker int, evacuated bool) {
+// AddRun adds an active run. It counts as use of the pool unless its worker is in an evacuated failure domain.
+func (p *Pool) AddRun(priority model.Priority, need model.Resources, evacuated bool) {
 	filled := p.addDemand(priority, need, 1)
-	p.placed[priorityIndex(priority)] += filled
-	if worker != Outside {
-		p.workers[worker][priorityIndex(priority)] += filled
-	}
 	if !evacuated {
 		p.inUse += filled
 	}
--- a/internal/reserver/reserver.go
+++ b/internal/reserver/reserver.go
@@ -17,9 +17,6 @@
 	maxHeadroomShare = 0.5
 	// minUseForHeadroom is the share of workers in use below which nothing is withheld, because there is room for all work.
 	minUseForHeadroom = 0.5
-	// minRoom is the room, as a share of a worker, from which on a further worker is withheld. The smoothed demand approaches a constant
-	// demand but does not reach it.
-	minRoom = 0.5
 )
 
 // Reserver tracks the demand of each priority for the workers of a service, which is the number of workers that its running
@@ -32,12 +29,8 @@
 type Reserver struct {
 	smoothed  workersByPriority // demand, smoothed over time
 	updatedAt time.Time
-	workers   []workersByPriority // buffer of the last pool
 }
 
-// NewPool returns an empty pool for the next pass. It reuses the memory of the last one, which must no longer be used.
-func (r *Reserver) NewPool() Pool { return Pool{workers: r.workers[:0]} }
-
 // Request describes the waiting work of a step from which workers may be withheld.
 type Request struct {
 	Priority model.Priority
@@ -61,8 +54,6 @@
 		r.smoothed[p] += weight * (n - r.smoothed[p])
 	}
 	r.updatedAt = now
-	r.workers = pool.workers
-	pool.withheld = [maxPriorities]int{}
 }
 
 // Withheld returns how many workers of the pool are withheld from a step, counted from the first one. A gang can always use at least
@@ -71,39 +62,20 @@
 	if pool.inUse < minUseForHeadroom*float64(pool.Schedulable) {
 		return 0
 	}
-	cached := &pool.withheld[priorityIndex(q.Priority)]
-	if *cached == 0 {
-		*cached = r.withheldFrom(pool, q.Priority) + 1
-	}
-	n := *cached - 1
+	n := r.withheldFrom(q.Priority, pool.Schedulable)
 	if q.Gang {
 		n = min(n, pool.Schedulable-2*int(math.Ceil(pool.workersFilled(q.Need, q.Tasks))))
 	}
 	return max(int(float64(n)*q.Share), 0)
 }
 
-// withheldFrom returns how many of the schedulable workers are withheld from work of a priority. These are as many as have room, beside
-// more urgent work that runs on them, for the more urgent work that is expected beyond what runs.
-//
-// Urgent work runs on any worker. Withheld workers for what already runs elsewhere would stay empty while others wait.
-func (r *Reserver) withheldFrom(pool *Pool, p model.Priority) int {
-	moreUrgent := priorityIndex(p)
-	missing := 0.0
-	for q := range moreUrgent {
-		missing += max(r.smoothed[q]-pool.placed[q], 0)
-	}
-	limit := int(maxHeadroomShare * float64(pool.Schedulable))
-	for i := range limit {
-		if missing < minRoom {
-			return i
-		}
-		room := 1.0
-		for _, filled := range pool.workers[i][:moreUrgent] {
-			room -= filled
-		}
-		missing -= max(room, 0)
+// withheldFrom returns how many of the schedulable workers are withheld from work of a priority.
+func (r *Reserver) withheldFrom(p model.Priority, schedulable int) int {
+	sum := 0.0
+	for q := range priorityIndex(p) {
+		sum += r.smoothed[q]
 	}
-	return limit
+	return int(min(sum, maxHeadroomShare*float64(schedulable)))
 }
 
 // ShareAfter returns the share of the headroom that is withheld from tasks with checkpoints of a job that has waited for a time. From
