Show how many workers are withheld as a metric

The log line of a waiting step was the only place that said how many workers are withheld. The metric withheld-workers shows the number of the last pass by service and priority of the work that waited.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -139,6 +139,7 @@
 	defer cancel()
 	d.ctx = ctx
 	defer d.Metrics.setEvacuated(0, 0, 0) // the next leader counts
+	defer d.Metrics.setWithheld(nil)
 	d.takeOver(jobs, fleet, listed)
 	timer := time.NewTimer(maxPassInterval)
 	defer timer.Stop()
--- a/internal/dispatcher/headroom.go
+++ b/internal/dispatcher/headroom.go
@@ -82,7 +82,10 @@
 	if spec.Resumable {
 		r.Share = u.step.job.withheldShare(p.now)
 	}
-	return demand.Withheld(&p.pool(q.Service).Pool, &r)
+	n := demand.Withheld(&p.pool(q.Service).Pool, &r)
+	key := withheldKey{q.Service, q.Priority}
+	p.withheld[key] = max(p.withheld[key], n)
+	return n
 }
 
 // withheldShare returns the share of the headroom that is withheld from the job's tasks with checkpoints.
--- a/internal/dispatcher/headroom_test.go
+++ b/internal/dispatcher/headroom_test.go
@@ -75,6 +75,7 @@
 	d.schedule(now)
 	// The smoothed demand has dropped by one worker, so one worker of the first rack is used.
 	is.Equal(small.tasksPerRack(), map[model.RackID]int{"r00": 8, "r03": 56})
+	is.Equal(d.Metrics.Withheld.String(), `{"/0": 0, "/2": 7}`)
 	nextGang := d.addStep("again", 0, model.Step{Count: 7, Need: model.Resources{Accelerators: 8}, Gang: true, OneRack: true}, now)
 	d.schedule(now.Add(100 * time.Millisecond))
 	is.Equal(nextGang.tasksPerRack(), map[model.RackID]int{"r00": 7}) // starts in the next pass, without preemption
--- a/internal/dispatcher/metrics.go
+++ b/internal/dispatcher/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"expvar"
+	"fmt"
 	"time"
 
 	"chestnutmux.example/chestnutmux/internal/recorder"
@@ -19,6 +20,7 @@
 	Refusals       *expvar.Map            // number of refused start requests by reason
 	Appends        *expvar.Map            // number of appends to the log by outcome
 	Evacuated      *expvar.Map            // number of evacuated failure domains, and of workers and runs left there; 0 while this host does not lead
+	Withheld       *expvar.Map            // number of workers withheld in the last pass, by service and the priority that waited; 0 while this host does not lead
 	StartLatency   *recorder.HistogramSet // time from learning of a job until all tasks of its first step have started, by queue
 	CompletionTime *recorder.HistogramSet // time from learning of a job until it has finished, by queue
 	PassDuration   *recorder.HistogramSet // duration of scheduling passes
@@ -29,7 +31,7 @@
 	m := &Metrics{
 		StartLatency: recorder.NewCoarseHistogramSet(), CompletionTime: recorder.NewCoarseHistogramSet(), PassDuration: recorder.NewCoarseHistogramSet(),
 	}
-	for _, p := range []**expvar.Map{&m.Jobs, &m.Runs, &m.Stops, &m.LostWork, &m.Decisions, &m.Refusals, &m.Appends, &m.Evacuated} {
+	for _, p := range []**expvar.Map{&m.Jobs, &m.Runs, &m.Stops, &m.LostWork, &m.Decisions, &m.Refusals, &m.Appends, &m.Evacuated, &m.Withheld} {
 		*p = new(expvar.Map).Init()
 	}
 	return m
@@ -38,7 +40,7 @@
 // Vars returns the metrics by their published names.
 func (m *Metrics) Vars() map[string]expvar.Var {
 	return map[string]expvar.Var{
-		"jobs": m.Jobs, "runs": m.Runs, "stops": m.Stops, "lost-core-seconds": m.LostWork, "preemption-decisions": m.Decisions, "start-refusals": m.Refusals, "leader-appends": m.Appends, "evacuated": m.Evacuated,
+		"jobs": m.Jobs, "runs": m.Runs, "stops": m.Stops, "lost-core-seconds": m.LostWork, "preemption-decisions": m.Decisions, "start-refusals": m.Refusals, "leader-appends": m.Appends, "evacuated": m.Evacuated, "withheld-workers": m.Withheld,
 		"job-start": m.StartLatency, "job-complete": m.CompletionTime, "planning": m.PassDuration,
 	}
 }
@@ -69,6 +71,22 @@
 	return string(j.submission.Workspace) + "/" + string(j.submission.Queue.ID)
 }
 
+// withheldKey identifies the workers that are withheld from a priority of a service.
+type withheldKey struct {
+	service  model.ServiceID
+	priority model.Priority
+}
+
+// setWithheld sets the numbers of withheld workers. Those that are not given become 0.
+func (m *Metrics) setWithheld(workers map[withheldKey]int) {
+	m.Withheld.Do(func(kv expvar.KeyValue) { kv.Value.(*expvar.Int).Set(0) })
+	for key, n := range workers {
+		label := fmt.Sprintf("%s/%d", key.service, min(key.priority, maxPriorities-1))
+		m.Withheld.Add(label, 0)
+		m.Withheld.Get(label).(*expvar.Int).Set(int64(n))
+	}
+}
+
 // setEvacuated sets the numbers of evacuated failure domains, and of the workers and runs left there.
 func (m *Metrics) setEvacuated(domains, workers, runs int) {
 	for name, n := range map[string]int{"domains": domains, "workers": workers, "runs": runs} {
--- a/internal/dispatcher/plan.go
+++ b/internal/dispatcher/plan.go
@@ -39,6 +39,7 @@
 	for _, u := range units {
 		p.scheduleUnit(u)
 	}
+	d.Metrics.setWithheld(p.withheld)
 }
 
 // placementUnits returns the work to schedule, ordered by rank and arrival.
@@ -131,6 +132,7 @@
 	held              map[*placer.Node]model.Resources // resources of each node that are held for waiting gangs
 	leastUrgent       placer.Rank                      // rank of the least urgent running work; set by leastUrgentRunning
 	pools             map[model.ServiceID]*servicePool // totals of the workers of each service
+	withheld          map[withheldKey]int              // number of workers withheld from the work that waits
 	leastUrgentKnown  bool                             // leastUrgentRunning has run in this pass
 	preemptibleListed bool                             // listPreemptible has run in this pass
 }
@@ -141,7 +143,7 @@
 	count := len(d.workers)
 	p := &schedulingPass{
 		d: d, now: now, nodes: make([]*placer.Node, 0, count), workerOf: make(map[*placer.Node]*worker, count), nodeOf: make(map[*worker]*placer.Node, count), infeasible: map[requestKey]bool{},
-		rackFits: map[requestKey]bool{}, slots: map[slotsKey]int{}, held: map[*placer.Node]model.Resources{}, pools: map[model.ServiceID]*servicePool{},
+		rackFits: map[requestKey]bool{}, slots: map[slotsKey]int{}, held: map[*placer.Node]model.Resources{}, withheld: map[withheldKey]int{}, pools: map[model.ServiceID]*servicePool{},
 	}
 	p.reserved = d.reservedResources(now)
 	nodes := make([]placer.Node, count)
