--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -148,6 +148,7 @@
 	defer d.Metrics.setWaiting(nil)
 	defer d.Metrics.setWorkspaces(0, 0)
 	defer d.Metrics.setBacklog(journaler.Load{})
+	defer d.Metrics.setWithheld(nil)
 	d.takeOver(jobs, fleet, listed)
 	timer := time.NewTimer(maxPassInterval)
 	defer timer.Stop()
