Send no start request that was withdrawn

A start request that was withdrawn took a free request slot in half of the cases when both were there at once, because select chooses at random. It was then stopped by the check of the failure domain, except when the worker has moved to an evacuated domain since the start was planned, as the request carries the former domain. The new test sends in the first of 100 tries without the change.

--- a/internal/dispatcher/evacuation_test.go
+++ b/internal/dispatcher/evacuation_test.go
@@ -91,6 +91,21 @@
 	}
 }
 
+// Guards against a start request that is sent although it was withdrawn, because a slot was free at the same time. The check of the failure
+// domain does not stop it if the worker has moved to an evacuated domain since it was planned.
+func TestWithdrawnStartTakesNoFreeSlot(t *testing.T) {
+	is := is.New(t)
+	events := make(chan event, 1)
+	s := &session{events: events, ctx: context.Background(), requestSlots: make(chan struct{}, 1), withdrawn: make(chan struct{})}
+	withdrawn, withdrawal := s.withdrawn, &startEvent{err: errWithdrawn}
+	s.withdrawStarts()
+	for range 100 {
+		s.sendRequest(time.Hour, withdrawn, withdrawal, func(context.Context) event { return &startEvent{} })
+		is.True(errors.Is((<-events).(*startEvent).err, errWithdrawn))
+		is.Equal(len(s.requestSlots), 0)
+	}
+}
+
 // Guards against capacity of an evacuated domain that is counted: a one-rack gang waits for it, or work starts beside too little room.
 func TestEvacuatedWorkersCountNowhere(t *testing.T) {
 	is := is.New(t)
--- a/internal/dispatcher/session.go
+++ b/internal/dispatcher/session.go
@@ -335,9 +335,15 @@
 	case <-s.ctx.Done():
 		return
 	}
-	ctx, cancel := context.WithTimeout(s.ctx, timeout)
-	e := call(ctx)
-	cancel()
+	var e event
+	select {
+	case <-withdrawn: // when the slot became free as well, the select above may have taken it
+		e = withdrawal
+	default:
+		ctx, cancel := context.WithTimeout(s.ctx, timeout)
+		e = call(ctx)
+		cancel()
+	}
 	<-s.requestSlots
 	s.post(e)
 }
