Tell operators how to see an evacuation done

The help of evacuate called a domain empty by its accelerators, though tasks may use none. Comments and names of the memory guard and the estimator are plainer.

--- a/internal/cli/evacuate.go
+++ b/internal/cli/evacuate.go
@@ -17,7 +17,8 @@
 // Help implements kong.HelpProvider.
 func (evacuateCommand) Help() string {
 	return formatExamples("chestnutmux evacuate kartli-a", "chestnutmux evacuate --back kartli-a") +
-		"\n\nWhat runs in the failure domain goes on. It is empty when status shows no accelerators in use on its workers."
+		"\n\nWhat runs in the failure domain goes on. The domain is empty when the metric evacuated of the leader shows 0 runs." +
+		" Status lists the evacuated domains; on the leader, also their workers and the accelerators in use."
 }
 
 // Run publishes the request or its removal, unless the configuration in force is already so.
--- a/internal/elector/memory.go
+++ b/internal/elector/memory.go
@@ -10,9 +10,9 @@
 	// leaderBaseMB and leaderMBPerWorker are the memory that a leader needs, see docs/design/leadership.md.
 	leaderBaseMB      = 140
 	leaderMBPerWorker = 0.11
-	// comfortFactor is the multiple of this need from which memory does not matter. The soft limit of the Go runtime is below the
+	// ampleFactor is the multiple of this need from which memory does not matter. The soft limit of the Go runtime is below the
 	// limit of the process, and the collector takes ever more processor time close to it.
-	comfortFactor = 1.4
+	ampleFactor = 1.4
 	// shortMemoryDelay is the election delay of a host with just the memory that a leader needs, and maxMemoryDelay that of one with
 	// none. Both are longer than the delay of a host in another region.
 	shortMemoryDelay, maxMemoryDelay = 450 * time.Millisecond, 600 * time.Millisecond
@@ -27,12 +27,12 @@
 // killed, and one that is close to it collects garbage instead of starting tasks.
 func MemoryDelay(limit model.Megabytes, workers int) time.Duration {
 	need, have := float64(LeaderMemory(workers)), float64(limit)
-	comfort := comfortFactor * need
+	ample := ampleFactor * need
 	switch {
-	case limit <= 0 || have >= comfort:
+	case limit <= 0 || have >= ample:
 		return 0
 	case have >= need:
-		return time.Duration((comfort - have) / (comfort - need) * float64(shortMemoryDelay))
+		return time.Duration((ample - have) / (ample - need) * float64(shortMemoryDelay))
 	}
 	return shortMemoryDelay + time.Duration((1-have/need)*float64(maxMemoryDelay-shortMemoryDelay))
 }
@@ -72,7 +72,7 @@
 	betterFactor = 1.25
 )
 
-// IsBetterHost reports whether a host with a memory is worth resigning for; 0 means unknown.
+// IsBetterHost reports whether another host has so much more memory that it is worth resigning for; 0 means unknown.
 func IsBetterHost(own, other model.Megabytes) bool {
 	return float64(other) >= betterFactor*float64(own)
 }
@@ -85,19 +85,18 @@
 	MemoryOK       MemoryVerdict = "ok"
 	MemoryResign   MemoryVerdict = "resign"
 	MemoryNoBetter MemoryVerdict = "no-better-host"  // no host with more memory is known
-	MemoryTooSoon  MemoryVerdict = "resigned-lately" // a leader has resigned, and no better one led for long
+	MemoryTooSoon  MemoryVerdict = "resigned-lately" // a leader has resigned for its memory within resignInterval
 )
 
-// MemoryGuard decides when a leader resigns for its memory. It answers a load that grows beyond a small host: hundreds of workers and
-// thousands of jobs. The zero value has seen nothing.
+// MemoryGuard decides when a leader resigns for its memory. The zero value is ready to use.
 type MemoryGuard struct {
 	highSince  time.Time // zero while the pressure is low
 	resignedAt time.Time // zero if the host has not resigned
-	lastSeenAt time.Time // when a leader has last resigned for its memory; zero if none has
+	lastReadAt time.Time // when the last resignation of any leader for its memory was read; zero if none was
 }
 
-// RecordResignation records that a leader has resigned for its memory.
-func (g *MemoryGuard) RecordResignation(now time.Time) { g.lastSeenAt = now }
+// RecordResignation records that a resignation of a leader for its memory was read in the log.
+func (g *MemoryGuard) RecordResignation(now time.Time) { g.lastReadAt = now }
 
 // Check records the pressure of a leader and returns what to do.
 func (g *MemoryGuard) Check(pressure float64, betterHost bool, now time.Time) MemoryVerdict {
@@ -109,7 +108,7 @@
 	switch {
 	case g.highSince.IsZero() || now.Sub(g.highSince) < pressureTime:
 		return MemoryOK
-	case g.IsLastResort(now) || !g.lastSeenAt.IsZero() && now.Sub(g.lastSeenAt) < resignInterval:
+	case g.IsLastResort(now) || !g.lastReadAt.IsZero() && now.Sub(g.lastReadAt) < resignInterval:
 		return MemoryTooSoon
 	case !betterHost:
 		return MemoryNoBetter
--- a/internal/estimator/estimator.go
+++ b/internal/estimator/estimator.go
@@ -12,8 +12,8 @@
 	minRuns = 8
 	// maxKinds limits the memory, at 6 KB for each kind.
 	maxKinds = 256
-	// staleRuns is the number of runs of other kinds after which a kind gives way to a new one. Before, kinds with fewer ended runs than
-	// minRuns give way first, so that a caller who submits each job in another shape does not displace the others.
+	// staleRuns is the number of runs of other kinds after which a kind may be evicted for a new one. Before, kinds with fewer ended runs than
+	// minRuns are evicted first, so that a caller who submits each job in another shape does not displace the others.
 	staleRuns = 20_000
 	// maxWideSpread is the mean distance from the median, in octaves, up to which the errors of callers with tasks of other shapes correct an estimate.
 	maxWideSpread = 1.0
--- a/internal/estimator/sketch.go
+++ b/internal/estimator/sketch.go
@@ -29,8 +29,7 @@
 
 // sketch is a distribution of positive values in buckets of equal width on a logarithmic scale. For each bucket it counts the runs that
 // have reached it, and those of them that have ended in it. A run that was stopped or still runs thus counts as longer than the buckets
-// that it has passed. The runs of each bucket together weigh at
-// most rememberedRuns.
+// that it has passed. The runs of each bucket together weigh at most rememberedRuns.
 type sketch struct {
 	reached, ended [buckets]float32
 
--- a/internal/evacuator/evacuator.go
+++ b/internal/evacuator/evacuator.go
@@ -98,7 +98,7 @@
 }
 
 // Confirm records that the log ended at an offset at a time, and that all requests before were applied. It ignores the zero time, times before
-// the last one, and an end before a known record, which comes from a host that knows less.
+// the last one, and an end before a known record, which comes from a host that has read less of the log.
 func (e *Evacuator) Confirm(end model.Offset, at time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
