Forget the memory pressure of a former term

The guard is asked only while its host leads. A host that lost the lead under high pressure, and led again later at a pressure between 0.75 and 0.9, resigned at its first check, since the high pressure seemed to have lasted. The pressure is now forgotten when the term ends.

--- a/internal/coordinator/memory.go
+++ b/internal/coordinator/memory.go
@@ -75,6 +75,10 @@
 func (c *Coordinator) checkMemory(now time.Time) {
 	c.mu.Lock()
 	own := c.ownTerm
+	if own == nil {
+		c.memory.guard.EndTerm()
+		c.memory.verdict = elector.MemoryOK
+	}
 	c.mu.Unlock()
 	if own == nil {
 		return
--- a/internal/elector/memory.go
+++ b/internal/elector/memory.go
@@ -117,6 +117,9 @@
 	return MemoryResign
 }
 
+// EndTerm forgets the pressure of a term that has ended. The pressure is not observed until the next one.
+func (g *MemoryGuard) EndTerm() { g.highSince = time.Time{} }
+
 // IsLastResort reports whether the host has resigned so lately that it leads again only if no other host can.
 func (g *MemoryGuard) IsLastResort(now time.Time) bool {
 	return !g.resignedAt.IsZero() && now.Sub(g.resignedAt) < resignInterval
--- a/internal/elector/memory_test.go
+++ b/internal/elector/memory_test.go
@@ -60,3 +60,17 @@
 	is.True(!IsBetterHost(184, 200))
 	is.True(IsBetterHost(184, 284))
 }
+
+// Guards against a leader that resigns at a pressure which is not high, because the pressure was high in a former term of its host.
+func TestPressureOfFormerTermDoesNotCount(t *testing.T) {
+	is := is.New(t)
+	var g MemoryGuard
+	now := time.Now()
+	is.Equal(g.Check(0.95, true, now), MemoryOK)
+	g.EndTerm()
+	now = now.Add(time.Hour)
+	is.Equal(g.Check(0.8, true, now), MemoryOK)
+	is.Equal(g.Check(0.8, true, now.Add(pressureTime)), MemoryOK)
+	is.Equal(g.Check(0.95, true, now.Add(pressureTime)), MemoryOK)
+	is.Equal(g.Check(0.95, true, now.Add(2*pressureTime)), MemoryResign)
+}
