Keep bodies evictable after an interim response, and small bounds in force

The write of "100 Continue" marked a connection as served while its body was awaited, so that a client that sends Expect: 100-continue kept its memory and its connection under pressure. Writes now leave a connection that waits for a body as it is; the new test fails without that.

A setting of one or two connections left 0 or fewer for the listener of the callers, which means no bound. It now gets at least one.

--- a/internal/connlimiter/listener.go
+++ b/internal/connlimiter/listener.go
@@ -187,8 +187,12 @@
 	_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only if the connection is closed
 }
 
-// Write writes a part of a response. Meanwhile the connection waits for its client, which may not read.
+// Write writes a part of a response. Meanwhile the connection waits for its client, which may not read. The interim response that
+// net/http writes to a request with "Expect: 100-continue" leaves the connection waiting for the body.
 func (c *Conn) Write(p []byte) (int, error) {
+	if c.entry.holdsBody.Load() {
+		return c.Conn.Write(p)
+	}
 	c.entry.SetWaiting(time.Now(), false)
 	n, err := c.Conn.Write(p)
 	c.entry.SetServed()
--- a/internal/connlimiter/listener_test.go
+++ b/internal/connlimiter/listener_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -67,3 +68,23 @@
 	is.Equal(l.Refused.Value(), int64(1))
 	is.Equal(l.Len(), 1)
 }
+
+// Guards against a client that keeps its connection from giving way by asking for an interim response to its header.
+func TestBodyGivesWayAfterInterimResponse(t *testing.T) {
+	is := is.New(t)
+	l := &Limiter{}
+	addr := serve(t, l, Limits{}, func(_ http.ResponseWriter, r *http.Request) {
+		OfRequest(r).SetWaiting(true)
+		_, _ = io.ReadAll(r.Body)
+	})
+	c, err := net.Dial("tcp", addr)
+	is.NoErr(err)
+	defer c.Close()
+	_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nExpect: 100-continue\r\n\r\n")
+	is.NoErr(err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusContinue)
+	time.Sleep(100 * time.Millisecond) // until the write of the interim response has returned
+	is.True(l.Table.EvictBody(time.Now().Add(2*minWait)) != nil)
+}
--- a/internal/protector/protector.go
+++ b/internal/protector/protector.go
@@ -164,6 +164,7 @@
 	}
 	for _, l := range p.all() {
 		if l.maxConnections == 0 {
+			rest = max(1, rest) // 0 would be no bound
 			l.limiter.SetLimits(connlimiter.Limits{Total: rest, PerAddress: p.config.Settings.perAddress(rest)})
 		}
 	}
