Carry out no body whose connection has given way, and keep refusals by peers definite

The table chose the connection that gives way while it could begin to be served, so that a request could be carried out on a connection that was then closed. The choice is now an atomic change of the state, and a body that was read on an evicted connection is not returned.

An append that the log refused at each called peer was marked both as not appended and as of unknown outcome, because the response was dropped.

--- a/internal/bodyreader/reader.go
+++ b/internal/bodyreader/reader.go
@@ -44,8 +44,8 @@
 type Client interface {
 	// SetReadDeadline sets the time until which it can send.
 	SetReadDeadline(deadline time.Time) error
-	// SetWaiting reports whether the request waits for the client.
-	SetWaiting(waiting bool)
+	// SetWaiting records whether the request waits for the client. It fails if the connection has been closed meanwhile.
+	SetWaiting(waiting bool) error
 }
 
 // Reader reads bodies. Its counters may be read at any time.
@@ -102,10 +102,21 @@
 		return b, ErrNoBudget
 	}
 	b.Data = make([]byte, 0, size)
-	if whole > 0 {
-		client.SetWaiting(true)
-		defer client.SetWaiting(false)
+	if whole == 0 {
+		err := r.fill(&b, src, whole, limit, client)
+		return b, err
 	}
+	err := client.SetWaiting(true)
+	if err == nil {
+		err = r.fill(&b, src, whole, limit, client)
+	}
+	// A body whose connection was closed is not returned, even if it is whole: its request could not be answered.
+	err = errors.CombineErrors(err, client.SetWaiting(false))
+	return b, err
+}
+
+// fill reads a body whose buffer ends up with at most whole bytes.
+func (r *Reader) fill(b *Body, src io.Reader, whole, limit int64, client Client) error {
 	var start time.Time
 	for {
 		if len(b.Data) == cap(b.Data) && int64(cap(b.Data)) < whole {
@@ -113,19 +124,19 @@
 			if start.IsZero() {
 				start = now
 			}
-			if err := r.grow(&b, whole, client, start, now); err != nil {
-				return b, err
+			if err := r.grow(b, whole, client, start, now); err != nil {
+				return err
 			}
 		}
 		n, err := src.Read(b.Data[len(b.Data):cap(b.Data)])
 		b.Data = b.Data[:len(b.Data)+n]
 		switch {
 		case int64(len(b.Data)) > limit:
-			return b, ErrTooLarge
+			return ErrTooLarge
 		case errors.Is(err, io.EOF):
-			return b, nil
+			return nil
 		case err != nil:
-			return b, err
+			return err
 		}
 	}
 }
--- a/internal/bodyreader/reader_test.go
+++ b/internal/bodyreader/reader_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"net"
 	"os"
 	"strings"
 	"testing"
@@ -18,10 +19,35 @@
 type recordingClient struct {
 	deadlines int
 	waiting   bool
+	closed    bool
 }
 
 func (c *recordingClient) SetReadDeadline(time.Time) error { c.deadlines++; return nil }
-func (c *recordingClient) SetWaiting(waiting bool)         { c.waiting = waiting }
+
+func (c *recordingClient) SetWaiting(waiting bool) error {
+	c.waiting = waiting
+	if c.closed {
+		return net.ErrClosed
+	}
+	return nil
+}
+
+// Guards against requests that are carried out although their connection was closed while they waited for their body.
+func TestBodyOfClosedConnectionIsNotReturned(t *testing.T) {
+	is := is.New(t)
+	r := &Reader{}
+	client := &recordingClient{}
+	src := iotest.DataErrReader(strings.NewReader("body"))
+	closing := readerFunc(func(p []byte) (int, error) { client.closed = true; return src.Read(p) })
+	_, err := r.Read(closing, 4, 100, client)
+	is.True(errors.Is(err, net.ErrClosed))
+	is.Equal(r.Budget.Used(), int64(0))
+}
+
+// readerFunc is a function that reads.
+type readerFunc func(p []byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
 
 // Guards against bodies that are cut or altered, charges that are not returned, and budgets that are exceeded.
 func TestBodiesAreReadWithinBudget(t *testing.T) {
--- a/internal/connlimiter/listener.go
+++ b/internal/connlimiter/listener.go
@@ -147,15 +147,21 @@
 	closed  atomic.Bool
 }
 
-// SetWaiting records whether the connection waits for the rest of a body. It does nothing if c is nil.
-func (c *Conn) SetWaiting(waiting bool) {
+// SetWaiting records whether the connection waits for the rest of a body. It returns net.ErrClosed if the connection has given way.
+// It does nothing if c is nil.
+func (c *Conn) SetWaiting(waiting bool) error {
+	isOpen := true
 	switch {
 	case c == nil:
 	case waiting:
-		c.entry.SetWaiting(time.Now(), true)
+		isOpen = c.entry.SetWaiting(time.Now(), true)
 	default:
-		c.entry.SetServed()
+		isOpen = c.entry.SetServed()
 	}
+	if !isOpen {
+		return net.ErrClosed
+	}
+	return nil
 }
 
 // SetReadDeadline sets the time until which the client can send. It does nothing if c is nil.
--- a/internal/connlimiter/listener_test.go
+++ b/internal/connlimiter/listener_test.go
@@ -74,7 +74,7 @@
 	is := is.New(t)
 	l := &Limiter{}
 	addr := serve(t, l, Limits{}, func(_ http.ResponseWriter, r *http.Request) {
-		OfRequest(r).SetWaiting(true)
+		_ = OfRequest(r).SetWaiting(true)
 		_, _ = io.ReadAll(r.Body)
 	})
 	c, err := net.Dial("tcp", addr)
--- a/internal/connlimiter/table.go
+++ b/internal/connlimiter/table.go
@@ -33,21 +33,41 @@
 // Entry is a connection in the table.
 type Entry struct {
 	addr         netip.Addr
-	waitingSince atomic.Int64 // Unix nanoseconds since which the connection waits for its client; 0 while a request is served
+	waitingSince atomic.Int64 // Unix nanoseconds since which the connection waits for its client, or one of the states below
 	holdsBody    atomic.Bool  // the connection waits for the rest of a body
 }
 
-// SetWaiting records that the connection waits for its client since now, either for a request or for the rest of a body.
-func (e *Entry) SetWaiting(now time.Time, holdsBody bool) {
+// Values of Entry.waitingSince of connections that don't wait.
+const (
+	stateServed  int64 = 0  // a request is served
+	stateEvicted int64 = -1 // the connection gives way, which is final
+)
+
+// SetWaiting records that the connection waits for its client since now, either for a request or for the rest of a body. It reports
+// false if the connection has given way.
+func (e *Entry) SetWaiting(now time.Time, holdsBody bool) bool {
 	e.holdsBody.Store(holdsBody)
-	e.waitingSince.Store(now.UnixNano())
+	return e.setState(now.UnixNano())
+}
+
+// SetServed records that the connection serves a request. It reports false if the connection has given way.
+func (e *Entry) SetServed() bool {
+	if !e.setState(stateServed) {
+		return false
+	}
+	e.holdsBody.Store(false)
+	return true
 }
 
-// SetServed records that the connection serves a request.
-func (e *Entry) SetServed() {
-	if e.waitingSince.Load() != 0 {
-		e.waitingSince.Store(0)
-		e.holdsBody.Store(false)
+func (e *Entry) setState(state int64) bool {
+	for {
+		old := e.waitingSince.Load()
+		if old == stateEvicted {
+			return false
+		}
+		if old == state || e.waitingSince.CompareAndSwap(old, state) {
+			return true
+		}
 	}
 }
 
@@ -86,10 +106,9 @@
 		candidates, isFull = t.entries, t.limits.Total > 0 && len(t.entries) >= t.limits.Total
 	}
 	if isFull {
-		if evicted = longestWaiting(candidates, now, false); evicted == nil {
+		if evicted = t.evict(candidates, now, false); evicted == nil {
 			return nil, nil
 		}
-		t.remove(evicted)
 	}
 	added = &Entry{addr: addr}
 	added.SetWaiting(now, false)
@@ -105,27 +124,38 @@
 func (t *Table) EvictBody(now time.Time) *Entry {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := longestWaiting(t.entries, now, true)
-	if e != nil {
-		t.remove(e)
+	return t.evict(t.entries, now, true)
+}
+
+// evict removes and returns the connection that longestWaiting chooses. If that has begun to serve a request meanwhile, another one
+// is chosen. The caller holds t.mu.
+func (t *Table) evict(entries map[*Entry]struct{}, now time.Time, onlyBodies bool) *Entry {
+	for {
+		e, since := longestWaiting(entries, now, onlyBodies)
+		if e == nil {
+			return nil
+		}
+		if e.waitingSince.CompareAndSwap(since, stateEvicted) {
+			t.remove(e)
+			return e
+		}
 	}
-	return e
 }
 
-// longestWaiting returns the connection that has waited longest for its client, or for the rest of a body, or nil if none has
-// waited for minWait. In a large set it compares some only, chosen by the random order of a map.
-func longestWaiting(entries map[*Entry]struct{}, now time.Time, onlyBodies bool) *Entry {
-	var longest *Entry
-	since, compared := now.Add(-minWait).UnixNano()+1, 0
+// longestWaiting returns the connection that has waited longest for its client, or for the rest of a body, and since when, or nil if
+// none has waited for minWait. In a large set it compares some only, chosen by the random order of a map.
+func longestWaiting(entries map[*Entry]struct{}, now time.Time, onlyBodies bool) (longest *Entry, since int64) {
+	since = now.Add(-minWait).UnixNano() + 1
+	compared := 0
 	for e := range entries {
-		if w := e.waitingSince.Load(); w != 0 && w < since && (!onlyBodies || e.holdsBody.Load()) {
+		if w := e.waitingSince.Load(); w > stateServed && w < since && (!onlyBodies || e.holdsBody.Load()) {
 			longest, since = e, w
 		}
 		if compared++; compared >= maxCompared {
 			break
 		}
 	}
-	return longest
+	return longest, since
 }
 
 // Remove removes a connection; it has no effect if the connection was removed before.
--- a/internal/connlimiter/table_test.go
+++ b/internal/connlimiter/table_test.go
@@ -92,3 +92,28 @@
 	is.Equal(table.EvictBody(now.Add(2*minWait)), body)
 	is.Equal(table.Len(), 1)
 }
+
+// Guards against requests that are carried out although their connection has given way.
+func TestEvictedConnectionServesNothing(t *testing.T) {
+	is := is.New(t)
+	table, now := &Table{}, time.Unix(1000, 0)
+	e, _ := table.Add(netip.Addr{}, now)
+	is.True(e.SetWaiting(now, true))
+	is.Equal(table.EvictBody(now.Add(2*minWait)), e)
+	is.True(!e.SetServed())
+	is.True(!e.SetWaiting(now, true))
+}
+
+// Guards against the eviction of a connection that begins to serve a request while another one is compared.
+func TestServedConnectionIsNotEvicted(t *testing.T) {
+	for range 2000 {
+		is := is.New(t)
+		table, now := &Table{}, time.Unix(1000, 0)
+		e, _ := table.Add(netip.Addr{}, now)
+		e.SetWaiting(now, true)
+		served := make(chan bool)
+		go func() { served <- e.SetServed() }()
+		evicted := table.EvictBody(now.Add(2 * minWait))
+		is.Equal(<-served, evicted == nil)
+	}
+}
--- a/internal/peerlog/append_test.go
+++ b/internal/peerlog/append_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 
@@ -94,3 +95,15 @@
 	_, silent = peers.CountResponding()
 	is.Equal(silent, 0)
 }
+
+// Guards against an append whose outcome counts as unknown although the log has refused it at each peer.
+func TestRefusalAtAllPeersIsNoUnknownOutcome(t *testing.T) {
+	is := is.New(t)
+	l := log.New(log.Options{})
+	refused := newHost(t, l, func() []string { return nil })
+	refused.fault.Store(log.FaultUnavailable)
+	peers := &Peers{Addresses: func() []string { return []string{refused.addr} }, Logger: hclog.NewNullLogger()}
+	_, err := (&remoteLog{peers: peers, name: "jobs"}).append(t.Context(), recordsWithKey("a"), journaler.AppendCondition{})
+	is.True(errors.Is(err, journaler.ErrNotAppended))
+	is.True(!errors.Is(err, journaler.ErrOutcomeUnknown))
+}
--- a/internal/peerlog/client.go
+++ b/internal/peerlog/client.go
@@ -64,9 +64,9 @@
 
 // call calls one peer after another until one of them has reached the log and was not refused there.
 func (p *Peers) call(ctx context.Context, method string, params any) (response, error) {
+	var resp response
 	err := errors.Mark(errors.New("peerlog: no peer is known"), errLogNotReached)
 	for _, addr := range p.pickPeers() {
-		var resp response
 		resp, err = p.callPeer(ctx, addr, method, params)
 		if !errors.Is(err, errLogNotReached) && !errors.Is(err, journaler.ErrNotAppended) {
 			return resp, err
@@ -76,7 +76,7 @@
 			break
 		}
 	}
-	return response{}, err
+	return resp, err
 }
 
 // pickPeers returns the first maxPeersPerCall peers that are not in backoff, in random order to spread the load over them.
