End the connection after each refusal of a body, and name test time-outs usually

In our own protocol a small body that was refused for lack of budget left its connection open if net/http had buffered it whole, marked as refused. The response now has "Connection: close", as on the platform's edge.

--- a/internal/protector/plan_test.go
+++ b/internal/protector/plan_test.go
@@ -47,3 +47,17 @@
 		is.True(l.BodyBudget(u) >= 2*5_000*1_000) // a thousand requests of the usual size at the same time
 	}
 }
+
+// Guards against a bound of few connections that leaves the listener of the callers without a bound.
+func TestFewConnectionsBoundEachListener(t *testing.T) {
+	for n := 1; n <= 4; n++ {
+		is := is.New(t)
+		p := New(Config{Limits: Limits{MemoryBytes: 64 * megabyte, SoftMemoryBytes: 45 * megabyte, Descriptors: 400}, Settings: Settings{MaxConnections: n}})
+		for _, bound := range []int{0, 64, 64} {
+			_ = p.Wrap(&pipeListener{}, bound)
+		}
+		for _, l := range p.all() {
+			is.True(l.limiter.Limits().Total > 0)
+		}
+	}
+}
--- a/internal/server/caller.go
+++ b/internal/server/caller.go
@@ -146,7 +146,7 @@
 	maxBytes := int64(s.Backend.MaxBodyBytes(req.Service))
 	body, err := s.Bodies.Read(r.Body, r.ContentLength, maxBytes, connlimiter.OfRequest(r))
 	if err != nil {
-		writeError(w, unknownIfRetry(r, bodyReadError(r, err, maxBytes, "send less, or ask an operator to raise max-body of the service")))
+		writeError(w, unknownIfRetry(r, bodyReadError(w, r, err, maxBytes, "send less, or ask an operator to raise max-body of the service")))
 		return
 	}
 	defer body.Release()
@@ -169,25 +169,30 @@
 // bodyRetryDelayMS is when a client whose body was refused may try again.
 const bodyRetryDelayMS = 2000
 
+// refuseBody lets the connection of a request end with the response, without reading the rest of its body.
+func refuseBody(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Connection", "close")
+	connlimiter.OfRequest(r).Refuse()
+}
+
 // bodyReadError converts an error in reading the body of a request. The outcome is not-run, because nothing was done with the
 // request yet. If the rest of the body is not wanted, the connection ends with the response.
-func bodyReadError(r *http.Request, err error, maxBytes int64, tooLargeRemedy string) error {
-	conn := connlimiter.OfRequest(r)
+func bodyReadError(w http.ResponseWriter, r *http.Request, err error, maxBytes int64, tooLargeRemedy string) error {
 	switch {
 	case errors.Is(err, bodyreader.ErrTooLarge):
-		conn.Refuse()
+		refuseBody(w, r)
 		return &model.Error{
 			Outcome: model.OutcomeNotRun, Kind: model.ErrorKindTooLarge,
 			Message: "the body is larger than " + strconv.FormatInt(maxBytes, 10) + " bytes", Remedy: tooLargeRemedy,
 		}
 	case errors.Is(err, bodyreader.ErrNoBudget):
-		conn.Refuse()
+		refuseBody(w, r)
 		return &model.Error{
 			Outcome: model.OutcomeNotRun, Kind: model.ErrorKindOverloaded, RetryAfterMS: bodyRetryDelayMS,
 			Message: "requests in progress use the memory for bodies", Remedy: "repeat after retry-after",
 		}
 	case errors.Is(err, bodyreader.ErrTooSlow):
-		conn.Refuse()
+		refuseBody(w, r)
 		return &model.Error{
 			Outcome: model.OutcomeNotRun, Kind: model.ErrorKindInvalid, RetryAfterMS: bodyRetryDelayMS,
 			Message: "the body did not arrive in time", Remedy: "repeat after retry-after, and send the whole body in one go",
--- a/internal/server/json.go
+++ b/internal/server/json.go
@@ -90,7 +90,7 @@
 func (s *Server) readJSON(w http.ResponseWriter, r *http.Request, maxBytes int64, target any) (release func(), ok bool) {
 	body, err := s.Bodies.Read(r.Body, r.ContentLength, maxBytes, connlimiter.OfRequest(r))
 	if err != nil {
-		writeError(w, unknownIfRetry(r, bodyReadError(r, err, maxBytes, "send less")))
+		writeError(w, unknownIfRetry(r, bodyReadError(w, r, err, maxBytes, "send less")))
 		return nil, false
 	}
 	d := json.NewDecoder(bytes.NewReader(body.Data))
--- a/internal/server/retry_test.go
+++ b/internal/server/retry_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -26,3 +28,16 @@
 	}
 	is.Equal(refusal.Outcome, model.OutcomeNotRun) // the original error is not modified, since it may be shared
 }
+
+// Guards against a connection that stays open after the refusal of a body, with a read deadline that was meant to end it.
+func TestRefusedBodyEndsConnection(t *testing.T) {
+	is := is.New(t)
+	s := newTestServer(&fakeBackend{})
+	s.Bodies.Budget.SetCapacity(1)
+	r := httptest.NewRequest(http.MethodPost, "/v1/jobs", strings.NewReader("{}"))
+	r.Header.Set("Authorization", "Bearer caller-red")
+	w := httptest.NewRecorder()
+	s.Handler().ServeHTTP(w, r)
+	is.Equal(w.Code, http.StatusTooManyRequests)
+	is.Equal(w.Header().Get("Connection"), "close")
+}
--- a/test/process/crowd_test.go
+++ b/test/process/crowd_test.go
@@ -21,8 +21,8 @@
 	crowdMaxFDs    = 400
 	crowdBodyBytes = 262_144
 	// crowdClients is more than the descriptors and, with a whole body each, more than the memory of a process.
-	crowdClients  = 420
-	crowdPatience = 150 * time.Second // ends a test that hangs
+	crowdClients = 420
+	crowdTimeout = 150 * time.Second // ends a test that hangs
 )
 
 const crowdMemoryMB model.Megabytes = 64
@@ -86,7 +86,7 @@
 // awaitOrdinaryRequests waits until the host accepts a job of a caller and answers an operator, or has ended.
 func (c *cluster) awaitOrdinaryRequests(h *launcher.Host) {
 	c.t.Helper()
-	c.await(crowdPatience, func(ctx context.Context) error {
+	c.await(crowdTimeout, func(ctx context.Context) error {
 		if !h.IsRunning() {
 			return nil
 		}
@@ -108,14 +108,14 @@
 	sampler := crowd.StartSampler(h.PID(), addr)
 	clients := crowd.Start(request, way, crowdClients)
 	defer clients.Close()
-	sent := clients.AwaitSent(crowdPatience)
-	sampler.AwaitSteady(crowdPatience)
+	sent := clients.AwaitSent(crowdTimeout)
+	sampler.AwaitSteady(crowdTimeout)
 	c.awaitOrdinaryRequests(h)
 	peak := sampler.Stop()
 	t.Logf("peak %d MiB of memory (%d MiB resident), %d descriptors; %d clients sent all but a byte, %d could not", peak.MemoryBytes>>20,
 		peak.ResidentBytes>>20, peak.Descriptors, clients.Sent.Load(), clients.Failed.Load())
 	if !sent {
-		t.Errorf("clients still send after %v", crowdPatience)
+		t.Errorf("clients still send after %v", crowdTimeout)
 	}
 	if peak.Err != nil || !h.IsRunning() {
 		t.Errorf("the host has ended: %v", peak.Err)
