--- a/internal/connlimiter/listener.go
+++ b/internal/connlimiter/listener.go
@@ -147,15 +147,21 @@
 	closed  atomic.Bool
 }
 
-// SetWaiting records whether the connection waits for the rest of a body. It does nothing if c is nil.
-func (c *Conn) SetWaiting(waiting bool) {
+// SetWaiting records whether the connection waits for the rest of a body. It returns net.ErrClosed if the connection has given way.
+// It does nothing if c is nil.
+func (c *Conn) SetWaiting(waiting bool) error {
+	isOpen := true
 	switch {
 	case c == nil:
 	case waiting:
-		c.entry.SetWaiting(time.Now(), true)
+		isOpen = c.entry.SetWaiting(time.Now(), true)
 	default:
-		c.entry.SetServed()
+		isOpen = c.entry.SetServed()
 	}
+	if !isOpen {
+		return net.ErrClosed
+	}
+	return nil
 }
 
 // SetReadDeadline sets the time until which the client can send. It does nothing if c is nil.
@@ -187,8 +193,12 @@
 	_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only if the connection is closed
 }
 
-// Write writes a part of a response. Meanwhile the connection waits for its client, which may not read.
+// Write writes a part of a response. Meanwhile the connection waits for its client, which may not read. The interim response that
+// net/http writes to a request with "Expect: 100-continue" leaves the connection waiting for the body.
 func (c *Conn) Write(p []byte) (int, error) {
+	if c.entry.holdsBody.Load() {
+		return c.Conn.Write(p)
+	}
 	c.entry.SetWaiting(time.Now(), false)
 	n, err := c.Conn.Write(p)
 	c.entry.SetServed()
