Unify estimates, paths and shares in the dispatcher

The caller's estimate was limited in three ways, and not at all where work and remaining time are computed, so a huge one overflowed time.Duration. All use callerEstimate now. The job keeps its target duration and critical path, which each pass computed again for each unit; tests that change a submission set them again. The two remainingPath functions share their loop, and largestShare gives way to placer.DominantShare, which is the same. Runs of a former leader are told by run.adopted alone. Decisions stay the same for estimates of less than a year. The workspace in the log line on shares no longer depends on the order of a map.

sequencer.Promise is named Deadlines, and shareOut orderByShares.

--- a/internal/dispatcher/decision.go
+++ b/internal/dispatcher/decision.go
@@ -88,7 +88,7 @@
 
 // work returns the estimated work of all tasks of the step.
 func (s *step) work() preemptor.CoreSeconds {
-	perTask := preemptor.Work(s.spec.Need, time.Duration(s.spec.EstimatedRunMS)*time.Millisecond)
+	perTask := preemptor.Work(s.spec.Need, s.callerEstimate())
 	return perTask * preemptor.CoreSeconds(s.spec.Count)
 }
 
@@ -102,11 +102,11 @@
 		return out
 	}
 	out.Resumable, out.Remaining = r.task.step.spec.Resumable, r.estimateRemaining(now)
-	if r.workerSeenAt.IsZero() {
+	if r.adopted {
 		// A former leader has sent the start request, so only the progress tells how long the task has run.
-		estimate := time.Duration(r.task.step.spec.EstimatedRunMS) * time.Millisecond
-		out.Remaining = estimate * time.Duration(100-r.percentDone) / 100
-		out.Elapsed = max(out.Elapsed, estimate*time.Duration(r.percentDone)/100)
+		estimate := r.task.step.callerEstimate()
+		out.Remaining = estimate / 100 * time.Duration(100-r.percentDone)
+		out.Elapsed = max(out.Elapsed, estimate/100*time.Duration(r.percentDone))
 	}
 	return out
 }
--- a/internal/dispatcher/headroom_test.go
+++ b/internal/dispatcher/headroom_test.go
@@ -86,6 +86,7 @@
 	is := is.New(t)
 	now := time.Now()
 	j := &job{submission: newSubmission("late", 2, 1), seenAt: now}
+	j.setTarget()
 	slack := j.slack()
 	is.True(slack > 0)
 	share := func(waited float64) float64 {
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -24,12 +24,13 @@
 	predatesTerm        bool               // the job was accepted before this term, so former leaders may have started its tasks
 	arrival             int64              // position in the order in which this leader learned of the jobs
 	seenAt              time.Time          // time at which this host learned of the job, as a follower or as the leader
-	targetDuration      time.Duration      // time from the arrival of the job within which it is to end
+	targetDuration      time.Duration      // time from the arrival of the job within which it is to end, by the caller's estimates
+	estimatedPath       time.Duration      // run time of the longest chain of dependent steps by the caller's estimates
 	maxStepAccelerators model.Accelerators // accelerators needed by all tasks of the step that needs the most
 
-	runTimes      *runTimes     // nil if the caller's estimates of run times are used as they are
-	target        time.Duration // see expectedTarget; kept until targetVersion of the estimator changes
-	targetVersion int64
+	runTimes             *runTimes     // nil if the caller's estimates of run times are used as they are
+	learnedTarget        time.Duration // result of expectedTarget at learnedTargetVersion of the estimator
+	learnedTargetVersion int64
 }
 
 // step is a step of one occurrence of a job.
@@ -126,8 +127,8 @@
 	s := j.Submission
 	out := &job{
 		submission: s, cancelled: j.Cancelled, state: j.State(), arrival: int64(j.AcceptedOffset), seenAt: now,
-		targetDuration: admitter.TargetDuration(s),
 	}
+	out.setTarget()
 	if !j.LearnedAt.IsZero() {
 		out.seenAt = j.LearnedAt
 	}
@@ -143,6 +144,11 @@
 	return out
 }
 
+// setTarget sets the target duration and the critical path from the submission.
+func (j *job) setTarget() {
+	j.targetDuration, j.estimatedPath = admitter.TargetDuration(j.submission), admitter.CriticalPath(j.submission)
+}
+
 // newStep returns the scheduling state of step i of an occurrence of the job, initialized with the progress in the log.
 func newStep(j *job, occurrence, i int, p journaler.StepProgress) *step {
 	s := &step{
--- a/internal/dispatcher/order.go
+++ b/internal/dispatcher/order.go
@@ -33,25 +33,25 @@
 func (d *Dispatcher) usefulness(s *step, now time.Time) sequencer.Usefulness {
 	j, n := s.job, len(s.job.submission.Steps)
 	steps := j.steps[s.ref.Occurrence*n : (s.ref.Occurrence+1)*n]
-	target, path := admitter.TargetDuration(j.submission), admitter.CriticalPath(j.submission)
+	target := j.targetDuration
 	accuracy := d.accuracy[j.queueKey()]
-	if target <= 0 || path == 0 || s.spec.LongRunning || accuracy.IsTooLow() || haveOverrun(steps, now) {
+	if target <= 0 || j.estimatedPath == 0 || s.spec.LongRunning || accuracy.IsTooLow() || haveOverrun(steps, now) {
 		return sequencer.InTime // the target follows from the estimate
 	}
 	since := latest(j.seenAt, s.dueAt)
-	promise := sequencer.Promise{TargetAt: since.Add(target), ExpiresAt: since.Add(admitter.MaxLatenessFactor * target)}
+	deadlines := sequencer.Deadlines{TargetAt: since.Add(target), ExpiresAt: since.Add(admitter.MaxLatenessFactor * target)}
 	remaining := time.Duration(0)
 	if accuracy.IsReliable() {
 		remaining = remainingPath(steps, now)
 	}
-	return promise.Usefulness(now, remaining)
+	return deadlines.Usefulness(now, remaining)
 }
 
 // haveOverrun reports whether the runs of the steps have shown that the estimates of the job are too low.
 func haveOverrun(steps []*step, now time.Time) bool {
 	overrun, runs := 0, 0
 	for _, s := range steps {
-		estimate := s.estimate()
+		estimate := s.callerEstimate()
 		for _, t := range s.tasks {
 			r := t.activeRun
 			running := r != nil && r.state == runRunning && !r.startConfirmedAt.IsZero()
@@ -68,22 +68,13 @@
 
 // remainingPath returns the estimated run time of the longest chain of dependent steps of an occurrence that are not done.
 func remainingPath(steps []*step, now time.Time) time.Duration {
-	ends := make([]time.Duration, len(steps))
-	longest := time.Duration(0)
-	for i, s := range steps {
-		for _, dep := range s.spec.DependsOn {
-			if dep >= 0 && dep < i {
-				ends[i] = max(ends[i], ends[dep])
-			}
-		}
-		ends[i] += s.remainingTime(now)
-		longest = max(longest, ends[i])
-	}
-	return longest
+	return admitter.LongestChain(steps[0].job.submission.Steps, func(i int) time.Duration {
+		return steps[i].remainingTime(now, steps[i].callerEstimate())
+	})
 }
 
-// remainingTime returns the estimated time until the last task of the step ends if all tasks that wait start now.
-func (s *step) remainingTime(now time.Time) time.Duration {
+// remainingTime returns the estimated time until the last task of the step ends if all tasks that wait start now and take the given time.
+func (s *step) remainingTime(now time.Time, waiting time.Duration) time.Duration {
 	longest := time.Duration(0)
 	for _, t := range s.tasks {
 		switch r := t.activeRun; {
@@ -91,20 +82,12 @@
 		case r != nil && r.state == runRunning:
 			longest = max(longest, r.estimateRemaining(now))
 		default:
-			longest = max(longest, s.estimate())
+			longest = max(longest, waiting)
 		}
 	}
 	return longest
 }
 
-// estimate returns the estimated run time of a task of the step.
-func (s *step) estimate() time.Duration {
-	return time.Duration(min(max(s.spec.EstimatedRunMS, 0), maxEstimateMS)) * time.Millisecond
-}
-
-// maxEstimateMS is an estimate beyond all targets, of which sums of many still fit into a time.Duration.
-const maxEstimateMS model.Millis = 365 * 24 * 3_600_000
-
 // queueKey identifies the queue of a job.
 type queueKey struct {
 	workspace model.WorkspaceID
@@ -122,7 +105,7 @@
 // observeEstimate compares a finished run with its estimate. Runs that resume from a checkpoint, or that a former leader has started, do not
 // show how long a task takes.
 func (d *Dispatcher) observeEstimate(r *run, now time.Time) {
-	if r.task == nil || r.fromCheckpoint || r.workerSeenAt.IsZero() || r.startConfirmedAt.IsZero() || r.task.step.spec.LongRunning {
+	if r.task == nil || r.fromCheckpoint || r.adopted || r.startConfirmedAt.IsZero() || r.task.step.spec.LongRunning {
 		return
 	}
 	key := r.task.step.job.queueKey()
@@ -137,7 +120,7 @@
 		a = &sequencer.Accuracy{}
 		d.accuracy[key] = a
 	}
-	a.Observe(r.task.step.estimate(), now.Sub(r.startConfirmedAt))
+	a.Observe(r.task.step.callerEstimate(), now.Sub(r.startConfirmedAt))
 }
 
 // noteOrder publishes how much waiting work can still be in time, and logs it at intervals while some can not.
--- a/internal/dispatcher/order_test.go
+++ b/internal/dispatcher/order_test.go
@@ -18,6 +18,7 @@
 func (d *Dispatcher) addUnit(id string, p model.Priority, waited time.Duration, now time.Time) *step {
 	s := d.addStep(id, p, model.Step{Count: 1, Need: model.Resources{Accelerators: 8}}, now)
 	s.job.submission.Queue.TargetStretch, s.job.submission.Queue.TargetOffsetMS = 3, 0
+	s.job.setTarget()
 	s.job.seenAt, s.job.arrival = now.Add(-waited), now.Add(-waited).UnixNano()
 	return s
 }
@@ -95,6 +96,7 @@
 			}
 			is.Equal(d.order(now), "new old")
 			d.jobs["old"].submission.Steps[0].EstimatedRunMS = 0
+			d.jobs["old"].setTarget()
 			is.Equal(d.order(now), "old new")
 		})
 	}
@@ -127,6 +129,7 @@
 	now := time.Now()
 	s := d.addStep("job", 1, model.Step{Count: 8, Need: model.Resources{Accelerators: 1}}, now)
 	s.job.submission.Queue.TargetStretch, s.job.submission.Queue.TargetOffsetMS = 3, 0
+	s.job.setTarget()
 	later := now.Add(29 * time.Second)
 	is.Equal(d.usefulness(s, later), sequencer.Late)
 	for i := range 2 {
--- a/internal/dispatcher/plan.go
+++ b/internal/dispatcher/plan.go
@@ -80,7 +80,7 @@
 	}
 	d.setUsefulness(out, now)
 	slices.SortFunc(out, compareUnits)
-	d.shareOut(out, now)
+	d.orderByShares(out, now)
 	return out
 }
 
--- a/internal/dispatcher/runtimes.go
+++ b/internal/dispatcher/runtimes.go
@@ -53,7 +53,7 @@
 	if s.usesForecast() {
 		return s.forecast().Total(0).Seconds()
 	}
-	return float64(s.spec.EstimatedRunMS) / 1000
+	return s.callerEstimate().Seconds()
 }
 
 // estimateRemaining estimates the time until the run ends, from its progress and the expected run time of its step.
@@ -61,13 +61,13 @@
 	if r.task.step.usesForecast() {
 		return r.forecastRemaining(now)
 	}
-	estimate := time.Duration(r.task.step.spec.EstimatedRunMS) * time.Millisecond
+	estimate := r.task.step.callerEstimate()
 	elapsed := now.Sub(r.startConfirmedAt)
 	if r.percentDone > 5 && r.percentDone < 100 && !r.fromCheckpoint {
 		return time.Duration(float64(elapsed) * float64(100-r.percentDone) / float64(r.percentDone))
 	}
 	if r.percentDone > 0 {
-		return estimate * time.Duration(100-r.percentDone) / 100
+		return estimate / 100 * time.Duration(100-r.percentDone)
 	}
 	return max(estimate-elapsed, 0)
 }
@@ -150,12 +150,12 @@
 // slack returns the difference between the target duration of the job and the estimated run time of its critical path. Both follow from the
 // caller's estimates, to which the target duration is promised.
 func (j *job) slack() time.Duration {
-	return admitter.TargetDuration(j.submission) - admitter.CriticalPath(j.submission)
+	return j.targetDuration - j.estimatedPath
 }
 
 // due returns the time by which the job, or its occurrence, is to end; zero unless the leader learns run times. Work of the same rank starts
 // in this order, so that short jobs end in time that arrive behind long ones whose targets are far off. No job is passed over for longer
-// than the difference of the target durations. Answers mixed run times in one rank (TestWorkStartsByDueTime).
+// than the difference of the target durations. Without this order, short jobs miss their targets where run times in one rank are mixed.
 func (s *step) due() time.Time {
 	if s.job.runTimes == nil {
 		return time.Time{}
@@ -166,13 +166,13 @@
 // expectedTarget returns the target duration by the caller's estimates, or by learned run times where these are longer, as in admission. So
 // too short an estimate does not put a job ahead of others of its kind for good.
 func (j *job) expectedTarget() time.Duration {
-	if v := j.runTimes.estimator.Version(); j.target == 0 || j.targetVersion != v {
+	if v := j.runTimes.estimator.Version(); j.learnedTarget == 0 || j.learnedTargetVersion != v {
 		path := j.longestChain(func(s *step) time.Duration {
 			return max(s.callerEstimate(), time.Duration(s.expectedSeconds()*float64(time.Second)))
 		})
-		j.target, j.targetVersion = admitter.TargetFor(j.submission, path), v
+		j.learnedTarget, j.learnedTargetVersion = admitter.TargetFor(j.submission, path), v
 	}
-	return j.target
+	return j.learnedTarget
 }
 
 // criticalPath returns the expected run time of the longest chain of dependent steps.
@@ -186,17 +186,7 @@
 // wait.
 func (j *job) remainingPath(now time.Time) time.Duration {
 	return j.longestChain(func(s *step) time.Duration {
-		longest := time.Duration(0)
-		for _, t := range s.tasks {
-			switch {
-			case t.done:
-			case t.activeRun != nil && t.activeRun.state == runRunning:
-				longest = max(longest, t.activeRun.estimateRemaining(now))
-			default:
-				longest = max(longest, time.Duration(s.expectedSeconds()*float64(time.Second)))
-			}
-		}
-		return longest
+		return s.remainingTime(now, time.Duration(s.expectedSeconds()*float64(time.Second)))
 	})
 }
 
--- a/internal/dispatcher/shares.go
+++ b/internal/dispatcher/shares.go
@@ -4,13 +4,14 @@
 	"slices"
 	"time"
 
+	"chestnutmux.example/chestnutmux/internal/placer"
 	"chestnutmux.example/chestnutmux/internal/sequencer"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
-// shareOut orders equally urgent and useful units, which are sorted by compareUnits, by the shares of their workspaces. Guaranteed work keeps
+// orderByShares orders equally urgent and useful units, which are sorted by compareUnits, by the shares of their workspaces. Guaranteed work keeps
 // its order.
-func (d *Dispatcher) shareOut(units []*placementUnit, now time.Time) {
+func (d *Dispatcher) orderByShares(units []*placementUnit, now time.Time) {
 	workspaces := map[model.WorkspaceID]bool{}
 	for _, u := range units {
 		if u.rank > 0 {
@@ -29,7 +30,7 @@
 			n++
 		}
 		if units[0].rank > 0 {
-			shareOutEqual(shares, units[:n], capacity)
+			interleaveByShares(shares, units[:n], capacity)
 		}
 		units = units[n:]
 	}
@@ -42,7 +43,7 @@
 		if shares.Load(ws) > 1 {
 			beyond++
 		}
-		if most == "" || shares.Load(ws) > shares.Load(most) {
+		if load, highest := shares.Load(ws), shares.Load(most); most == "" || load > highest || load == highest && ws < most {
 			most = ws
 		}
 	}
@@ -55,12 +56,12 @@
 		"workspaces-waiting", len(workspaces), "workspaces-beyond-share", beyond)
 }
 
-// shareOutEqual orders units of the same rank and usefulness.
-func shareOutEqual(shares *sequencer.Shares, units []*placementUnit, capacity model.Resources) {
+// interleaveByShares orders units of the same rank and usefulness.
+func interleaveByShares(shares *sequencer.Shares, units []*placementUnit, capacity model.Resources) {
 	claims := make([]sequencer.Claim, len(units))
 	for i, u := range units {
 		claims[i] = sequencer.Claim{
-			Workspace: u.step.job.submission.Workspace, Need: float64(len(u.tasks)) * largestShare(u.step.spec.Need, capacity),
+			Workspace: u.step.job.submission.Workspace, Need: float64(len(u.tasks)) * placer.DominantShare(u.step.spec.Need, capacity),
 		}
 	}
 	sorted := slices.Clone(units)
@@ -95,25 +96,10 @@
 	}
 	shares := sequencer.NewShares(len(used))
 	for ws, sum := range used {
-		shares.Used[ws] = largestShare(sum, capacity)
+		shares.Used[ws] = placer.DominantShare(sum, capacity)
 		if capacity.Accelerators > 0 {
 			shares.Guaranteed[ws] = float64(d.entitlements.Guaranteed[ws]) / float64(capacity.Accelerators)
 		}
 	}
 	return shares, capacity
 }
-
-// largestShare returns the share of the capacity of the resource of which the most is needed.
-func largestShare(need, capacity model.Resources) float64 {
-	out := 0.0
-	for _, r := range [][2]float64{
-		{float64(need.Cores), float64(capacity.Cores)},
-		{float64(need.MemoryMB), float64(capacity.MemoryMB)},
-		{float64(need.Accelerators), float64(capacity.Accelerators)},
-	} {
-		if r[1] > 0 {
-			out = max(out, r[0]/r[1])
-		}
-	}
-	return out
-}
--- a/internal/preemptor/deadline.go
+++ b/internal/preemptor/deadline.go
@@ -38,7 +38,10 @@
 // allows reports whether an end in the given time is within the target.
 func (d *Deadline) allows(endsIn time.Duration) bool { return !d.isSet || endsIn <= d.targetIn }
 
-// PathFrom returns the estimated run time of the longest chain of dependent steps that begins with the given one.
+// maxPath limits the result of PathFrom, so that sums of a few of them fit into a time.Duration.
+const maxPath = 10 * 365 * 24 * time.Hour
+
+// PathFrom returns the estimated run time of the longest chain of dependent steps that begins with the given one, at most 10 years.
 func PathFrom(steps []model.Step, from int) time.Duration {
 	ends := make([]time.Duration, len(steps))
 	longest := time.Duration(0)
@@ -53,7 +56,8 @@
 			}
 		}
 		if start >= 0 {
-			ends[i] = start + time.Duration(max(steps[i].EstimatedRunMS, 1))*time.Millisecond
+			estimate := time.Duration(min(max(steps[i].EstimatedRunMS, 1), model.Millis(maxPath/time.Millisecond))) * time.Millisecond
+			ends[i] = min(start+estimate, maxPath)
 			longest = max(longest, ends[i])
 		}
 	}
--- a/internal/sequencer/sequencer.go
+++ b/internal/sequencer/sequencer.go
@@ -27,16 +27,16 @@
 	}
 }
 
-// Promise holds the times that decide how useful the result of a job is. The zero value stands for a job without a target, whose result
+// Deadlines holds the times that decide how useful the result of a job is. The zero value stands for a job without a target, whose result
 // is always useful.
-type Promise struct {
+type Deadlines struct {
 	TargetAt  time.Time // end of the target duration; zero means that the job has no target
 	ExpiresAt time.Time // time from which on the result is of no use
 }
 
 // Usefulness returns the usefulness of a job that still needs the given run time from now on. A job whose run time is not known has a
 // run time of 0, so that only time that has passed counts against it.
-func (p Promise) Usefulness(now time.Time, remaining time.Duration) Usefulness {
+func (p Deadlines) Usefulness(now time.Time, remaining time.Duration) Usefulness {
 	end := now.Add(remaining)
 	switch {
 	case p.TargetAt.IsZero() || !end.After(p.TargetAt):
--- a/internal/sequencer/sequencer_test.go
+++ b/internal/sequencer/sequencer_test.go
@@ -14,17 +14,17 @@
 	now := time.Now()
 	at := func(s int) time.Time { return now.Add(time.Duration(s) * time.Second) }
 	for name, test := range map[string]struct {
-		promise   Promise
+		promise   Deadlines
 		remaining time.Duration
 		want      Usefulness
 	}{
-		"no target":             {Promise{}, time.Hour, InTime},
-		"just in time":          {Promise{at(10), at(30)}, 10 * time.Second, InTime},
-		"late":                  {Promise{at(10), at(30)}, 11 * time.Second, Late},
-		"expired":               {Promise{at(10), at(30)}, 31 * time.Second, Expired},
-		"unknown run time":      {Promise{at(10), at(30)}, 0, InTime},
-		"unknown, target past":  {Promise{at(-1), at(30)}, 0, Late},
-		"unknown, past all use": {Promise{at(-30), at(-1)}, 0, Expired},
+		"no target":             {Deadlines{}, time.Hour, InTime},
+		"just in time":          {Deadlines{at(10), at(30)}, 10 * time.Second, InTime},
+		"late":                  {Deadlines{at(10), at(30)}, 11 * time.Second, Late},
+		"expired":               {Deadlines{at(10), at(30)}, 31 * time.Second, Expired},
+		"unknown run time":      {Deadlines{at(10), at(30)}, 0, InTime},
+		"unknown, target past":  {Deadlines{at(-1), at(30)}, 0, Late},
+		"unknown, past all use": {Deadlines{at(-30), at(-1)}, 0, Expired},
 	} {
 		t.Run(name, func(t *testing.T) { is.New(t).Equal(test.promise.Usefulness(now, test.remaining), test.want) })
 	}
@@ -49,7 +49,7 @@
 			return time.Duration(rapid.IntRange(0, 100).Draw(t, name)) * time.Second
 		}
 		target := now.Add(seconds("target"))
-		p := Promise{TargetAt: target, ExpiresAt: target.Add(seconds("use"))}
+		p := Deadlines{TargetAt: target, ExpiresAt: target.Add(seconds("use"))}
 		wait, run, more := seconds("wait"), seconds("run"), seconds("more")
 		u := p.Usefulness(now.Add(wait), run).place()
 		if p.Usefulness(now.Add(wait+more), run).place() < u || p.Usefulness(now.Add(wait), run+more).place() < u {
--- a/internal/sequencer/shares.go
+++ b/internal/sequencer/shares.go
@@ -27,14 +27,14 @@
 	return s.Used[ws] / max(min(s.Guaranteed[ws], 1), s.Equal)
 }
 
-// Interleave returns the order of equally urgent and useful claims, which are listed by arrival, as indexes. Next is the first claim of the
-// workspace with the lowest load, of several the one that has come first. Claims add to the use of their workspaces, so that the next ones
+// Interleave returns the order of equally urgent and useful claims, which are listed by due time or arrival, as indexes. Next is the first claim of the
+// workspace with the lowest load, of several the one that is listed first. Claims add to the use of their workspaces, so that the next ones
 // count with them.
 //
 // It answers a burst of a large workspace: by arrival alone, the work of small ones would wait behind the whole burst.
 func (s *Shares) Interleave(claims []Claim) []int {
 	waiting := map[model.WorkspaceID][]int{}
-	var workspaces []model.WorkspaceID // by arrival of the first claim, so that the result does not depend on the order of a map
+	var workspaces []model.WorkspaceID // by their first claim, so that the result does not depend on the order of a map
 	for i, c := range claims {
 		if len(waiting[c.Workspace]) == 0 {
 			workspaces = append(workspaces, c.Workspace)
