Count accelerators of uneven workers in the headroom

The mean capacity of the workers was rounded down to whole accelerators. In a service with fewer accelerators than workers, demand for them counted as none, and elsewhere as up to twice as much. The share is computed from the total capacity now. It is the same as before where all workers are equal.

--- a/internal/reserver/pool.go
+++ b/internal/reserver/pool.go
@@ -57,16 +57,12 @@
 // workersFilled returns how many workers of mean capacity a number of equal tasks fill.
 func (p *Pool) workersFilled(need model.Resources, tasks int) float64 {
 	if !p.lastKnown || need != p.lastNeed {
-		p.lastNeed, p.lastShare, p.lastKnown = need, placer.DominantShare(need, p.meanCapacity()), true
+		// The mean itself is no whole number. With fewer accelerators than workers, it would be rounded to 0.
+		n := max(1, p.Schedulable)
+		scaled := model.Resources{
+			Cores: need.Cores * model.MilliCores(n), MemoryMB: need.MemoryMB * model.Megabytes(n), Accelerators: need.Accelerators * model.Accelerators(n),
+		}
+		p.lastNeed, p.lastShare, p.lastKnown = need, placer.DominantShare(scaled, p.Capacity), true
 	}
 	return p.lastShare * float64(tasks)
 }
-
-// meanCapacity returns the mean capacity of the schedulable workers.
-func (p *Pool) meanCapacity() model.Resources {
-	n := max(1, p.Schedulable)
-	return model.Resources{
-		Cores: p.Capacity.Cores / model.MilliCores(n), MemoryMB: p.Capacity.MemoryMB / model.Megabytes(n),
-		Accelerators: p.Capacity.Accelerators / model.Accelerators(n),
-	}
-}
