Plan preemptions for each waiting step, and protect gangs by all members

A pass makes preemption plans until it has gone through 6,000 nodes, most urgent unit first. A step without room is considered again after 150 ms. On a fleet on which a pass takes longer, or with more such steps than a pass has plans for, the first steps used up every pass and the others never got a plan. A step now gets its next plan only after each unit that was left out had one. Passes that leave out no unit decide as before.

Whether a preempted gang is protected followed from its last member only. It is protected now if all its members can end in time.

--- a/internal/dispatcher/decision.go
+++ b/internal/dispatcher/decision.go
@@ -17,6 +17,7 @@
 	roomBy  time.Time        // time by which room was first expected to become free since the step waits; zero if it was not
 	spent   preemptor.Window // work thrown away for the step
 	asGang  bool             // the step is a gang that was preempted in this term
+	round   int64            // number of the planning round in which a plan was last made for the step; 0 before the first one
 }
 
 // noteDecision keeps the decision whether a step preempts, counts it, and logs one against a preemption at most once in an interval.
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -81,6 +81,7 @@
 	demandUpdatedAt   time.Time                              // time of the last update of demand
 	preemptionPlanner placer.PreemptionPlanner
 	preemptionBudget  preemptor.Budget
+	planningRound     int64     // number of the planning round, from 1; see maxPlannedNodes
 	decisionLoggedAt  time.Time // time of the last log line on a step that does not preempt
 	pacer             pacer.Pacer
 	runTimes          runTimes
@@ -105,6 +106,7 @@
 	d.possibleCrashes = map[model.HostID]*possibleCrash{}
 	d.pendingStarts = pendingStarts{}
 	d.demand = map[model.ServiceID]*reserver.Reserver{}
+	d.planningRound = 1
 	d.pacer.LinkRate = d.LinkRate
 	d.MaxLease = max(d.MaxLease, d.LeaseDuration)
 	if d.ElectedAt.IsZero() {
--- a/internal/dispatcher/plan.go
+++ b/internal/dispatcher/plan.go
@@ -42,6 +42,7 @@
 	for _, u := range units {
 		p.scheduleUnit(u)
 	}
+	p.endPlanningRound()
 	d.Metrics.setWithheld(p.withheld)
 }
 
@@ -133,6 +134,7 @@
 	nodeOf            map[*worker]*placer.Node
 	reserved          map[*worker]model.Resources      // resources of each worker that reservations take
 	plannedNodes      int                              // nodes that the preemption plans of this pass have gone through
+	plansDeferred     bool                             // a unit was left out because of maxPlannedNodes
 	preemptionTargets []preemptionTarget               // indexed by PreemptionUnit.ID
 	infeasible        map[requestKey]bool              // requests for which this pass found neither free resources nor less urgent running work
 	rackFits          map[requestKey]bool              // cached results of fitsRack
--- a/internal/dispatcher/preemption.go
+++ b/internal/dispatcher/preemption.go
@@ -10,14 +10,15 @@
 )
 
 // maxPlannedNodes is the number of nodes that the plans of units without a guarantee go through in a pass, before further units wait for the
-// next pass. A decision takes two plans over all nodes, and on a large fleet many units may wait.
+// next pass. A decision takes two plans over all nodes, and on a large fleet many units may wait. No step is planned for twice before each unit
+// that had to wait was planned for once, see endPlanningRound. Otherwise the first units could use up all passes.
 const maxPlannedNodes = 6000
 
 // planPreemption returns places for the tasks of the unit, and the victims to preempt for them. It returns nil if the step does not
 // preempt now; the preemptor says why.
 func (p *schedulingPass) planPreemption(u *placementUnit) ([]*placer.Node, []*placer.PreemptionUnit) {
 	s := u.step
-	if p.preemptionWait(u) > 0 || u.rank > 0 && (p.now.Before(s.preemption.retryAt) || p.plannedNodes > maxPlannedNodes) {
+	if p.preemptionWait(u) > 0 || u.rank > 0 && p.now.Before(s.preemption.retryAt) {
 		return nil, nil
 	}
 	waiting := p.describeWaiting(u)
@@ -26,7 +27,15 @@
 		return nil, nil
 	}
 	if u.rank > 0 {
+		if s.preemption.round == p.d.planningRound {
+			return nil, nil
+		}
+		if p.plannedNodes > maxPlannedNodes {
+			p.plansDeferred = true
+			return nil, nil
+		}
 		p.plannedNodes += 2 * len(p.nodes)
+		s.preemption.round = p.d.planningRound
 	}
 	p.listPreemptible()
 	r := p.placementRequest(u)
@@ -39,6 +48,13 @@
 	return places, victims
 }
 
+// endPlanningRound ends the planning round with the pass unless the pass had to leave out a unit.
+func (p *schedulingPass) endPlanningRound() {
+	if !p.plansDeferred {
+		p.d.planningRound++
+	}
+}
+
 // decide decides whether a unit preempts the victims of a plan.
 func (p *schedulingPass) decide(u *placementUnit, r *placer.Request, waiting *preemptor.Step, places []*placer.Node, victims []*placer.PreemptionUnit) preemptor.Decision {
 	if places == nil {
@@ -217,7 +233,8 @@
 		}
 		stopped := r.stoppable(p.now)
 		u.Cost += float64(owner.Cost(&stopped))
-		u.Protected = owner.IsProtected(&stopped, t.preempted || s.preemption.asGang)
+		// A gang ends with its last member, so it can end in time only if all members can.
+		u.Protected = owner.IsProtected(&stopped, t.preempted || s.preemption.asGang) && (len(u.Members) == 0 || u.Protected)
 		u.RemainingSeconds = max(u.RemainingSeconds, stopped.Remaining.Seconds())
 		n.AddMember(u, s.spec.Need)
 	}
