Keep the lateness limit and the weight of accelerators in one place

The preemptor had its own copy of the multiple of the target after which a result is of no use, and the weight of an accelerator stood twice. The dispatcher passes the limit of admission now. Some comments are plainer. Decisions stay the same.

--- a/internal/admitter/retry.go
+++ b/internal/admitter/retry.go
@@ -14,7 +14,7 @@
 // retryAfter returns when the caller of a refused job may return: not before the job would be accepted if no other work arrived, spread over the
 // interval in which room appears.
 //
-// It answers callers that are refused together. If all returned as soon as there is room for one, most would be refused again until they give up,
+// Callers are often refused together. If all returned as soon as there is room for one, most would be refused again until they give up,
 // or accepted behind work that makes them late. The interval is long enough for as much refused work as is accepted, maxWait, to be done until
 // the work ahead is down to the slack within which a job is in time. The place in the interval is a hash of the job and the wait, so that hosts
 // need not agree and each return has another place.
--- a/internal/dispatcher/decision.go
+++ b/internal/dispatcher/decision.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"chestnutmux.example/chestnutmux/internal/admitter"
 	"chestnutmux.example/chestnutmux/internal/placer"
 	"chestnutmux.example/chestnutmux/internal/preemptor"
 )
@@ -79,7 +80,8 @@
 
 // deadline returns the deadline of the step's job, which is counted from the time at which the occurrence is due.
 func (s *step) deadline(now time.Time) preemptor.Deadline {
-	return preemptor.NewDeadline(now.Sub(latest(s.job.seenAt, s.dueAt)), s.job.targetDuration)
+	target := s.job.targetDuration
+	return preemptor.NewDeadline(now.Sub(latest(s.job.seenAt, s.dueAt)), target, admitter.MaxLatenessFactor*target)
 }
 
 // account returns the account to which work is charged that is thrown away for the step.
--- a/internal/dispatcher/use.go
+++ b/internal/dispatcher/use.go
@@ -2,11 +2,12 @@
 
 import (
 	"chestnutmux.example/chestnutmux/internal/placer"
+	"chestnutmux.example/chestnutmux/internal/preemptor"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
-// coresPerAccelerator is what an accelerator counts as in the use of a service. The platform's prices count it so.
-const coresPerAccelerator model.MilliCores = 8000
+// milliCoresPerAccelerator is what an accelerator counts as in the use of a service.
+const milliCoresPerAccelerator model.MilliCores = 1000 * preemptor.CoresPerAccelerator
 
 // resourceUse is the capacity of a set of workers, and what active runs use of it.
 type resourceUse struct {
@@ -14,7 +15,7 @@
 	used     model.Resources
 }
 
-// share returns the share of the capacity that is in use, with each accelerator counted as coresPerAccelerator.
+// share returns the share of the capacity that is in use, with each accelerator counted as preemptor.CoresPerAccelerator.
 func (u *resourceUse) share() float64 {
 	if total := coreEquivalents(u.capacity); total > 0 {
 		return float64(coreEquivalents(u.used)) / float64(total)
@@ -23,7 +24,7 @@
 }
 
 func coreEquivalents(r model.Resources) model.MilliCores {
-	return r.Cores + coresPerAccelerator*model.MilliCores(r.Accelerators)
+	return r.Cores + milliCoresPerAccelerator*model.MilliCores(r.Accelerators)
 }
 
 // percent returns how much of each resource is in use, in percent.
--- a/internal/placer/node.go
+++ b/internal/placer/node.go
@@ -16,7 +16,7 @@
 type Node struct {
 	ID            model.HostID
 	Service       model.ServiceID
-	Domain        model.DomainID // not used
+	Domain        model.DomainID // for the caller; the placer does not use it
 	Rack          model.RackID
 	Labels        []string
 	Capacity      model.Resources
--- a/internal/preemptor/cost.go
+++ b/internal/preemptor/cost.go
@@ -6,11 +6,11 @@
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
-// CoreSeconds is an amount of work, with an accelerator counted as coresPerAccelerator.
+// CoreSeconds is an amount of work, with an accelerator counted as CoresPerAccelerator.
 type CoreSeconds float64
 
-// coresPerAccelerator is what an accelerator counts as in the use of a service. The platform's prices count it so.
-const coresPerAccelerator = 8
+// CoresPerAccelerator is what an accelerator counts as in the use of a service. The platform's prices count it so.
+const CoresPerAccelerator = 8
 
 // restartTime is the time that a preempted run loses until it runs again, in addition to its lost work and its wait for other workers: the
 // run ends, its end is reported, the start request waits for its turn on the link of the leader, and a gang waits for its last member.
@@ -24,7 +24,7 @@
 
 // Work returns the work of a task with the given need that runs for a time.
 func Work(need model.Resources, d time.Duration) CoreSeconds {
-	cores := float64(need.Cores)/1000 + coresPerAccelerator*float64(need.Accelerators)
+	cores := float64(need.Cores)/1000 + CoresPerAccelerator*float64(need.Accelerators)
 	return CoreSeconds(cores * d.Seconds())
 }
 
--- a/internal/preemptor/deadline.go
+++ b/internal/preemptor/deadline.go
@@ -6,11 +6,8 @@
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
-// lateWorth is the worth of a result that comes right after its target. It falls to 0 until uselessAfter times the target.
-const (
-	lateWorth    = 0.25
-	uselessAfter = 3
-)
+// lateWorth is the worth of a result that comes right after its target. It falls to 0 until the result is of no use.
+const lateWorth = 0.25
 
 // Deadline tells what the result of a job is worth by the time that passes until its end. The zero value is that of work without a target.
 type Deadline struct {
@@ -19,9 +16,10 @@
 	uselessIn time.Duration // the result is worth nothing from then on
 }
 
-// NewDeadline returns the deadline of a job that has arrived the given time ago.
-func NewDeadline(ago, target time.Duration) Deadline {
-	return Deadline{isSet: true, targetIn: target - ago, uselessIn: uselessAfter*target - ago}
+// NewDeadline returns the deadline of a job that has arrived the given time ago. Its target and the time from which on its result is of no
+// use count from its arrival.
+func NewDeadline(ago, target, uselessAfter time.Duration) Deadline {
+	return Deadline{isSet: true, targetIn: target - ago, uselessIn: uselessAfter - ago}
 }
 
 // worth returns the worth of a result that comes in the given time, as a share of its worth within the target.
--- a/internal/preemptor/decision.go
+++ b/internal/preemptor/decision.go
@@ -77,8 +77,7 @@
 // NoRoom returns the decision of a step for which a preemption does not make enough room.
 func NoRoom() Decision { return Decision{Reason: ReasonNoRoom, RetryIn: minRetry} }
 
-// Decide weighs what the preemption buys against what it costs. It answers days on which most resources are in use and urgent work arrives
-// faster than room becomes free.
+// Decide weighs what the preemption gains against what it costs.
 //
 // The budget of a workspace allows a preemption while it is not used up, so that a single one can always be allowed on a small fleet.
 func (s *Step) Decide(offer *Offer) Decision {
--- a/internal/preemptor/decision_test.go
+++ b/internal/preemptor/decision_test.go
@@ -10,10 +10,13 @@
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
+// newDeadline returns a deadline after which a result is of no use from three times its target on.
+func newDeadline(ago, target time.Duration) Deadline { return NewDeadline(ago, target, 3*target) }
+
 // newStep returns an urgent step of 5 tasks with a slack of 2 s, whose runs last 2 s.
 func newStep() *Step {
 	need := model.Resources{Cores: 16_000, Accelerators: 2}
-	return &Step{Deadline: NewDeadline(0, 4*time.Second), PathLeft: 2 * time.Second, Work: 5 * Work(need, 2*time.Second)}
+	return &Step{Deadline: newDeadline(0, 4*time.Second), PathLeft: 2 * time.Second, Work: 5 * Work(need, 2*time.Second)}
 }
 
 // newOffer returns an offer to stop a number of runs of different jobs, each of which has run for a time and has 10 s left.
@@ -21,7 +24,7 @@
 	out := &Offer{RoomIn: 10 * time.Second, Left: 1e9}
 	for i := range runs {
 		r := Run{Need: model.Resources{Cores: 16_000, Accelerators: 2}, Elapsed: elapsed, Remaining: 10 * time.Second}
-		j := Job{ID: model.JobID(rune('a' + i)), Priority: 2, Deadline: NewDeadline(0, time.Minute), Work: Work(r.Need, time.Minute)}
+		j := Job{ID: model.JobID(rune('a' + i)), Priority: 2, Deadline: newDeadline(0, time.Minute), Work: Work(r.Need, time.Minute)}
 		out.Victims = append(out.Victims, Victim{Job: j, Runs: []Run{r}})
 	}
 	return out
@@ -41,7 +44,7 @@
 		{"batch step gains little", func(s *Step, _ *Offer) { s.Priority, s.Work = 2, s.Work/10 }, ReasonStepBudget},
 		{"victims can no longer be in time after a stop", func(_ *Step, o *Offer) {
 			for i := range o.Victims {
-				o.Victims[i].Job.Deadline, o.Victims[i].Job.Work = NewDeadline(0, 11*time.Second), 1e6
+				o.Victims[i].Job.Deadline, o.Victims[i].Job.Work = newDeadline(0, 11*time.Second), 1e6
 			}
 		}, ReasonCost},
 		{"much was thrown away for the step", func(s *Step, _ *Offer) { s.Spent = 4 * s.Work }, ReasonStepBudget},
@@ -65,7 +68,7 @@
 	is := is.New(t)
 	s := newStep()
 	is.True(s.Consider() == nil)
-	s.Deadline = NewDeadline(1600*time.Millisecond, 4*time.Second)
+	s.Deadline = newDeadline(1600*time.Millisecond, 4*time.Second)
 	is.Equal(s.Consider().Reason, ReasonTooLate)
 	s.Guaranteed = true
 	is.True(s.Consider() == nil)
@@ -74,7 +77,7 @@
 // Guards against a task that is stopped twice in a row although it could be in time.
 func TestProtection(t *testing.T) {
 	is := is.New(t)
-	j := Job{Deadline: NewDeadline(0, 5*time.Second)}
+	j := Job{Deadline: newDeadline(0, 5*time.Second)}
 	is.True(j.IsProtected(&Run{Remaining: 4 * time.Second}, true))
 	is.True(!j.IsProtected(&Run{Remaining: 4 * time.Second}, false))
 	is.True(!j.IsProtected(&Run{Remaining: 6 * time.Second}, true))
--- a/internal/sequencer/sequencer.go
+++ b/internal/sequencer/sequencer.go
@@ -50,6 +50,6 @@
 // Compare orders waiting work of the same rank: what can be in time first, then what is still of use, then the rest. The zero value, for
 // work that only the order of arrival places, has the place of InTime.
 //
-// It answers a load beyond the capacity of the workers. In the order of arrival, all work would then start after its target; work that is
-// already late delays work that could still be in time.
+// Under a load beyond the capacity of the workers, all work would start after its target in the order of arrival, since work that is already
+// late delays work that could still be in time.
 func Compare(a, b Usefulness) int { return cmp.Compare(a.place(), b.place()) }
--- a/internal/sequencer/shares.go
+++ b/internal/sequencer/shares.go
@@ -31,7 +31,7 @@
 // workspace with the lowest load, of several the one that is listed first. Claims add to the use of their workspaces, so that the next ones
 // count with them.
 //
-// It answers a burst of a large workspace: by arrival alone, the work of small ones would wait behind the whole burst.
+// By arrival alone, the work of small workspaces would wait behind the whole burst of a large one.
 func (s *Shares) Interleave(claims []Claim) []int {
 	waiting := map[model.WorkspaceID][]int{}
 	var workspaces []model.WorkspaceID // by their first claim, so that the result does not depend on the order of a map
