Keep gangs out of the learned speeds of workers

Runs of gangs have no worker, but were recorded as runs of one worker with an empty name. Its speed corrected the run times of all gangs and moved the mean speed, to which that of all workers is relative. When the run times of the gangs in the test change from 10 to 18 s, they were corrected by 1.27; now they count as they are.

--- a/internal/estimator/estimator.go
+++ b/internal/estimator/estimator.go
@@ -74,7 +74,7 @@
 type Run struct {
 	Key      Key
 	Estimate time.Duration // estimate of the caller; 0 means none
-	Worker   model.HostID
+	Worker   model.HostID  // empty if the run depends on several workers
 
 	timesPassed, ratiosPassed int // number of buckets that are counted as reached
 }
--- a/internal/estimator/speed.go
+++ b/internal/estimator/speed.go
@@ -25,8 +25,11 @@
 	slowness float64 // at the last Update; 0 means unknown
 }
 
-// recordSpeed compares a run with the median of the narrowest kind.
+// recordSpeed compares a run with the median of the narrowest kind. A run without a worker, such as that of a gang, tells no speed.
 func (e *Estimator) recordSpeed(r *Run, total time.Duration) {
+	if r.Worker == "" {
+		return
+	}
 	f := e.Forecast(r.Key, r.Estimate)
 	if f.Scope != ScopeWorkspace && f.Scope != ScopeShape || f.sketch.spread > maxSpeedStep {
 		return
