--- a/internal/dispatcher/decision.go
+++ b/internal/dispatcher/decision.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"chestnutmux.example/chestnutmux/internal/admitter"
 	"chestnutmux.example/chestnutmux/internal/placer"
 	"chestnutmux.example/chestnutmux/internal/preemptor"
 )
@@ -17,6 +18,7 @@
 	roomBy  time.Time        // time by which room was first expected to become free since the step waits; zero if it was not
 	spent   preemptor.Window // work thrown away for the step
 	asGang  bool             // the step is a gang that was preempted in this term
+	round   int64            // number of the planning round in which a plan was last made for the step; 0 before the first one
 }
 
 // noteDecision keeps the decision whether a step preempts, counts it, and logs one against a preemption at most once in an interval.
@@ -78,7 +80,8 @@
 
 // deadline returns the deadline of the step's job, which is counted from the time at which the occurrence is due.
 func (s *step) deadline(now time.Time) preemptor.Deadline {
-	return preemptor.NewDeadline(now.Sub(latest(s.job.seenAt, s.dueAt)), s.job.targetDuration)
+	target := s.job.targetDuration
+	return preemptor.NewDeadline(now.Sub(latest(s.job.seenAt, s.dueAt)), target, admitter.MaxLatenessFactor*target)
 }
 
 // account returns the account to which work is charged that is thrown away for the step.
@@ -88,7 +91,7 @@
 
 // work returns the estimated work of all tasks of the step.
 func (s *step) work() preemptor.CoreSeconds {
-	perTask := preemptor.Work(s.spec.Need, time.Duration(s.spec.EstimatedRunMS)*time.Millisecond)
+	perTask := preemptor.Work(s.spec.Need, s.callerEstimate())
 	return perTask * preemptor.CoreSeconds(s.spec.Count)
 }
 
@@ -102,11 +105,11 @@
 		return out
 	}
 	out.Resumable, out.Remaining = r.task.step.spec.Resumable, r.estimateRemaining(now)
-	if r.workerSeenAt.IsZero() {
+	if r.adopted {
 		// A former leader has sent the start request, so only the progress tells how long the task has run.
-		estimate := time.Duration(r.task.step.spec.EstimatedRunMS) * time.Millisecond
-		out.Remaining = estimate * time.Duration(100-r.percentDone) / 100
-		out.Elapsed = max(out.Elapsed, estimate*time.Duration(r.percentDone)/100)
+		estimate := r.task.step.callerEstimate()
+		out.Remaining = estimate / 100 * time.Duration(100-r.percentDone)
+		out.Elapsed = max(out.Elapsed, estimate/100*time.Duration(r.percentDone))
 	}
 	return out
 }
--- a/internal/preemptor/deadline.go
+++ b/internal/preemptor/deadline.go
@@ -6,11 +6,8 @@
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
-// lateWorth is the worth of a result that comes right after its target. It falls to 0 until uselessAfter times the target.
-const (
-	lateWorth    = 0.25
-	uselessAfter = 3
-)
+// lateWorth is the worth of a result that comes right after its target. It falls to 0 until the result is of no use.
+const lateWorth = 0.25
 
 // Deadline tells what the result of a job is worth by the time that passes until its end. The zero value is that of work without a target.
 type Deadline struct {
@@ -19,9 +16,10 @@
 	uselessIn time.Duration // the result is worth nothing from then on
 }
 
-// NewDeadline returns the deadline of a job that has arrived the given time ago.
-func NewDeadline(ago, target time.Duration) Deadline {
-	return Deadline{isSet: true, targetIn: target - ago, uselessIn: uselessAfter*target - ago}
+// NewDeadline returns the deadline of a job that has arrived the given time ago. Its target and the time from which on its result is of no
+// use count from its arrival.
+func NewDeadline(ago, target, uselessAfter time.Duration) Deadline {
+	return Deadline{isSet: true, targetIn: target - ago, uselessIn: uselessAfter - ago}
 }
 
 // worth returns the worth of a result that comes in the given time, as a share of its worth within the target.
@@ -38,7 +36,10 @@
 // allows reports whether an end in the given time is within the target.
 func (d *Deadline) allows(endsIn time.Duration) bool { return !d.isSet || endsIn <= d.targetIn }
 
-// PathFrom returns the estimated run time of the longest chain of dependent steps that begins with the given one.
+// maxPath limits the result of PathFrom, so that sums of a few of them fit into a time.Duration.
+const maxPath = 10 * 365 * 24 * time.Hour
+
+// PathFrom returns the estimated run time of the longest chain of dependent steps that begins with the given one, at most 10 years.
 func PathFrom(steps []model.Step, from int) time.Duration {
 	ends := make([]time.Duration, len(steps))
 	longest := time.Duration(0)
@@ -53,7 +54,8 @@
 			}
 		}
 		if start >= 0 {
-			ends[i] = start + time.Duration(max(steps[i].EstimatedRunMS, 1))*time.Millisecond
+			estimate := time.Duration(min(max(steps[i].EstimatedRunMS, 1), model.Millis(maxPath/time.Millisecond))) * time.Millisecond
+			ends[i] = min(start+estimate, maxPath)
 			longest = max(longest, ends[i])
 		}
 	}
