--- a/internal/coordinator/burst_day_test.go
+++ b/internal/coordinator/burst_day_test.go
@@ -194,11 +194,14 @@
 	is.True(worth["urgent small"] >= 0.95) // nearly all that they get without bursts
 }
 
+// refusalDays is the number of days for each seed; one has 20 jobs of small workspaces, of which a late one moves the worth by 5 points.
+const refusalDays = 6
+
 // Guards against callers of small workspaces that give up because of a burst of a large one beyond all capacity.
 func TestDayOfRefusals(t *testing.T) {
 	t.Parallel()
 	var callers []*burstCaller
-	for seed := range *burstSeeds {
+	for seed := range refusalDays * *burstSeeds {
 		callers = append(callers, burstDay{racks: 1, factor: 40}.play(t, uint64(seed))...)
 	}
 	burstShares(t, callers, func(b *burstCaller) string { return fmt.Sprintf("%s %.5s", b.job.Queue.ID, b.job.Workspace) })
