--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -37,8 +37,7 @@
 	is.True(decision.RetryAfter > 0)
 }
 
-// Guards against jobs that are refused because their callers estimate too little while the backlog counts true run times, and against a
-// target duration that changes with what the leader learns.
+// Guards against jobs that are refused because their callers estimate too little while the backlog counts true run times, and against a target duration that changes with what the leader learns.
 func TestLearnedRunTimesGiveJobsTheirTime(t *testing.T) {
 	is := is.New(t)
 	s := job(1)
--- a/internal/coordinator/burst_day_test.go
+++ b/internal/coordinator/burst_day_test.go
@@ -176,8 +176,7 @@
 	return worth
 }
 
-// Guards against accepted work that never runs because other work keeps arriving, and against small workspaces that the bursts of a large one
-// push out.
+// Guards against accepted work that never runs because other work keeps arriving, and against small workspaces that the bursts of a large one push out.
 func TestDayOfBursts(t *testing.T) {
 	t.Parallel()
 	var callers []*burstCaller
--- a/internal/coordinator/election_test.go
+++ b/internal/coordinator/election_test.go
@@ -39,8 +39,7 @@
 	is.Equal(l.records, 0)
 }
 
-// Guards against a leader whose processor is too slow to renew its term, whose link is too slow to start many tasks, or whose memory is
-// too small for the fleet.
+// Guards against a leader whose processor is too slow to renew its term, whose link is too slow to start many tasks, or whose memory is too small for the fleet.
 func TestCapableHostLeads(t *testing.T) {
 	for name, set := range map[string]func(h *testHost, capable bool){
 		"processor": func(h *testHost, capable bool) {
--- a/internal/coordinator/loaded_day_test.go
+++ b/internal/coordinator/loaded_day_test.go
@@ -49,8 +49,7 @@
 	dayLogs  = flag.String("day-logs", "", "prefix of the names of files to which the logs of the loaded days are written")
 )
 
-// generateDay returns the jobs of a day for a fleet of dayRacks racks, at a multiple of their rates. In the middle third, urgent jobs arrive twice as often.
-// The jobs of workspace "guaranteed" are a fifth of all.
+// generateDay returns the jobs of a day for a fleet of dayRacks racks, at a multiple of their rates. In the middle third, urgent jobs arrive twice as often. The jobs of workspace "guaranteed" are a fifth of all.
 func generateDay(rng *rand.Rand, load float64) []arrival {
 	var out []arrival
 	for _, k := range dayKinds {
--- a/internal/coordinator/runtimes_test.go
+++ b/internal/coordinator/runtimes_test.go
@@ -41,8 +41,7 @@
 	status string
 }
 
-// offer submits the load through the admission control, as callers with 4 retries do, and returns the worth of the results by kind: 1 for
-// each job that ends within its target duration by its usual run time, less for later ones, and 0 after three times that.
+// offer submits the load through the admission control, as callers with 4 retries do, and returns the worth of the results by kind: 1 for each job that ends within its target duration by its usual run time, less for later ones, and 0 after three times that.
 func offer(c *cluster, load []*offeredJob) map[model.QueueID]float64 {
 	start := time.Now()
 	replica := c.hosts[0].coordinator.Replica()
@@ -89,8 +88,7 @@
 	return worth
 }
 
-// offeredLoad returns a load of more than what the workers of three racks can do, in which 3 of 100 jobs run seven times as
-// long as usual.
+// offeredLoad returns a load of more than what the workers of three racks can do, in which 3 of 100 jobs run seven times as long as usual.
 func offeredLoad(name string) []*offeredJob {
 	rng := rand.New(rand.NewPCG(1, 3))
 	var out []*offeredJob
--- a/internal/dispatcher/evacuation_test.go
+++ b/internal/dispatcher/evacuation_test.go
@@ -91,8 +91,7 @@
 	}
 }
 
-// Guards against a start request that is sent although it was withdrawn, because a slot was free at the same time. The check of the failure
-// domain does not stop it if the worker has moved to an evacuated domain since it was planned.
+// Guards against a start request that is sent although it was withdrawn, because a slot was free at the same time. The check of the failure domain does not stop it if the worker has moved to an evacuated domain since it was planned.
 func TestWithdrawnStartTakesNoFreeSlot(t *testing.T) {
 	is := is.New(t)
 	events := make(chan event, 1)
--- a/internal/dispatcher/runtimes_test.go
+++ b/internal/dispatcher/runtimes_test.go
@@ -120,8 +120,7 @@
 	is.Equal(l.runTimes.estimator.Runs(), int64(1))
 }
 
-// Guards against a job of hours whose runs are stopped because a percent takes longer than a few seconds, and against a run of seconds that
-// keeps its worker although it makes no progress.
+// Guards against a job of hours whose runs are stopped because a percent takes longer than a few seconds, and against a run of seconds that keeps its worker although it makes no progress.
 func TestStalledRunIsToldFromLongOne(t *testing.T) {
 	for _, c := range []struct {
 		learns            bool
@@ -194,8 +193,7 @@
 	is.Equal(f.Runs, 40)
 }
 
-// Guards against short jobs that wait behind long ones whose targets are far off, against long jobs that are passed over for good, against
-// callers who get ahead by too short estimates, and against another order than that of arrival where the setting is off.
+// Guards against short jobs that wait behind long ones whose targets are far off, against long jobs that are passed over for good, against callers who get ahead by too short estimates, and against another order than that of arrival where the setting is off.
 func TestWorkStartsByDueTime(t *testing.T) {
 	for _, learns := range []bool{false, true} {
 		is := is.New(t)
--- a/internal/elector/memory_test.go
+++ b/internal/elector/memory_test.go
@@ -25,8 +25,7 @@
 	}
 }
 
-// Guards against a leader that resigns for garbage, for a short peak, again and again or in favour of no better host, and against one
-// that stays until it is killed.
+// Guards against a leader that resigns for garbage, for a short peak, again and again or in favour of no better host, and against one that stays until it is killed.
 func TestMemoryGuard(t *testing.T) {
 	is := is.New(t)
 	const limit = 200
--- a/internal/protector/crowd_test.go
+++ b/internal/protector/crowd_test.go
@@ -54,8 +54,7 @@
 	"unread responses": strings.Repeat("GET / HTTP/1.1\r\nHost: h\r\n\r\n", 100),
 }
 
-// Guards against ordinary requests that are refused beside a crowd, and against a crowd that exceeds the bounds: each second 100
-// hostile clients come and 20 ordinary ones, for 200 connections and 4 MiB of bodies.
+// Guards against ordinary requests that are refused beside a crowd, and against a crowd that exceeds the bounds: each second 100 hostile clients come and 20 ordinary ones, for 200 connections and 4 MiB of bodies.
 func TestOrdinaryRequestsBesideCrowd(t *testing.T) {
 	const (
 		maxConnections = 200
--- a/internal/reserver/pool_test.go
+++ b/internal/reserver/pool_test.go
@@ -8,8 +8,7 @@
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
-// Guards against a demand for accelerators that does not count in a service with fewer accelerators than workers, or counts too much where
-// their mean is no whole number.
+// Guards against a demand for accelerators that does not count in a service with fewer accelerators than workers, or counts too much where their mean is no whole number.
 func TestWorkersFilledByUnevenAccelerators(t *testing.T) {
 	is := is.New(t)
 	var p Pool
--- a/internal/spooler/hosts_test.go
+++ b/internal/spooler/hosts_test.go
@@ -114,8 +114,7 @@
 	}})
 }
 
-// Guards against answers that are not true, and against refusals by hosts that reach the log through a peer, while the log is in trouble
-// for real followers and peers.
+// Guards against answers that are not true, and against refusals by hosts that reach the log through a peer, while the log is in trouble for real followers and peers.
 func TestHostsInOutages(t *testing.T) {
 	const troubled = 2 * time.Second
 	setAll := func(f log.CallFault) func([]*entryHost) {
--- a/internal/spooler/spooler_test.go
+++ b/internal/spooler/spooler_test.go
@@ -197,8 +197,7 @@
 	})
 }
 
-// Guards against callers that wait for an append of others whose response is lost, and against many callers with an unknown outcome
-// when the log goes silent.
+// Guards against callers that wait for an append of others whose response is lost, and against many callers with an unknown outcome when the log goes silent.
 func TestOneLostResponseDelaysOnlyItsCallers(t *testing.T) {
 	for _, lasting := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
--- a/test/process/cluster_test.go
+++ b/test/process/cluster_test.go
@@ -56,8 +56,7 @@
 	configSet model.ConfigSet
 }
 
-// startCluster starts a deployment beside those of other tests and publishes the example configuration. At the end of the test,
-// the invariants are checked and the deployment is stopped.
+// startCluster starts a deployment beside those of other tests and publishes the example configuration. At the end of the test, the invariants are checked and the deployment is stopped.
 func startCluster(t *testing.T, opts launcher.Options) *cluster {
 	t.Helper()
 	t.Parallel()
--- a/test/process/evacuation_test.go
+++ b/test/process/evacuation_test.go
@@ -12,8 +12,7 @@
 	"chestnutmux.example/chestnutmux/pkg/validator"
 )
 
-// evacuationTime is the time after a request from which on nothing starts in the failure domain, and a second until what was started
-// before has ended.
+// evacuationTime is the time after a request from which on nothing starts in the failure domain, and a second until what was started before has ended.
 const evacuationTime = 3 * time.Second
 
 // evacuate requests the evacuation of a failure domain, or takes the request back, and waits until the hosts have applied that.
@@ -33,8 +32,7 @@
 	c.is.NoErr(c.AwaitVersion(inForceTimeout, operator1Token, v, c.Hosts...))
 }
 
-// playShortJobs submits short jobs for a time, and returns the most accelerators that were in use in a failure domain, and the statuses of
-// its workers at that time.
+// playShortJobs submits short jobs for a time, and returns the most accelerators that were in use in a failure domain, and the statuses of its workers at that time.
 func (c *cluster) playShortJobs(name string, domain model.DomainID, length time.Duration) (inUse model.Accelerators, health map[string]int) {
 	c.t.Helper()
 	leader, end := c.leader(), time.Now().Add(length)
--- a/test/process/outage_test.go
+++ b/test/process/outage_test.go
@@ -15,8 +15,7 @@
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
-// Guards against jobs that run although their callers were told that they don't, and accepted jobs that are lost, while the log is in
-// trouble.
+// Guards against jobs that run although their callers were told that they don't, and accepted jobs that are lost, while the log is in trouble.
 func TestSubmissionsInLogOutage(t *testing.T) {
 	for _, tc := range []struct {
 		name     string
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -122,8 +122,7 @@
 	}
 }
 
-// evacuate evacuates a random failure domain at a time, on a random host, until the end. It has random numbers of its own, so that the faults of a
-// seed stay the same.
+// evacuate evacuates a random failure domain at a time, on a random host, until the end. It has random numbers of its own, so that the faults of a seed stay the same.
 func (s *soakRun) evacuate(end time.Time) {
 	rng := rand.New(rand.NewPCG(*seed, 3))
 	for time.Now().Before(end) {
