Admission: don't call a caller back before there can be room

A refused job was told to return after at most 60 s and its place in the spread of returns, even if the work ahead took longer: wait 75.3 s, longest wait 13 s, returned after 61 s and was refused again. Each refusal costs the caller one of a few retries.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -22,9 +22,10 @@
 const (
 	// MaxLatenessFactor is the multiple of its target duration after which the result of a job is worthless to its caller.
 	MaxLatenessFactor = 3
-	// minRetryAfter and maxRetryAfter bound the earliest return of a refused job.
+	// minRetryAfter and maxRetryAfter bound the earliest return of a refused job. With a lower maximum, callers would return while the work
+	// ahead still takes minutes, and each such refusal costs them one of a few retries.
 	minRetryAfter = time.Second
-	maxRetryAfter = 60 * time.Second
+	maxRetryAfter = 5 * time.Minute
 	// evacuatedRetryAfter is RetryAfter while all workers are evacuated. How long that lasts is unknown; a caller that is told to come back
 	// in some seconds still has retries left when capacity is back.
 	evacuatedRetryAfter = 5 * time.Second
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -83,28 +83,36 @@
 
 // Guards against a caller that returns when it was told to although nothing has arrived, and is refused again.
 func TestReturnFindsRoom(t *testing.T) {
+	s := job(1)
+	s.Steps[0].EstimatedRunMS, s.Queue.TargetStretch = 0, 1
+	is.New(t).True(returnFindsRoom(s, 153.09375, 600)) // after more than a minute
 	rapid.Check(t, func(t *rapid.T) {
 		s := job(model.Priority(rapid.IntRange(0, 1).Draw(t, "priority")))
 		s.ID = model.JobID(rapid.String().Draw(t, "id"))
 		s.Steps[0].EstimatedRunMS = model.Millis(rapid.IntRange(0, 100_000).Draw(t, "run"))
 		s.Queue.TargetStretch = rapid.Float64Range(0.5, 5).Draw(t, "stretch")
-		load := journaler.Load{Capacity: 10, Backlog: []float64{rapid.Float64Range(0, 600).Draw(t, "urgent"), rapid.Float64Range(0, 600).Draw(t, "other")}}
-		d := Decide(load, s)
-		if d.Accepted {
-			return
-		}
-		done := d.RetryAfter.Seconds() * 10
-		for p := range load.Backlog {
-			n := min(load.Backlog[p], done)
-			load.Backlog[p] -= n
-			done -= n
-		}
-		if !Decide(load, s).Accepted {
+		if !returnFindsRoom(s, rapid.Float64Range(0, 600).Draw(t, "urgent"), rapid.Float64Range(0, 600).Draw(t, "other")) {
 			t.Fatal("refused again")
 		}
 	})
 }
 
+// returnFindsRoom says whether a job is accepted at once or when it returns as told to, while ten workers do the work of two priorities.
+func returnFindsRoom(s *model.Submission, urgent, other float64) bool {
+	load := journaler.Load{Capacity: 10, Backlog: []float64{urgent, other}}
+	d := Decide(load, s)
+	if d.Accepted {
+		return true
+	}
+	done := d.RetryAfter.Seconds() * 10
+	for p := range load.Backlog {
+		n := min(load.Backlog[p], done)
+		load.Backlog[p] -= n
+		done -= n
+	}
+	return Decide(load, s).Accepted
+}
+
 // Guards against a workspace within its share that is refused for the burst of another, and a burst that is accepted because others are small.
 func TestAdmissionByShares(t *testing.T) {
 	load := journaler.Load{
