Parser: place of each error, without the text of invalid values

Cause: an unknown field was reported at the end of the file, syntax errors had their place in the text of another package, which also printed invalid values that may be keys, and a file of brackets could use up the stack of the parser for comments. Change: syntax errors are SyntaxErrors, unknown members are found by the type that they are decoded to, and nesting is bounded by 10,000. New functions for JSON without a fixed type.

--- a/pkg/parser/jobs.go
+++ b/pkg/parser/jobs.go
@@ -4,8 +4,8 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"reflect"
 
-	"github.com/cockroachdb/errors"
 	"github.com/tailscale/hujson"
 
 	"chestnutmux.example/chestnutmux/pkg/model"
@@ -13,9 +13,9 @@
 
 // ParseJobs parses a list of jobs. Unknown fields, duplicate member names and duplicate job ids are errors.
 func ParseJobs(data []byte) ([]model.JobSpec, error) {
-	v, err := hujson.Parse(data)
+	v, err := parseJSON(data)
 	if err != nil {
-		return nil, errors.Wrap(err, "parser: the file is no JSON with comments; correct the syntax")
+		return nil, err
 	}
 	list, ok := v.Value.(*hujson.Array)
 	if !ok || len(list.Elements) == 0 {
@@ -29,7 +29,7 @@
 	d := json.NewDecoder(bytes.NewReader(v.Pack()))
 	d.DisallowUnknownFields()
 	if err := d.Decode(&specs); err != nil {
-		return nil, decodeErrorAt(data, d.InputOffset(), err)
+		return nil, decodeErrorAt(data, errorOffset(&v, reflect.TypeOf(specs), d), err)
 	}
 	seen := make(map[model.JobID]bool, len(specs))
 	for i, s := range specs {
--- /dev/null
+++ b/pkg/parser/json.go
@@ -0,0 +1,84 @@
+package parser
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+// maxNesting is the depth of nested values that encoding/json reads. Deeper files would use up the stack of the parser for comments.
+const maxNesting = 10_000
+
+// invalidLiteral precedes the text of an invalid value in errors of hujson.
+const invalidLiteral = "invalid literal"
+
+// parseJSON parses JSON with comments.
+func parseJSON(data []byte) (hujson.Value, error) {
+	if offset, ok := tooDeep(data); ok {
+		return hujson.Value{}, newSyntaxError(data, offset, fmt.Sprintf("values are nested deeper than %d", maxNesting))
+	}
+	v, err := hujson.Parse(data)
+	if err == nil {
+		return v, nil
+	}
+	e := &SyntaxError{Line: 1, Column: 1, Message: "the file is no JSON with comments"}
+	if _, scanErr := fmt.Sscanf(err.Error(), "hujson: line %d, column %d:", &e.Line, &e.Column); scanErr == nil {
+		_, cause, _ := strings.Cut(strings.TrimPrefix(err.Error(), "hujson: "), ": ")
+		if before, _, ok := strings.Cut(cause, invalidLiteral); ok {
+			cause = before + invalidLiteral // the literal may be a secret
+		}
+		e.Message += ": " + cause
+	}
+	return v, e
+}
+
+// tooDeep returns the first offset at which more than maxNesting brackets are open. It also counts those in strings and comments, of which no
+// file has as many.
+func tooDeep(data []byte) (offset int, ok bool) {
+	depth := 0
+	for i, c := range data {
+		switch c {
+		case '[', '{':
+			depth++
+		case ']', '}':
+			depth = max(depth-1, 0)
+		}
+		if depth > maxNesting {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// ParseMembers returns the members of the object in a file of JSON with comments.
+func ParseMembers(data []byte) (map[string]json.RawMessage, error) {
+	v, err := parseJSON(data)
+	if err != nil {
+		return nil, err
+	}
+	v.Standardize()
+	var members map[string]json.RawMessage
+	if err := json.Unmarshal(v.Pack(), &members); err != nil {
+		return nil, decodeErrorAt(data, 0, err)
+	}
+	return members, nil
+}
+
+// DecodeJSON decodes JSON without comments. Unknown fields are no error; the error has the position in data.
+func DecodeJSON(data []byte, out any) error {
+	if err := json.Unmarshal(data, out); err != nil {
+		return decodeErrorAt(data, 0, err)
+	}
+	return nil
+}
+
+// CheckDuplicates returns an error for the first object member whose name is used twice in its object.
+func CheckDuplicates(data []byte) error {
+	v, err := parseJSON(data)
+	if err != nil {
+		return err
+	}
+	return checkDuplicateNames(data, v)
+}
--- a/pkg/parser/parser.go
+++ b/pkg/parser/parser.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
+	"reflect"
 
 	"github.com/cockroachdb/errors"
 	"github.com/tailscale/hujson"
@@ -26,9 +28,9 @@
 // ParseConfig parses a configuration. Unknown fields and duplicate member names are errors.
 func ParseConfig(data []byte) (model.ConfigSet, error) {
 	var set model.ConfigSet
-	v, err := hujson.Parse(data)
+	v, err := parseJSON(data)
 	if err != nil {
-		return set, errors.Wrap(err, "parser: the file is no JSON with comments; correct the syntax")
+		return set, err
 	}
 	if err := checkDuplicateNames(data, v); err != nil {
 		return set, err
@@ -38,7 +40,7 @@
 	d := json.NewDecoder(bytes.NewReader(plain))
 	d.DisallowUnknownFields()
 	if err := d.Decode(&set); err != nil {
-		return set, decodeErrorAt(data, d.InputOffset(), err)
+		return set, decodeErrorAt(data, errorOffset(&v, reflect.TypeOf(set), d), err)
 	}
 	return set, nil
 }
@@ -65,12 +67,25 @@
 	return duplicate
 }
 
+// errorOffset returns the offset of an error of a decoder that has no position of its own: that of the first unknown member, or what the decoder has
+// read.
+func errorOffset(v *hujson.Value, t reflect.Type, d *json.Decoder) int64 {
+	if offset, ok := findUnknown(v, t); ok {
+		return int64(offset)
+	}
+	return d.InputOffset()
+}
+
 // decodeErrorAt converts an error of encoding/json to a SyntaxError. If err has no position of its own, offset is used, which
 // is the position of the decoder in data.
 func decodeErrorAt(data []byte, offset int64, err error) error {
 	var typeErr *json.UnmarshalTypeError
+	var syntaxErr *json.SyntaxError
+	if errors.As(err, &syntaxErr) {
+		return newSyntaxError(data, int(syntaxErr.Offset)-1, syntaxErr.Error()) // the offset is that after the invalid character
+	}
 	if errors.As(err, &typeErr) {
-		return newSyntaxError(data, int(typeErr.Offset), fmt.Sprintf("%s has the wrong type %s", typeErr.Field, typeErr.Value))
+		return newSyntaxError(data, int(typeErr.Offset), fmt.Sprintf("%s has the wrong type %s", cmp.Or(typeErr.Field, "the file"), typeErr.Value))
 	}
 	return newSyntaxError(data, int(offset), err.Error())
 }
--- a/pkg/parser/parser_test.go
+++ b/pkg/parser/parser_test.go
@@ -13,6 +13,9 @@
 		"unknown field":  "{\n  // two workspaces\n  \"workspaces\": {\"a\": {\"qouta\": 8}}}",
 		"duplicate name": "{\n\n\"workspaces\": {\"a\": {}, \"a\": {}}}",
 		"wrong type":     "{\n\n\"workspaces\": {\"a\": {\"quota\": \"8\"}}}",
+		"earlier line":   "{\n\n\"workspaces\": {\"a\": {\"qouta\": 8},\n\"b\": {\"quota\": 8}}\n}",
+		"syntax":         "{\n\n\"workspaces\" {},\n}",
+		"after a list":   "{\"services\": {\"s\": {\n\"classes\": [\"c\"],\n\"slot\": 1,\n\"connections\": 1}}}",
 		"unknown kind":   "{\n\n\"workspace\": {}}",
 	} {
 		t.Run(name, func(t *testing.T) {
