--- a/pkg/differ/differ.go
+++ b/pkg/differ/differ.go
@@ -13,23 +13,23 @@
 
 // Diff returns the changes that turn the configuration old into wanted, sorted by kind and name.
 func Diff(old, wanted model.ConfigSet) ([]model.ConfigChange, error) {
-	oldObjects, err := encodeObjects(old)
+	oldObjects, err := Encode(old)
 	if err != nil {
 		return nil, err
 	}
-	newObjects, err := encodeObjects(wanted)
+	newObjects, err := Encode(wanted)
 	if err != nil {
 		return nil, err
 	}
 	var changes []model.ConfigChange
 	for key, spec := range newObjects {
 		if oldSpec, ok := oldObjects[key]; !ok || !bytes.Equal(oldSpec, spec) {
-			changes = append(changes, model.ConfigChange{Kind: key.kind, Name: key.name, Spec: spec})
+			changes = append(changes, model.ConfigChange{Kind: key.Kind, Name: key.Name, Spec: spec})
 		}
 	}
 	for key := range oldObjects {
 		if _, ok := newObjects[key]; !ok {
-			changes = append(changes, model.ConfigChange{Kind: key.kind, Name: key.name})
+			changes = append(changes, model.ConfigChange{Kind: key.Kind, Name: key.Name})
 		}
 	}
 	slices.SortFunc(changes, func(x, y model.ConfigChange) int {
@@ -38,16 +38,19 @@
 	return changes, nil
 }
 
-// objectKey identifies a configuration object; names are unique only within a kind.
-type objectKey struct {
-	kind model.ObjectKind
-	name string
+// ObjectKey identifies a configuration object; names are unique only within a kind.
+type ObjectKey struct {
+	Kind model.ObjectKind
+	Name string
 }
 
-// encodeObjects encodes each object of a configuration as JSON. Equal objects have equal encodings, because encoding/json
-// sorts map keys.
-func encodeObjects(set model.ConfigSet) (map[objectKey]json.RawMessage, error) {
-	out := map[objectKey]json.RawMessage{}
+// Objects holds the objects of a configuration as JSON.
+type Objects map[ObjectKey]json.RawMessage
+
+// Encode encodes each object of a configuration as JSON. Equal objects have equal encodings, because encoding/json sorts map
+// keys.
+func Encode(set model.ConfigSet) (Objects, error) {
+	out := Objects{}
 	err := cmp.Or(
 		addObjects(out, model.ObjectKindFailureDomain, set.FailureDomains),
 		addObjects(out, model.ObjectKindWorkspace, set.Workspaces),
@@ -62,13 +65,13 @@
 }
 
 // addObjects adds the encoded objects of one kind to out.
-func addObjects[N ~string, S any](out map[objectKey]json.RawMessage, kind model.ObjectKind, specs map[N]S) error {
+func addObjects[N ~string, S any](out Objects, kind model.ObjectKind, specs map[N]S) error {
 	for name, spec := range specs {
 		data, err := json.Marshal(spec)
 		if err != nil {
 			return errors.Wrapf(err, "differ: cannot encode %s %s", kind, string(name))
 		}
-		out[objectKey{kind, string(name)}] = data
+		out[ObjectKey{kind, string(name)}] = data
 	}
 	return nil
 }
