Bodyreader: size of the largest body that a budget admits

Cause: a check of a configuration compares limits of bodies with the memory of a host. Change: LargestBody, tested against Budget. Measured: go test -race ./internal/bodyreader passes.

--- a/internal/bodyreader/budget.go
+++ b/internal/bodyreader/budget.go
@@ -34,6 +34,12 @@
 // Used returns the memory charged for bodies, in bytes.
 func (b *Budget) Used() int64 { return b.used.Load() }
 
+// LargestBody returns the size of the largest body that a budget of the given size admits while nothing else is charged.
+func LargestBody(budgetBytes int64) int64 {
+	large := (budgetBytes - budgetBytes/smallBodyDivisor) / bytesPerBuffered
+	return max(large, min(budgetBytes/bytesPerBuffered, FirstStepBytes))
+}
+
 // Charge is the memory charged for one request.
 type Charge struct {
 	budget *Budget
--- a/internal/bodyreader/reader_test.go
+++ b/internal/bodyreader/reader_test.go
@@ -15,6 +15,19 @@
 	"pgregory.net/rapid"
 )
 
+// Guards against a size that the budget refuses, or below the largest one that it admits.
+func TestLargestBody(t *testing.T) {
+	for _, capacity := range []int64{100, 2 * FirstStepBytes, 2*FirstStepBytes + 1, 21844, 1 << 20, 184 << 17} {
+		is := is.New(t)
+		var budget Budget
+		budget.SetCapacity(capacity)
+		size := LargestBody(capacity)
+		fits, tooLarge := Charge{budget: &budget}, Charge{budget: &budget}
+		is.True(!tooLarge.Grow(size + 1))
+		is.True(fits.Grow(size))
+	}
+}
+
 // recordingClient records what a reader asks of a client.
 type recordingClient struct {
 	deadlines int
