Checker: findings in a configuration before it is sent

Cause: operators want to see what would be refused, can never match or contradicts itself. Change: a package without network judges both formats; findings have a severity, a place, a message and a remedy.

--- /dev/null
+++ b/internal/checker/routing.go
@@ -0,0 +1,248 @@
+package checker
+
+import (
+	"net/netip"
+	"strings"
+
+	"chestnutmux.example/chestnutmux/internal/resolver"
+	"chestnutmux.example/chestnutmux/pkg/model"
+)
+
+// Kinds of the objects of a Routing, which Words can replace.
+const (
+	KindRoute     model.ObjectKind = "route"
+	KindWorkspace                  = model.ObjectKindWorkspace
+	KindService                    = model.ObjectKindService
+	KindLimits    model.ObjectKind = "limits"
+)
+
+// Fields of the objects of a Routing, which Words can replace. Messages and remedies name them in braces.
+const (
+	FieldName        = "name"
+	FieldVersion     = "version"
+	FieldHostName    = "host-name"
+	FieldPrefix      = "prefix"
+	FieldService     = "service"
+	FieldPriority    = "priority"
+	FieldMaxAttempts = "max-attempts"
+	FieldStretch     = "stretch"
+	FieldTarget      = "target-ms"
+	FieldTimeout     = "timeout-ms"
+	FieldPublic      = "public"
+	FieldKeys        = "keys"
+	FieldGuarantee   = "guarantee"
+	FieldMaxBody     = "max-body"
+)
+
+// Words holds the names that a file format uses for kinds and fields.
+type Words map[string]string
+
+// name returns the name of a kind or field in the file format.
+func (w Words) name(s string) string {
+	if n, ok := w[s]; ok {
+		return n
+	}
+	return s
+}
+
+const (
+	// maxAccelerators bounds guarantees so that their sum does not overflow.
+	maxAccelerators = 1 << 32
+	// maxAttempts is far above what any job needs.
+	maxAttempts = 1 << 30
+	// minSpecBytes is the size of the specification that a job may have.
+	minSpecBytes = 4000
+)
+
+// Workspace is a workspace of a Routing.
+type Workspace struct {
+	Name       string
+	Keys       []string
+	Guaranteed int64 // accelerators
+}
+
+// Service is a service of a Routing.
+type Service struct {
+	Name          string
+	InvalidFields []string // fields whose values hosts ignore
+}
+
+// Routing is a configuration that maps calls to queues by host name and path. Its values are those of the file, also where they are out of range.
+type Routing struct {
+	Version     int64
+	Routes      []resolver.Route
+	Workspaces  []Workspace
+	Services    []Service
+	HasServices bool  // whether the file lists the services
+	MaxBody     int64 // 0 selects DefaultBody
+	DefaultBody int64
+	MaxPriority int64 // least urgent priority
+	MaxTimeMS   int64
+	Words       Words
+}
+
+// routingChecker collects the findings of a Routing.
+type routingChecker struct {
+	report
+	Routing
+	options Options
+}
+
+// CheckRouting returns the findings of a configuration in the order of the file.
+func CheckRouting(r Routing, o Options) []Finding {
+	c := &routingChecker{Routing: r, options: o}
+	c.checkVersion()
+	c.checkRoutes()
+	c.checkMatches()
+	c.checkServices()
+	c.checkWorkspaces()
+	c.checkGuarantees()
+	c.checkLimits()
+	return c.translated()
+}
+
+// translated returns the findings with the names of the file format.
+func (c *routingChecker) translated() []Finding {
+	var pairs []string
+	for _, field := range []string{FieldStretch, FieldTarget, FieldTimeout, FieldPrefix, FieldHostName, FieldKeys, FieldPublic, FieldService} {
+		pairs = append(pairs, "{"+field+"}", c.Words.name(field))
+	}
+	braces := strings.NewReplacer(pairs...)
+	for i := range c.findings {
+		f := &c.findings[i]
+		f.Kind, f.Field = model.ObjectKind(c.Words.name(string(f.Kind))), c.Words.name(f.Field)
+		f.Message, f.Remedy = braces.Replace(f.Message), braces.Replace(f.Remedy)
+	}
+	return c.findings
+}
+
+func (c *routingChecker) checkVersion() {
+	p := Place{Kind: kindFile, Field: FieldVersion}
+	switch {
+	case c.Version < 1:
+		c.addError(p, "use a version of at least 1", "hosts refuse version %d", c.Version)
+	case c.options.CompareVersion && c.Version <= c.options.VersionInForce:
+		c.addError(p, "raise the version", "version %d is not above version %d, and hosts ignore it", c.Version, c.options.VersionInForce)
+	}
+}
+
+// checkName checks that an object has a name and that no earlier object of its kind has the same name.
+func (c *routingChecker) checkName(kind model.ObjectKind, name string, index int, seen map[string]int) {
+	if name == "" {
+		c.addWarning(Place{Kind: kind, Name: ObjectName(name, index), Field: FieldName}, "give it a name", "it has no name")
+		return
+	}
+	if first, ok := seen[name]; ok {
+		c.addError(Place{Kind: kind, Name: name, Field: FieldName}, "give each a name of its own",
+			"entries %d and %d of the list have the same name", first+1, index+1)
+		return
+	}
+	seen[name] = index
+}
+
+// checkRoutes checks the values of each route.
+func (c *routingChecker) checkRoutes() {
+	seen := map[string]int{}
+	for i := range c.Routes {
+		q := &c.Routes[i].Queue
+		place := c.routePlaces(i)
+		c.checkName(KindRoute, string(q.ID), i, seen)
+		c.checkRange(place(FieldPriority), int64(q.Priority), 0, c.MaxPriority)
+		c.checkRange(place(FieldMaxAttempts), int64(q.MaxAttempts), 0, maxAttempts)
+		c.checkRange(place(FieldTarget), int64(q.TargetOffsetMS), 0, c.MaxTimeMS)
+		c.checkRange(place(FieldTimeout), int64(q.CallTimeoutMS), 0, c.MaxTimeMS)
+		if q.TargetStretch < 0 || q.TargetStretch > float64(c.MaxTimeMS) {
+			c.addError(place(FieldStretch), "use the target duration as a multiple of the longest chain of steps", "%v is out of bounds", q.TargetStretch)
+		}
+		c.checkTimes(q, place)
+	}
+}
+
+// checkTimes compares the target duration of jobs with the timeout of calls. A target with a stretch depends on the job, so that no timeout is
+// known to be above it.
+func (c *routingChecker) checkTimes(q *model.Queue, place func(string) Place) {
+	if q.TargetStretch == 0 && q.TargetOffsetMS == 0 {
+		c.addWarning(place(FieldTarget), "set {stretch} or {target-ms}", "the target duration of all jobs is 0, so that each result counts as late")
+	}
+	switch {
+	case q.CallTimeoutMS == 0:
+		c.addWarning(place(FieldTimeout), "set {timeout-ms}", "calls have no timeout of the route, and last as long as the caller's deadline or the default allow")
+	case q.TargetStretch == 0 && q.TargetOffsetMS > 0 && q.CallTimeoutMS > q.TargetOffsetMS:
+		c.addWarning(place(FieldTimeout), "lower {timeout-ms} or raise {target-ms}", "the timeout of %d ms is above the target of %d ms", q.CallTimeoutMS, q.TargetOffsetMS)
+	}
+}
+
+// routePlaces returns a function that returns the place of a field of a route.
+func (c *routingChecker) routePlaces(index int) func(field string) Place {
+	name := ObjectName(string(c.Routes[index].Queue.ID), index)
+	return func(field string) Place { return Place{Kind: KindRoute, Name: name, Field: field} }
+}
+
+// checkMatches checks which calls each route matches: those with its host name and no longer prefix of another route.
+func (c *routingChecker) checkMatches() {
+	byHostName := map[string]map[string]int{} // index of the first route with a host name and prefix
+	for i, r := range c.Routes {
+		prefixes := byHostName[r.HostName]
+		if prefixes == nil {
+			prefixes = map[string]int{}
+			byHostName[r.HostName] = prefixes
+		}
+		if first, ok := prefixes[r.Prefix]; ok {
+			c.addError(c.routePlaces(i)(FieldPrefix), "change {host-name} or {prefix}, or remove one of them",
+				"route %s has the same {host-name} and {prefix} and comes first, so that this one never matches", c.routeName(first))
+			continue
+		}
+		prefixes[r.Prefix] = i
+	}
+	for i, r := range c.Routes {
+		if byHostName[r.HostName][r.Prefix] == i {
+			c.checkReachable(i, byHostName[r.HostName])
+			c.checkVisibility(i, byHostName[r.HostName])
+		}
+	}
+}
+
+// checkReachable adds an error if no call can match a route, whatever its neighbours are.
+func (c *routingChecker) checkReachable(index int, prefixes map[string]int) {
+	r, place := &c.Routes[index], c.routePlaces(index)
+	if root, ok := prefixes["/"]; ok && r.Prefix == "" {
+		c.addError(place(FieldPrefix), "remove the route or change {prefix}", "route %s matches all paths of the host name, so that this one never matches", c.routeName(root))
+	}
+	if r.Prefix != "" && r.Prefix[0] != '/' {
+		c.addError(place(FieldPrefix), "begin {prefix} with a slash", "paths begin with a slash, so that %q never matches", r.Prefix)
+	}
+	if r.HostName == "" {
+		c.addError(place(FieldHostName), "name the host of the calls", "it is empty, and no call has an empty host name")
+	} else if hasPort(r.HostName) {
+		c.addError(place(FieldHostName), "leave out the port", "calls are matched without their port, so that %q never matches", r.HostName)
+	}
+}
+
+// hasPort reports whether a host name ends with a port. An IP address of version 6 has colons without one.
+func hasPort(hostName string) bool {
+	_, err := netip.ParseAddr(strings.Trim(hostName, "[]"))
+	return err != nil && strings.Contains(hostName, ":")
+}
+
+// checkVisibility adds a warning if a route is public and the next wider one of its host name is not, or the reverse.
+func (c *routingChecker) checkVisibility(index int, prefixes map[string]int) {
+	r := &c.Routes[index]
+	for length := len(r.Prefix) - 1; length >= 0; length-- {
+		wider, ok := prefixes[r.Prefix[:length]]
+		if !ok {
+			continue
+		}
+		if w := &c.Routes[wider]; w.Queue.Public && !r.Queue.Public {
+			c.addWarning(c.routePlaces(index)(FieldPublic), "set {public} alike, or put it under another {prefix}",
+				"calls need a key, but those of the wider route %s need none", c.routeName(wider))
+		} else if !w.Queue.Public && r.Queue.Public {
+			c.addWarning(c.routePlaces(index)(FieldPublic), "set {public} alike, or put it under another {prefix}",
+				"calls need no key, but those of the wider route %s do", c.routeName(wider))
+		}
+		return
+	}
+}
+
+func (c *routingChecker) routeName(index int) string {
+	return ObjectName(string(c.Routes[index].Queue.ID), index)
+}
