--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -5,54 +5,12 @@
 
 	"github.com/cockroachdb/errors"
 
-	"chestnutmux.example/chestnutmux/internal/settings"
 	"chestnutmux.example/chestnutmux/pkg/differ"
 	"chestnutmux.example/chestnutmux/pkg/model"
 	"chestnutmux.example/chestnutmux/pkg/parser"
 	"chestnutmux.example/chestnutmux/pkg/validator"
 )
 
-// checkCommand validates a configuration or settings file.
-type checkCommand struct {
-	File     string `arg:"" help:"Configuration file, JSON with comments."`
-	Settings bool   `help:"The file holds the settings of an entry host."`
-	JSON     bool   `help:"Print JSON instead of text."`
-}
-
-// Help implements kong.HelpProvider.
-func (checkCommand) Help() string {
-	return formatExamples("chestnutmux check config.hujson", "chestnutmux check --settings entry.hujson")
-}
-
-// Run validates the file locally, without a request to an entry host.
-func (c *checkCommand) Run(e *env) error {
-	if c.Settings {
-		if _, err := settings.Load(c.File); err != nil {
-			return usageError{err}
-		}
-		return c.printNoFaults(e)
-	}
-	config, err := readConfig(e, c.File)
-	if err != nil {
-		return err
-	}
-	if faults := validator.Validate(config); len(faults) > 0 {
-		if c.JSON {
-			return errors.CombineErrors(usageError{errors.Newf("%d faults", len(faults))}, e.printJSON(map[string]any{"faults": faults}))
-		}
-		return usageError{newFaultsError(c.File, faults)}
-	}
-	return c.printNoFaults(e)
-}
-
-func (c *checkCommand) printNoFaults(e *env) error {
-	if c.JSON {
-		return e.printJSON(map[string]any{"faults": []model.ConfigFault{}})
-	}
-	e.printf("%s: no faults\n", c.File)
-	return nil
-}
-
 // readConfig reads and parses a configuration file. It does not validate the configuration.
 func readConfig(e *env, path string) (model.ConfigSet, error) {
 	data, err := e.readFile(path)
