Checker: report services that are no list

Cause: hosts ignore such services, and the check said nothing. Change: an error of the kind service. Measured: go test -race passes in platform, internal/checker, internal/cli, internal/bodyreader, internal/settings and pkg/...; FuzzCheck ran 90 s (923,066 inputs) without a failure.

--- a/internal/checker/routing.go
+++ b/internal/checker/routing.go
@@ -73,7 +73,8 @@
 	Routes      []resolver.Route
 	Workspaces  []Workspace
 	Services    []Service
-	HasServices bool  // whether the file lists the services
+	HasServices bool  // whether the file has services
+	AreListed   bool  // whether the services are a list; otherwise hosts ignore them
 	MaxBody     int64 // 0 selects DefaultBody
 	DefaultBody int64
 	MaxPriority int64 // least urgent priority
--- a/internal/checker/routing_test.go
+++ b/internal/checker/routing_test.go
@@ -13,7 +13,7 @@
 // newSoundRouting returns a configuration without findings.
 func newSoundRouting() Routing {
 	return Routing{
-		Version: 7, MaxPriority: 1000, MaxTimeMS: 1e12, DefaultBody: 1 << 18, HasServices: true, Services: []Service{{Name: "s"}},
+		Version: 7, MaxPriority: 1000, MaxTimeMS: 1e12, DefaultBody: 1 << 18, HasServices: true, AreListed: true, Services: []Service{{Name: "s"}},
 		Workspaces: []Workspace{{Name: "a", Keys: []string{"key-a"}, Guaranteed: 8}, {Name: "b", Keys: []string{"key-b"}}},
 		Routes: []resolver.Route{
 			newRoute("urgent", "/", 0), newRoute("batch", "/batch/", 1),
@@ -77,6 +77,7 @@
 		"public beside private":      {func(r *Routing) { r.Routes[0].Queue.Public, r.Routes[0].Prefix = true, "/x/" }, Options{}, none},
 		"unknown service":            {func(r *Routing) { r.Routes[0].Queue.Service = "x" }, Options{}, []string{"error route urgent: service"}},
 		"no list of services":        {func(r *Routing) { r.Services, r.HasServices = nil, false }, Options{}, none},
+		"services in no list":        {func(r *Routing) { r.AreListed = false }, Options{}, []string{"error service"}},
 		"unused service":             {func(r *Routing) { r.Services = append(r.Services, Service{Name: "x"}) }, Options{}, []string{"warning service x"}},
 		"invalid field":              {func(r *Routing) { r.Services[0].InvalidFields = []string{"rate"} }, Options{}, []string{"error service s: rate"}},
 		"shared key":                 {func(r *Routing) { r.Workspaces[1].Keys = []string{"key-a"} }, Options{}, []string{"error workspace b: keys"}},
--- a/internal/checker/workspaces.go
+++ b/internal/checker/workspaces.go
@@ -18,6 +18,10 @@
 	if !c.HasServices {
 		return
 	}
+	if !c.AreListed {
+		c.addError(Place{Kind: KindService}, "list the services", "the services are no list, and hosts ignore them")
+		return
+	}
 	declared, named := map[string]int{}, map[string]bool{}
 	for i, s := range c.Services {
 		c.checkName(KindService, s.Name, i, declared)
