Spooler: don't let a repeated append block other submissions

Cause: after an append without a response only its records were sent, and nothing else while that append was in progress, until its callers gave up.

Change: repeated records go alone, one append at a time. Others pass them after 250 ms, with single records while nothing shows that the log confirms appends; at most two such probes are outstanding. An append without a response says nothing about the log if one was confirmed since it was sent.

Measured: TestRepeatedAppendDelaysNoOtherCaller fails before (first callers wait until the repeated one gives up) and passes.

--- a/internal/spooler/queue.go
+++ b/internal/spooler/queue.go
@@ -35,6 +35,7 @@
 	admitted    bool
 	held        bool // whether it has waited for the log to be reachable
 	inFlight    bool // whether an append with its record is in progress
+	probe       bool // whether it was sent alone while nothing showed that the log confirms appends
 	maybeStored bool // whether the outcome of an earlier append with its record is unknown
 }
 
@@ -65,16 +66,19 @@
 	}
 }
 
-// take removes and returns the entries of the next append, as many as fit. A probe consists of entries that may be in the log already,
-// or else of one that was not sent.
-func (q *queue) take(probe bool) []*entry {
-	hasMaybeStored := slices.ContainsFunc(q.entries, func(e *entry) bool { return e.maybeStored })
+// hasMaybeStored reports whether an entry may be in the log already.
+func (q *queue) hasMaybeStored() bool {
+	return slices.ContainsFunc(q.entries, func(e *entry) bool { return e.maybeStored })
+}
+
+// take removes and returns the entries of the next append, as many as fit: those that may be in the log already or those that were not
+// sent, and one only for a probe.
+func (q *queue) take(maybeStored, probe bool) []*entry {
 	var batch, rest []*entry
 	size := model.Bytes(0)
 	for _, e := range q.entries {
 		n := recordSize(e.Record)
-		tooMany := len(batch) > 0 && (size+n > maxBatchBytes || probe && !hasMaybeStored)
-		if tooMany || probe && hasMaybeStored && !e.maybeStored {
+		if e.maybeStored != maybeStored || len(batch) > 0 && (probe || size+n > maxBatchBytes) {
 			rest = append(rest, e)
 			continue
 		}
--- a/internal/spooler/send.go
+++ b/internal/spooler/send.go
@@ -71,27 +71,35 @@
 
 // nextLaneLocked starts the next append, or returns nil if there is nothing to send now. The caller holds s.mu.
 //
-// Appends of different callers don't wait for one whose response is late. As long as nothing shows that the log still confirms
-// appends, the next one has a single new record: the callers of records that are not sent can be told that their jobs never run.
+// Appends of different callers don't wait for one whose response is late, also when it is repeated: records that may be in the log already
+// are sent without others, in one append at a time. As long as nothing shows that the log still confirms appends, the next one has a
+// single new record: the callers of records that are not sent can be told that their jobs never run.
 func (s *Spooler) nextLaneLocked(now time.Time) *lane {
 	if len(s.queue.entries) == 0 || len(s.lanes) >= maxLanes || now.Before(s.retryAt) || s.View != nil && !s.View().DownSince.IsZero() {
 		return nil
 	}
 	probe := s.unanswered || !s.refusedSince.IsZero()
+	repeat := s.queue.hasMaybeStored() && (!s.unanswered || len(s.lanes) == 0)
 	for l := range s.lanes {
-		if now.Sub(l.sentAt) < laneDelay || s.unanswered {
+		if now.Sub(l.sentAt) < laneDelay {
 			return nil
 		}
 		probe = probe || l.sentAt.After(s.confirmedAt)
+		repeat = repeat && !l.repeat
+	}
+	probe = probe && !repeat
+	if probe && s.probesLocked() >= maxProbes {
+		return nil
 	}
-	batch := s.admitLocked(s.queue.take(probe))
+	batch := s.admitLocked(s.queue.take(repeat, probe))
 	if len(batch) == 0 {
 		return nil
 	}
 	for _, e := range batch {
 		e.inFlight = true
+		e.probe = e.probe || probe && len(s.lanes) > 0
 	}
-	l := &lane{batch: batch, sentAt: now}
+	l := &lane{batch: batch, repeat: repeat, sentAt: now}
 	if s.lanes == nil {
 		s.lanes = map[*lane]struct{}{}
 	}
@@ -99,6 +107,22 @@
 	return l
 }
 
+// probesLocked returns the number of probes that are in progress, or that got no response and whose callers still wait. The caller holds s.mu.
+func (s *Spooler) probesLocked() (n int) {
+	count := func(entries []*entry) {
+		for _, e := range entries {
+			if e.probe && e.wasSent() {
+				n++
+			}
+		}
+	}
+	count(s.queue.entries)
+	for l := range s.lanes {
+		count(l.batch)
+	}
+	return n
+}
+
 // admitLocked decides on the entries that are about to be sent for the first time, and returns those to send. The caller holds s.mu.
 func (s *Spooler) admitLocked(batch []*entry) []*entry {
 	return slices.DeleteFunc(batch, func(e *entry) bool {
@@ -126,7 +150,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.lanes, l)
-	s.recordOutcomeLocked(err, time.Now())
+	s.recordOutcomeLocked(err, l.sentAt, time.Now())
 	for _, e := range l.batch {
 		e.inFlight = false
 		e.maybeStored = e.maybeStored || err != nil && !errors.Is(err, journaler.ErrNotAppended)
@@ -142,8 +166,9 @@
 	s.wake()
 }
 
-// recordOutcomeLocked records what the outcome of an append says about the log. The caller holds s.mu.
-func (s *Spooler) recordOutcomeLocked(err error, now time.Time) {
+// recordOutcomeLocked records what the outcome of an append says about the log. One without a response says nothing about others if the
+// log has confirmed one since it was sent. The caller holds s.mu.
+func (s *Spooler) recordOutcomeLocked(err error, sentAt, now time.Time) {
 	switch {
 	case err == nil:
 		s.refusedSince, s.retryAt, s.unanswered = time.Time{}, time.Time{}, false
@@ -156,7 +181,7 @@
 		}
 		s.refusedAt = now
 	default:
-		s.unanswered = true
+		s.unanswered = s.unanswered || !s.confirmedAt.After(sentAt)
 		s.retryAt = now.Add(retryDelay)
 	}
 }
--- a/internal/spooler/spooler.go
+++ b/internal/spooler/spooler.go
@@ -23,6 +23,9 @@
 	laneDelay = 250 * time.Millisecond
 	// maxLanes is the number of appends that may be in progress at once. A host keeps few connections to the log.
 	maxLanes = 3
+	// maxProbes is the number of probes without a response beside the append that they wait for. Silence then leaves at most maxLanes
+	// callers with an unknown outcome if that append had one record.
+	maxProbes = maxLanes - 1
 	// checkInterval is the time between looks at the log and at the waiting submissions.
 	checkInterval = 25 * time.Millisecond
 	// defaultHold is the time for which the submission of a call without a deadline waits.
@@ -67,6 +70,7 @@
 // lane is an append in progress.
 type lane struct {
 	batch  []*entry
+	repeat bool // whether its records may be in the log already
 	sentAt time.Time
 }
 
--- a/internal/spooler/spooler_test.go
+++ b/internal/spooler/spooler_test.go
@@ -242,6 +242,44 @@
 	}
 }
 
+// silentLog never responds to appends of a record.
+type silentLog struct {
+	*testLog
+	key string
+}
+
+func (l *silentLog) Append(ctx context.Context, records []journaler.Record, c journaler.AppendCondition) (model.Offset, error) {
+	for _, r := range records {
+		if r.Key == l.key {
+			<-ctx.Done()
+			return 0, journaler.ErrOutcomeUnknown
+		}
+	}
+	return l.testLog.Append(ctx, records, c)
+}
+
+// Guards against submissions that wait until the caller of an append without a response gives up.
+func TestRepeatedAppendDelaysNoOtherCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := newTestLog(during(0, ""))
+		s := &Spooler{Log: &silentLog{l, "silent"}}
+		var calls sync.WaitGroup
+		calls.Go(func() { is.True(errors.Is(submit(s, l.submission("silent", 0)), journaler.ErrOutcomeUnknown)) })
+		time.Sleep(appendTimeout + retryDelay/2)
+		for i := range 50 {
+			calls.Go(func() {
+				start := time.Now()
+				is.NoErr(submit(s, l.submission(fmt.Sprint("j", i), 0)))
+				is.True(time.Since(start) <= laneDelay+2*checkInterval) // one of them is the wait before the repetition
+			})
+			time.Sleep(20 * time.Millisecond)
+		}
+		calls.Wait()
+		time.Sleep(2 * appendTimeout)
+	})
+}
+
 // Guards against an answer that is not true: accepted and not in the log, or refused and in the log at any later time.
 func TestAnswersAreTrue(t *testing.T) {
 	faults := []log.CallFault{log.NoFault, log.NoFault, log.FaultUnavailable, log.FaultRequestLost, log.FaultResponseLost}
