Publisher: confirm nothing while the newest configuration can't be decoded

Cause: a configuration that this version can't decode was ignored, but the read still confirmed the view of the requests to evacuate, so a leader could start tasks in a domain that the configuration evacuates.

Change: nothing is confirmed until a later configuration is decoded. The log line names the remedy.

Measured: TestUndecodableConfigurationConfirmsNothing fails before and passes; go test -race ./internal/publisher passes.

--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -36,10 +36,13 @@
 	Logger hclog.Logger
 	// OnUpdate is called with each new configuration, in ascending order of versions.
 	OnUpdate func(*StoredConfig)
-	// OnConfirm is called with a time at which the newest configuration was the given version, 0 if none had been published; may be nil.
+	// OnConfirm is called with a time at which the newest configuration was the given version, 0 if none had been published. It is not called
+	// while the newest configuration can't be decoded. It may be nil.
 	OnConfirm func(v model.ConfigVersion, at time.Time)
 
-	cursor journaler.Cursor
+	cursor     journaler.Cursor
+	undecoded  bool         // the newest configuration can't be decoded
+	newestRead model.Offset // offset of the newest configuration that was read
 
 	mu         sync.Mutex
 	current    *StoredConfig // newest configuration; nil before the first read, empty while none has been published
@@ -72,7 +75,7 @@
 		return err
 	}
 	p.applyRecords(update.Records, update.NextOffset)
-	if p.OnConfirm != nil {
+	if p.OnConfirm != nil && !p.undecoded {
 		p.OnConfirm(p.Current().Version, update.ConfirmedAt)
 	}
 	return nil
@@ -85,8 +88,13 @@
 			continue
 		}
 		s := &StoredConfig{}
-		if err := json.Unmarshal(r.Value, s); err != nil {
-			p.Logger.Error("ignoring undecodable configuration", "offset", r.Offset, "error", err)
+		err := json.Unmarshal(r.Value, s)
+		if r.Offset >= p.newestRead { // a snapshot may come from a host that has read less
+			p.undecoded, p.newestRead = err != nil, r.Offset
+		}
+		if err != nil {
+			p.Logger.Error("ignoring undecodable configuration", "offset", r.Offset, "error", err,
+				"remedy", "upgrade this host, or publish the configuration again; until then no tasks start if evacuation-ms is set")
 			continue
 		}
 		p.activate(s)
--- a/internal/publisher/publisher_test.go
+++ b/internal/publisher/publisher_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"chestnutmux.example/chestnutmux/internal/fake/log"
+	"chestnutmux.example/chestnutmux/internal/journaler"
 	"chestnutmux.example/chestnutmux/pkg/model"
 	"chestnutmux.example/chestnutmux/pkg/validator"
 )
@@ -158,33 +159,38 @@
 	})
 }
 
+// confirmedHost returns a host that follows a log, and a function that returns the time since the last confirmation.
+func confirmedHost(ctx context.Context, l *log.Log) (*testHost, func() time.Duration) {
+	h := &testHost{}
+	var mu sync.Mutex
+	var confirmed time.Time
+	h.Publisher = &Publisher{
+		Log: &log.DirectStream{Log: l, StreamName: "config", InjectFault: func() log.CallFault {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			return h.fault
+		}},
+		Logger: hclog.NewNullLogger(), OnUpdate: func(*StoredConfig) {},
+		OnConfirm: func(_ model.ConfigVersion, at time.Time) {
+			mu.Lock()
+			defer mu.Unlock()
+			confirmed = at
+		},
+	}
+	go h.Run(ctx)
+	return h, func() time.Duration {
+		mu.Lock()
+		defer mu.Unlock()
+		return time.Since(confirmed)
+	}
+}
+
 // Guards against a view that counts as confirmed while the log can't be read, or that gets old while nothing is published.
 func TestConfirmationsFollowTheLog(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		h := &testHost{}
-		var mu sync.Mutex
-		var confirmed time.Time
-		h.Publisher = &Publisher{
-			Log: &log.DirectStream{Log: log.New(log.Options{}), StreamName: "config", InjectFault: func() log.CallFault {
-				h.mu.Lock()
-				defer h.mu.Unlock()
-				return h.fault
-			}},
-			Logger: hclog.NewNullLogger(), OnUpdate: func(*StoredConfig) {},
-			OnConfirm: func(_ model.ConfigVersion, at time.Time) {
-				mu.Lock()
-				defer mu.Unlock()
-				confirmed = at
-			},
-		}
 		ctx, cancel := context.WithCancel(t.Context())
-		go h.Run(ctx)
-		age := func() time.Duration {
-			mu.Lock()
-			defer mu.Unlock()
-			return time.Since(confirmed)
-		}
+		h, age := confirmedHost(ctx, log.New(log.Options{}))
 		for range 20 {
 			time.Sleep(330 * time.Millisecond)
 			is.True(age() <= pollWait)
@@ -199,3 +205,28 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a view that counts as confirmed although the newest configuration, which may hold a request, can't be decoded.
+func TestUndecodableConfigurationConfirmsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		l := log.New(log.Options{})
+		h, age := confirmedHost(ctx, l)
+		time.Sleep(time.Second)
+		_, err := l.Append("config", []journaler.Record{{Key: configKey, Value: []byte("{")}}, journaler.AppendCondition{})
+		is.NoErr(err)
+		time.Sleep(5 * time.Second)
+		is.True(age() > 3*time.Second)
+		_, restartedAge := confirmedHost(ctx, l)
+		time.Sleep(2 * time.Second)
+		is.True(restartedAge() > time.Hour)
+		_, err = h.Publish(ctx, quotaChange(0, "one", 8))
+		is.NoErr(err)
+		time.Sleep(2 * time.Second)
+		is.True(age() <= pollWait)
+		is.True(restartedAge() <= pollWait)
+		cancel()
+		synctest.Wait()
+	})
+}
