Bound the connections and requests at the port between hosts

Cause: the peer listener accepted connections without bound and read requests of up to 32 MB each into memory. An accept without a free descriptor ended the service for peers.

Change: protector.Peers bounds it apart from clients: 1,200 connections (a fifth of the memory, a third of the descriptors), an eighth of the memory for requests until their calls have ended, 64 calls of a connection in progress. Idle connections give way to new ones. Accept is repeated when descriptors are used up. Metrics and the log line 'peers refused' show it.

--- a/internal/connlimiter/listener.go
+++ b/internal/connlimiter/listener.go
@@ -172,6 +172,13 @@
 	return c.Conn.SetReadDeadline(deadline)
 }
 
+// SetIdle records that the connection waits for its next request. It does nothing if c is nil.
+func (c *Conn) SetIdle() {
+	if c != nil {
+		c.entry.SetWaiting(time.Now(), false)
+	}
+}
+
 // Discard gives the client a short time for the rest of a request whose body was not read. Meanwhile the connection waits for its
 // client. Discard does nothing if c is nil or refused.
 func (c *Conn) Discard() {
--- a/internal/peerlog/server.go
+++ b/internal/peerlog/server.go
@@ -4,12 +4,14 @@
 	"context"
 	"encoding/json"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"chestnutmux.example/chestnutmux/internal/bodyreader"
 	"chestnutmux.example/chestnutmux/internal/journaler"
 	"chestnutmux.example/chestnutmux/internal/recoverer"
 )
@@ -23,8 +25,12 @@
 	Logs      map[string]*FallbackLog // by name
 	Logger    hclog.Logger
 	Recoverer *recoverer.Recoverer // handles panics while a call is served; may be nil
+	Bodies    *bodyreader.Reader   // bounds the memory for requests; nil sets no limit
 }
 
+// acceptRetryDelay is the delay before the next connection is accepted when the process has no descriptor left.
+const acceptRetryDelay = 50 * time.Millisecond
+
 // Serve serves peers until the listener is closed.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	for {
@@ -33,13 +39,18 @@
 			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 				return nil
 			}
+			if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+				time.Sleep(acceptRetryDelay)
+				continue
+			}
 			return errors.Wrap(err, "peerlog: accept")
 		}
 		st := newStream(c)
+		st.guard = newGuard(c, s.Bodies)
 		handler := jsonrpc2.HandlerWithError(func(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
 			return s.handle(ctx, st, req)
 		})
-		conn := jsonrpc2.NewConn(ctx, st, jsonrpc2.AsyncHandler(handler), withLogger(s.Logger))
+		conn := jsonrpc2.NewConn(ctx, st, st.guard.handler(handler), withLogger(s.Logger))
 		go func() {
 			select {
 			case <-conn.DisconnectNotify():
--- a/internal/peerlog/server_test.go
+++ b/internal/peerlog/server_test.go
@@ -1,13 +1,21 @@
 package peerlog
 
 import (
+	"bytes"
+	"encoding/binary"
 	"encoding/json"
+	"io"
+	"net"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"chestnutmux.example/chestnutmux/internal/fake/log"
+	"chestnutmux.example/chestnutmux/internal/protector"
 	"chestnutmux.example/chestnutmux/internal/recoverer"
 )
 
@@ -26,3 +34,37 @@
 		is.True(call(methodRead, params) != nil)
 	}
 }
+
+// Guards against connections and requests without bound on the port for other hosts, and against hosts that can't be served beside a crowd there.
+func TestCrowdAtPeerPort(t *testing.T) {
+	is := is.New(t)
+	p := protector.New(protector.Config{Limits: protector.Limits{MemoryBytes: 8 << 20, SoftMemoryBytes: 6 << 20, Descriptors: 120}, Logger: hclog.NewNullLogger()})
+	l, err := p.Peers.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	jobs := &FallbackLog{Direct: &log.DirectStream{Log: log.New(log.Options{}), StreamName: "jobs"}, Logger: hclog.NewNullLogger()}
+	server := &Server{Logs: map[string]*FallbackLog{"jobs": jobs}, Logger: hclog.NewNullLogger(), Bodies: &p.Peers.Bodies}
+	go func() { _ = server.Serve(t.Context(), l) }()
+	var open atomic.Int64
+	withheld := append(binary.AppendUvarint([]byte{byte(frameMessage)}, 200_000), bytes.Repeat([]byte(" "), 199_999)...)
+	for range 100 {
+		c, err := net.Dial("tcp", l.Addr().String())
+		is.NoErr(err)
+		defer func() { _ = c.Close() }()
+		open.Add(1)
+		go func() {
+			_, _ = c.Write(withheld)
+			_, _ = io.Copy(io.Discard, c) // returns when the host closes the connection
+			open.Add(-1)
+		}()
+	}
+	time.Sleep(1500 * time.Millisecond)
+	is.True(p.Peers.Bodies.Budget.Used() <= 1<<20)
+	is.True(open.Load() <= 40)
+	for range 30 {
+		host := &Peers{Addresses: func() []string { return []string{l.Addr().String()} }, Logger: hclog.NewNullLogger()}
+		_, err := host.call(t.Context(), methodNewest, newestParams{Log: "jobs", Tail: tailNever})
+		is.NoErr(err)
+		time.Sleep(10 * time.Millisecond)
+	}
+}
--- a/internal/peerlog/stream.go
+++ b/internal/peerlog/stream.go
@@ -39,6 +39,8 @@
 	r    *bufio.Reader
 	buf  bytes.Buffer // content of the message that is read
 
+	guard *guard // bounds the messages of a peer that calls this host; nil on connections to peers
+
 	writeMu sync.Mutex
 	w       *bufio.Writer
 	lastID  attachmentID
@@ -89,11 +91,17 @@
 
 // ReadObject implements jsonrpc2.ObjectStream. It keeps the attachments that precede the message.
 func (s *stream) ReadObject(v any) error {
+	if s.guard != nil {
+		return s.readGuarded(v)
+	}
 	for {
-		kind, err := s.readFrame()
+		kind, n, err := s.readHeader()
 		if err != nil {
 			return err
 		}
+		if err := s.readContent(n); err != nil {
+			return err
+		}
 		if kind == frameMessage {
 			return json.Unmarshal(s.buf.Bytes(), v)
 		}
@@ -103,29 +111,56 @@
 	}
 }
 
-// readFrame reads a frame into s.buf.
-func (s *stream) readFrame() (frameKind, error) {
-	s.buf.Reset()
-	if s.buf.Cap() > maxIdleBufferBytes {
-		s.buf = bytes.Buffer{}
+// readGuarded is ReadObject for messages of a peer that calls this host.
+func (s *stream) readGuarded(v any) error {
+	s.guard.discard()
+	s.guard.awaitFrame()
+	kind, n, err := s.readHeader()
+	if err != nil {
+		return err
+	}
+	if kind != frameMessage {
+		return errors.New("peerlog: the peer sent an attachment without a response; it may run another version")
+	}
+	data, err := s.guard.read(s.r, n)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(data, v); err != nil {
+		s.guard.discard()
+		return err
 	}
+	return nil
+}
+
+// readHeader reads the kind and the length of a frame.
+func (s *stream) readHeader() (frameKind, int64, error) {
 	b, err := s.r.ReadByte()
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
 	kind := frameKind(b)
 	if kind != frameMessage && kind != frameAttachment {
-		return 0, errors.Newf("peerlog: the peer sent a frame of the unknown kind %d; it may run another version", b)
+		return 0, 0, errors.Newf("peerlog: the peer sent a frame of the unknown kind %d; it may run another version", b)
 	}
 	n, err := binary.ReadUvarint(s.r)
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
 	if n > maxFrameBytes {
-		return 0, errors.Newf("peerlog: the peer sent a frame of %d bytes, more than %d; it may run another version", n, maxFrameBytes)
+		return 0, 0, errors.Newf("peerlog: the peer sent a frame of %d bytes, more than %d; it may run another version", n, maxFrameBytes)
+	}
+	return kind, int64(n), nil
+}
+
+// readContent reads the content of a frame into s.buf.
+func (s *stream) readContent(n int64) error {
+	s.buf.Reset()
+	if s.buf.Cap() > maxIdleBufferBytes {
+		s.buf = bytes.Buffer{}
 	}
-	_, err = io.CopyN(&s.buf, s.r, int64(n)) // the buffer grows with the data that has arrived
-	return kind, err
+	_, err := io.CopyN(&s.buf, s.r, n) // the buffer grows with the data that has arrived
+	return err
 }
 
 // keepAttachment keeps the attachment in the content of a frame until a call takes it.
--- a/internal/protector/plan_test.go
+++ b/internal/protector/plan_test.go
@@ -61,3 +61,10 @@
 		}
 	}
 }
+
+// Guards against hosts of a deployment of 300 that can't all connect to one of the smallest hosts.
+func TestPeerConnections(t *testing.T) {
+	is := is.New(t)
+	is.True(Limits{MemoryBytes: 184 << 20, Descriptors: 4096}.PeerConnections() >= 4*299)
+	is.Equal(Limits{MemoryBytes: 64 << 20, Descriptors: 400}.PeerConnections(), 133)
+}
--- a/internal/protector/protector.go
+++ b/internal/protector/protector.go
@@ -35,6 +35,7 @@
 // Protector protects the listeners of a process.
 type Protector struct {
 	Bodies bodyreader.Reader
+	Peers  *Peers // bounds for other hosts
 
 	config    Config
 	listeners atomic.Pointer[[]*protectedListener] // replaced when one is added, since others may already serve
@@ -54,7 +55,7 @@
 func New(c Config) *Protector {
 	c.Settings.setDefaults()
 	c.Limits.ReceiveBuffer = c.Settings.ReceiveBufferBytes
-	p := &Protector{config: c}
+	p := &Protector{config: c, Peers: newPeers(c.Limits)}
 	p.Bodies.Pace = bodyreader.Pace{Timeout: c.Settings.BodyTimeout, Grace: bodyGrace, MinRate: c.Settings.MinBodyRate}
 	p.Bodies.Budget.OnPressure = p.evictBodies
 	p.Plan()
@@ -117,6 +118,7 @@
 		case now := <-t.C:
 			p.Plan()
 			p.logRefusals(now)
+			p.Peers.logRefusals(now, p.config.Logger)
 		}
 	}
 }
