Refuse values of the bounds for clients that no process can use

Cause: clients.body_timeout_ms and its neighbours had no upper bounds, so a large time-out overflowed time.Duration and all bodies were too slow.

--- a/internal/protector/settings.go
+++ b/internal/protector/settings.go
@@ -10,6 +10,15 @@
 	DefaultReceiveBufferBytes       = 8 << 10
 )
 
+// Upper bounds of the settings, above what any process can use. Their conversions don't overflow.
+const (
+	MaxConnections     = 1 << 20
+	MaxBodyMemoryMB    = 1 << 20
+	MaxBodyTimeoutMS   = 3_600_000
+	MaxBodyRate        = 1 << 30 // of MinBodyRate, in bytes per second
+	MaxReceiveBufferKB = 1 << 20
+)
+
 const (
 	// headerTimeout limits the time to receive the header of a request.
 	headerTimeout = 3 * time.Second
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"chestnutmux.example/chestnutmux/internal/evacuator"
+	"chestnutmux.example/chestnutmux/internal/protector"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
@@ -202,6 +203,9 @@
 	if least := evacuator.MinBound.Milliseconds(); s.EvacuationBoundMS > 0 && int64(s.EvacuationBoundMS) < least {
 		addFault("evacuation-ms", fmt.Sprintf("is too short to be kept; give at least %d, or 0 for no bound", least))
 	}
+	if s.BodyTimeoutMS > protector.MaxBodyTimeoutMS {
+		addFault("body-timeout-ms", fmt.Sprintf("is more than %d; lower it", protector.MaxBodyTimeoutMS))
+	}
 	if s.LeaseDurationMS < minLeaseDurationMS {
 		addFault("task-lease-ms", "is shorter than two reports of 2 s; raise it")
 	}
@@ -217,17 +221,20 @@
 
 func (s *Settings) validateLimits(addFault func(key, message string)) {
 	for _, l := range []struct {
-		key   string
-		value int
+		key         string
+		value, most int
 	}{
-		{"max-connections", s.MaxConnections},
-		{"max-connections-per-address", s.MaxConnectionsPerAddress},
-		{"body-memory-mb", int(s.BodyMemoryMB)},
-		{"min-body-rate", s.MinBodyRate},
-		{"receive-buffer-kb", s.ReceiveBufferKB},
+		{"max-connections", s.MaxConnections, protector.MaxConnections},
+		{"max-connections-per-address", s.MaxConnectionsPerAddress, protector.MaxConnections},
+		{"body-memory-mb", int(s.BodyMemoryMB), protector.MaxBodyMemoryMB},
+		{"min-body-rate", s.MinBodyRate, protector.MaxBodyRate},
+		{"receive-buffer-kb", s.ReceiveBufferKB, protector.MaxReceiveBufferKB},
 	} {
-		if l.value < 0 {
+		switch {
+		case l.value < 0:
 			addFault(l.key, "is negative; give a positive number, or 0 for the default")
+		case l.value > l.most:
+			addFault(l.key, fmt.Sprintf("is more than %d; lower it, or give 0 for the default", l.most))
 		}
 	}
 	if s.MemoryMB < minMemoryMB {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -61,7 +61,7 @@
 	is.Equal(len(faults), 0)
 	is.Equal(s.MemoryMB, DefaultMemoryMB)
 	is.Equal(s.MaxFDs, DefaultMaxFDs)
-	for _, limit := range []string{`"memory-mb": 47`, `"memory-mb": -1`, `"max-fds": 255`, `"max-fds": -1`, `"max-connections": -1`, `"body-timeout-ms": -1`} {
+	for _, limit := range []string{`"memory-mb": 47`, `"memory-mb": -1`, `"max-fds": 255`, `"max-fds": -1`, `"max-connections": -1`, `"body-timeout-ms": -1`, `"body-timeout-ms": 10000000000000`, `"max-connections": 10000000`} {
 		_, faults = Parse([]byte(strings.Replace(validSettings, `"region"`, limit+`, "region"`, 1)))
 		is.Equal(len(faults), 1)
 	}
