Body budget: check before adding

Cause: Grow added a request to the budget, compared, and took it back, so a request that fits could be refused beside one that never fits.

Change: compare and swap.

--- a/internal/bodyreader/budget.go
+++ b/internal/bodyreader/budget.go
@@ -51,20 +51,30 @@
 	if bufferBytes > FirstStepBytes {
 		limit -= limit / smallBodyDivisor
 	}
-	more := cost - c.cost
-	used := c.budget.used.Add(more)
-	isAdmitted := used <= limit
+	wanted, isAdmitted := c.budget.add(cost-c.cost, limit)
 	if isAdmitted {
 		c.cost = cost
-	} else {
-		c.budget.used.Add(-more)
 	}
-	if used > limit-limit/pressureDivisor && c.budget.OnPressure != nil {
+	if wanted > limit-limit/pressureDivisor && c.budget.OnPressure != nil {
 		c.budget.OnPressure()
 	}
 	return isAdmitted
 }
 
+// add charges more memory if no more than the limit is used then. A request that is refused takes no room from others meanwhile. It returns
+// what is or would be used.
+func (b *Budget) add(more, limit int64) (wanted int64, isAdmitted bool) {
+	for {
+		used := b.used.Load()
+		if wanted = used + more; wanted > limit {
+			return wanted, false
+		}
+		if b.used.CompareAndSwap(used, wanted) {
+			return wanted, true
+		}
+	}
+}
+
 // Release ends the charge; further calls have no effect.
 func (c *Charge) Release() {
 	if c.budget != nil {
--- a/internal/bodyreader/reader_test.go
+++ b/internal/bodyreader/reader_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"os"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/iotest"
 	"time"
@@ -116,6 +118,33 @@
 	is.Equal(r.Budget.Used(), int64(0))
 }
 
+// Guards against a request that is refused because one beside it, which is refused, is charged meanwhile.
+func TestRefusedRequestTakesNoRoom(t *testing.T) {
+	is := is.New(t)
+	b := &Budget{}
+	b.SetCapacity(40_000)
+	var stopped atomic.Bool
+	var others sync.WaitGroup
+	for range 4 {
+		others.Go(func() {
+			for !stopped.Load() {
+				(&Charge{budget: b}).Grow(1 << 20) // never fits
+			}
+		})
+	}
+	refused := 0
+	for range 500_000 {
+		c := Charge{budget: b}
+		if !c.Grow(5_000) {
+			refused++
+		}
+		c.Release()
+	}
+	stopped.Store(true)
+	others.Wait()
+	is.Equal(refused, 0)
+}
+
 // Guards against time limits that a client inside the users' limits meets, and bodies that take longer than allowed.
 func TestPace(t *testing.T) {
 	is := is.New(t)
