Acceptor: say the true reason of a refused submission

Cause: each refusal of the spooler was told as 'the log can't be reached', also when the caller's time or the memory for submissions was used up.

Change: a message for each. Kind, status and Retry-After stay.

Measured: TestRefusalsSayTheirReason fails before and passes.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -109,7 +109,7 @@
 			"steps", len(s.Steps), "took-ms", time.Since(start).Milliseconds())
 		return nil
 	case errors.As(err, &refusal):
-		return a.refuse(s, model.ErrorKindLogUnavailable, "the log can't be reached: "+string(refusal.Reason), refusal.RetryAfter, time.Since(start))
+		return a.refuse(s, model.ErrorKindLogUnavailable, refusalMessage(refusal.Reason), refusal.RetryAfter, time.Since(start))
 	case errors.As(err, &decided):
 		return err
 	default:
@@ -122,6 +122,18 @@
 	}
 }
 
+// refusalMessage returns why a submission was not appended to the log. It ends with the reason, by which operators find the log line.
+func refusalMessage(r spooler.Reason) string {
+	cause := "the log can't be reached: "
+	switch r {
+	case spooler.ReasonDeadline:
+		cause = "the caller's time ended before the log could accept the job: "
+	case spooler.ReasonBudget:
+		cause = "the memory for submissions that wait for the log is used up: "
+	}
+	return cause + string(r)
+}
+
 // admit refuses a job whose result would be worthless after the work ahead of it. A job that was held is admitted by the load at its
 // append.
 func (a *Acceptor) admit(s *model.Submission) error {
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -160,3 +161,16 @@
 	is.Equal(kind, model.ErrorKindLogUnavailable)
 	is.Equal(outcome, model.OutcomeNotRun)
 }
+
+// Guards against refusals that blame the log although the caller's time or the memory for submissions is used up.
+func TestRefusalsSayTheirReason(t *testing.T) {
+	is := is.New(t)
+	a, _ := newAcceptor(&faultInjector{})
+	ctx, cancel := context.WithDeadline(t.Context(), time.Now())
+	defer cancel()
+	err := a.Submit(ctx, submission("late"))
+	is.True(strings.Contains(err.Error(), "the caller's time ended"))
+	is.True(!strings.Contains(err.Error(), "can't be reached"))
+	is.True(strings.Contains(refusalMessage(spooler.ReasonBudget), "memory"))
+	is.Equal(refusalMessage(spooler.ReasonIsolated), "the log can't be reached: isolated")
+}
