Evacuated domains: don't show 0 runs before workers have reported

Cause: a new leader learns the runs of workers from their reports, and its metric showed 0 runs in an evacuated domain until then.

Change: a worker that has not reported counts with one run until its lease from the former leader has ended, in the metric and the log lines.

Measured: TestEvacuatedDomainIsNotEmptyBeforeReports fails before and passes.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -321,7 +321,7 @@
 	}
 	d.checkPossibleCrashes(now)
 	if len(d.evacuated) > 0 {
-		d.countEvacuated()
+		d.countEvacuated(now)
 	}
 	d.logOldView(now)
 	d.pendingStarts.removeOld(now)
--- a/internal/dispatcher/evacuation.go
+++ b/internal/dispatcher/evacuation.go
@@ -30,18 +30,18 @@
 	for _, domain := range d.evacuated {
 		if !slices.Contains(before, domain) && logged < maxLoggedDomains {
 			logged++
-			workers, runs := d.leftIn(domain)
+			workers, runs := d.leftIn(domain, now)
 			d.Logger.Info("failure domain evacuated", "domain", domain, "workers", workers, "runs", runs)
 		}
 	}
 	for _, domain := range before {
 		if !slices.Contains(d.evacuated, domain) && logged < maxLoggedDomains {
 			logged++
-			workers, runs := d.leftIn(domain)
+			workers, runs := d.leftIn(domain, now)
 			d.Logger.Info("failure domain back in use", "domain", domain, "workers", workers, "runs", runs)
 		}
 	}
-	d.countEvacuated()
+	d.countEvacuated(now)
 }
 
 // updateEvacuation notes whether the failure domain of a worker is evacuated. The worker then gets no tasks: what is planned there is
@@ -65,28 +65,35 @@
 	d.journal.appendSoon = d.journal.appendSoon || w.mayGetTasks() // its tasks wait for the fleet record
 }
 
-// leftIn returns the number of workers in a failure domain, and of runs on them that are not being stopped.
-func (d *Dispatcher) leftIn(domain model.DomainID) (workers, runs int) {
-	return d.countLeft(func(w *worker) bool { return w.info.FailureDomain == domain })
+// leftIn returns the number of workers in a failure domain, and of runs on them as countLeft counts them.
+func (d *Dispatcher) leftIn(domain model.DomainID, now time.Time) (workers, runs int) {
+	return d.countLeft(now, func(w *worker) bool { return w.info.FailureDomain == domain })
 }
 
 // countEvacuated updates the metric of evacuated failure domains, and of the workers and runs left there.
-func (d *Dispatcher) countEvacuated() {
-	workers, runs := d.countLeft(func(w *worker) bool { return w.evacuated })
+func (d *Dispatcher) countEvacuated(now time.Time) {
+	workers, runs := d.countLeft(now, func(w *worker) bool { return w.evacuated })
 	d.Metrics.setEvacuated(len(d.evacuated), workers, runs)
 }
 
-func (d *Dispatcher) countLeft(isIn func(*worker) bool) (workers, runs int) {
+// countLeft returns the number of workers that meet a condition, and of runs on them that are not being stopped. A worker that has not told
+// this leader its runs counts with one at least, so that operators don't take the domain as empty after a takeover.
+func (d *Dispatcher) countLeft(now time.Time, isIn func(*worker) bool) (workers, runs int) {
 	for _, w := range d.workers {
 		if !isIn(w) {
 			continue
 		}
 		workers++
+		known := 0
 		for _, r := range w.runs {
 			if r.state == runStarting || r.state == runRunning {
-				runs++
+				known++
 			}
 		}
+		if !w.hasReported && now.Before(w.formerLeaseEndsAt) {
+			known = max(known, 1)
+		}
+		runs += known
 	}
 	return workers, runs
 }
--- a/internal/dispatcher/evacuation_test.go
+++ b/internal/dispatcher/evacuation_test.go
@@ -158,3 +158,17 @@
 	is.Equal(w.healthStatus(now), "evacuated")
 	is.True(d.workers["w999"].evacuated)
 }
+
+// Guards against an evacuated domain that looks empty after a takeover, because its workers have not told the leader their runs.
+func TestEvacuatedDomainIsNotEmptyBeforeReports(t *testing.T) {
+	is := is.New(t)
+	d, _ := newDomains(t)
+	now := time.Now()
+	for _, w := range d.workers {
+		w.hasReported, w.formerLeaseEndsAt = w.info.ID == "w008", now.Add(time.Second)
+	}
+	d.evacuate("d1", 1, false, now)
+	is.Equal(d.Metrics.Evacuated.String(), `{"domains": 1, "runs": 7, "workers": 8}`)
+	d.checkWorkers(now.Add(2 * time.Second))
+	is.Equal(d.Metrics.Evacuated.String(), `{"domains": 1, "runs": 0, "workers": 8}`)
+}
