Evacuation: without a bound, wait for the first read of the requests

Cause: without bounds.evac_ms a host that had just started could lead and start tasks in an evacuated domain before it had read the requests.

Change: a leader without a bound starts nothing before its first complete read, for 1.5 s at most, so that a deployment whose operator records can't be read goes on as before. A log line says that it starts without them.

The dispatcher's fixture of domains confirms its view.

--- a/internal/dispatcher/evacuation.go
+++ b/internal/dispatcher/evacuation.go
@@ -125,7 +125,12 @@
 func (d *Dispatcher) logOldView(now time.Time) {
 	v := &d.oldView
 	if d.Evacuator.AllowsStart(now) {
-		if v.logged {
+		_, known := d.Evacuator.ViewAge(now)
+		switch {
+		case v.logged && !known:
+			d.Logger.Warn("starting tasks without the requests to evacuate failure domains, which can't be read", "for-ms", now.Sub(v.since).Milliseconds(),
+				"remedy", "restore the connection to the operator's records; set bounds.evac_ms or evacuation-ms to start nothing without them")
+		case v.logged:
 			d.Logger.Info("requests to evacuate failure domains are confirmed again, starting tasks", "for-ms", now.Sub(v.since).Milliseconds())
 		}
 		*v = oldView{}
--- a/internal/dispatcher/evacuation_test.go
+++ b/internal/dispatcher/evacuation_test.go
@@ -17,6 +17,7 @@
 	t.Helper()
 	d := newFleet(t, 2)
 	d.Evacuator = &evacuator.Evacuator{}
+	d.Evacuator.Confirm(0, time.Now())
 	for _, w := range d.workers {
 		w.info.FailureDomain = model.DomainID("d" + w.info.Rack[2:])
 		w.session.evacuator = d.Evacuator
--- a/internal/evacuator/evacuator.go
+++ b/internal/evacuator/evacuator.go
@@ -16,19 +16,23 @@
 	MaxViewAge = 1500 * time.Millisecond
 	// MinBound is the shortest bound that can be kept. A view is confirmed at least every 0.5 s and a round trip to the log.
 	MinBound = StartTransit + 800*time.Millisecond
+	// FirstReadTime is the time for which a leader without a bound waits for the first complete read of the records. One read fits, and
+	// no step waits as long as 3 s beside free workers, which the platform counts as a fault.
+	FirstReadTime = 1500 * time.Millisecond
 )
 
 // Evacuator holds the requests to evacuate failure domains. Its methods may be called concurrently. The zero value and nil know of no
-// request and allow all starts.
+// request; nil allows all starts.
 type Evacuator struct {
 	// Bound is the time after a request was acknowledged from which on no task may be started in the domain; 0 turns the rule on the
-	// age of the view off. It must be set before the first call of a method.
+	// age of the view off, except that starts wait up to FirstReadTime for the first view. It must be set before the first call of a method.
 	Bound time.Duration
 
 	mu          sync.Mutex
 	domains     map[model.DomainID]record
 	next        model.Offset // all records before this offset are taken into account
 	confirmedAt time.Time    // time at which all requests in the log were known; zero before the first confirmation
+	awaitedAt   time.Time    // time since which starts wait for the first view; zero if none has
 }
 
 // record is the newest known record of a failure domain. Removals are kept until a newer snapshot, because an older record may be read
@@ -135,14 +139,23 @@
 }
 
 // AllowsStart reports whether the view is recent enough at the given time to start tasks. A request that is not in the view was then
-// acknowledged so recently that a start request sent now reaches its worker within the bound.
+// acknowledged so recently that a start request sent now reaches its worker within the bound. Without a bound, any view is, and none after
+// FirstReadTime since the first call.
 func (e *Evacuator) AllowsStart(now time.Time) bool {
-	if e == nil || e.Bound == 0 {
+	if e == nil {
 		return true
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return !e.confirmedAt.IsZero() && age(e.confirmedAt, now) < min(MaxViewAge, e.Bound-StartTransit)
+	switch {
+	case e.Bound > 0:
+		return !e.confirmedAt.IsZero() && age(e.confirmedAt, now) < min(MaxViewAge, e.Bound-StartTransit)
+	case !e.confirmedAt.IsZero():
+		return true
+	case e.awaitedAt.IsZero():
+		e.awaitedAt = now
+	}
+	return age(e.awaitedAt, now) >= FirstReadTime
 }
 
 // ViewAge returns the age of the view; ok is false before the first confirmation.
