--- a/internal/spooler/callers_test.go
+++ b/internal/spooler/callers_test.go
@@ -130,9 +130,9 @@
 		return func(int) *testLog { return newTestLog(f) }
 	}
 	scenarios := map[string]func(host int) *testLog{
-		"dark for 2 s":         all(during(2*time.Second, log.FaultUnavailable)),
-		"dark for 6 s":         all(during(6*time.Second, log.FaultUnavailable)),
-		"dark for 40 s":        all(during(40*time.Second, log.FaultUnavailable)),
+		"unavailable for 2 s":  all(during(2*time.Second, log.FaultUnavailable)),
+		"unavailable for 6 s":  all(during(6*time.Second, log.FaultUnavailable)),
+		"unavailable for 40 s": all(during(40*time.Second, log.FaultUnavailable)),
 		"silent for 6 s":       all(during(6*time.Second, log.FaultRequestLost)),
 		"answers lost for 6 s": all(during(6*time.Second, log.FaultResponseLost)),
 		"one answer lost a second": all(func(age time.Duration) log.CallFault {
@@ -141,7 +141,7 @@
 			}
 			return log.NoFault
 		}),
-		"half of the hosts turned away": func(host int) *testLog {
+		"half of the hosts isolated": func(host int) *testLog {
 			if host%2 == 0 {
 				l := newTestLog(during(6*time.Second, log.FaultUnavailable))
 				l.peers = PeerView{Silent: 3}
--- a/internal/spooler/policy_test.go
+++ b/internal/spooler/policy_test.go
@@ -12,7 +12,7 @@
 	now := time.Unix(1000, 0)
 	in := func(d time.Duration) time.Time { return now.Add(d) }
 	isolated := PeerView{Responding: 1, Silent: 4}
-	dark := PeerView{Responding: 4, Silent: 1}
+	mostRespond := PeerView{Responding: 4, Silent: 1}
 	for name, c := range map[string]struct {
 		view       LogView
 		deadline   time.Duration // 0 means 2,850 ms
@@ -22,15 +22,15 @@
 		retryAfter time.Duration
 	}{
 		"reachable":                   {action: ActionAppend},
-		"young outage":                {view: LogView{DownSince: in(-time.Second), Peers: dark}, action: ActionHold},
+		"young outage":                {view: LogView{DownSince: in(-time.Second), Peers: mostRespond}, action: ActionHold},
 		"log and peers lost just now": {view: LogView{DownSince: in(-500 * time.Millisecond), Peers: isolated}, action: ActionHold},
 		"isolated":                    {view: LogView{DownSince: in(-time.Second), Peers: isolated}, action: ActionRefuse, reason: ReasonIsolated, retryAfter: time.Second},
 		"isolated while held":         {view: LogView{DownSince: in(-time.Second), Peers: isolated}, held: true, action: ActionRefuse, reason: ReasonIsolated, retryAfter: time.Second},
-		"outage of some seconds":      {view: LogView{DownSince: in(-20 * time.Second), Peers: dark}, action: ActionHold},
-		"long outage":                 {view: LogView{DownSince: in(-time.Minute), Peers: dark}, action: ActionRefuse, reason: ReasonLongOutage, retryAfter: maxRetryAfter},
-		"held in an outage":           {view: LogView{DownSince: in(-time.Minute), Peers: dark}, held: true, action: ActionHold},
-		"too late":                    {view: LogView{DownSince: in(-time.Second), Peers: dark}, deadline: -1, action: ActionRefuse, reason: ReasonDeadline, retryAfter: time.Second},
-		"little time left":            {view: LogView{DownSince: in(-8 * time.Second), Peers: dark}, deadline: 500 * time.Millisecond, action: ActionRefuse, reason: ReasonLongOutage, retryAfter: time.Second},
+		"outage of some seconds":      {view: LogView{DownSince: in(-20 * time.Second), Peers: mostRespond}, action: ActionHold},
+		"long outage":                 {view: LogView{DownSince: in(-time.Minute), Peers: mostRespond}, action: ActionRefuse, reason: ReasonLongOutage, retryAfter: maxRetryAfter},
+		"held in an outage":           {view: LogView{DownSince: in(-time.Minute), Peers: mostRespond}, held: true, action: ActionHold},
+		"too late":                    {view: LogView{DownSince: in(-time.Second), Peers: mostRespond}, deadline: -1, action: ActionRefuse, reason: ReasonDeadline, retryAfter: time.Second},
+		"little time left":            {view: LogView{DownSince: in(-8 * time.Second), Peers: mostRespond}, deadline: 500 * time.Millisecond, action: ActionRefuse, reason: ReasonLongOutage, retryAfter: time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/spooler/send.go
+++ b/internal/spooler/send.go
@@ -36,8 +36,8 @@
 			s.Metrics.count("held")
 		}
 	}
-	for l := range s.lanes {
-		if now.Sub(l.sentAt) < laneDelay {
+	for l := range s.appends {
+		if now.Sub(l.sentAt) < overtakeDelay {
 			continue
 		}
 		for _, e := range l.batch {
@@ -69,19 +69,19 @@
 	s.confirmedAt, s.retryAt, s.unanswered = now, time.Time{}, false // the log responds to reads again
 }
 
-// nextLaneLocked starts the next append, or returns nil if there is nothing to send now. The caller holds s.mu.
+// nextAppendLocked starts the next append, or returns nil if there is nothing to send now. The caller holds s.mu.
 //
 // Appends of different callers don't wait for one whose response is late, also when it is repeated: records that may be in the log already
 // are sent without others, in one append at a time. As long as nothing shows that the log still confirms appends, the next one has a
 // single new record: the callers of records that are not sent can be told that their jobs never run.
-func (s *Spooler) nextLaneLocked(now time.Time) *lane {
-	if len(s.queue.entries) == 0 || len(s.lanes) >= maxLanes || now.Before(s.retryAt) || s.View != nil && !s.View().DownSince.IsZero() {
+func (s *Spooler) nextAppendLocked(now time.Time) *appendCall {
+	if len(s.queue.entries) == 0 || len(s.appends) >= maxAppends || now.Before(s.retryAt) || s.View != nil && !s.View().DownSince.IsZero() {
 		return nil
 	}
 	probe := s.unanswered || !s.refusedSince.IsZero()
-	repeat := s.queue.hasMaybeStored() && (!s.unanswered || len(s.lanes) == 0)
-	for l := range s.lanes {
-		if now.Sub(l.sentAt) < laneDelay {
+	repeat := s.queue.hasMaybeStored() && (!s.unanswered || len(s.appends) == 0)
+	for l := range s.appends {
+		if now.Sub(l.sentAt) < overtakeDelay {
 			return nil
 		}
 		probe = probe || l.sentAt.After(s.confirmedAt)
@@ -97,13 +97,13 @@
 	}
 	for _, e := range batch {
 		e.inFlight = true
-		e.probe = e.probe || probe && len(s.lanes) > 0
+		e.probe = e.probe || probe && len(s.appends) > 0
 	}
-	l := &lane{batch: batch, repeat: repeat, sentAt: now}
-	if s.lanes == nil {
-		s.lanes = map[*lane]struct{}{}
+	l := &appendCall{batch: batch, repeat: repeat, sentAt: now}
+	if s.appends == nil {
+		s.appends = map[*appendCall]struct{}{}
 	}
-	s.lanes[l] = struct{}{}
+	s.appends[l] = struct{}{}
 	return l
 }
 
@@ -117,7 +117,7 @@
 		}
 	}
 	count(s.queue.entries)
-	for l := range s.lanes {
+	for l := range s.appends {
 		count(l.batch)
 	}
 	return n
@@ -138,8 +138,8 @@
 	})
 }
 
-// send appends the batch of a lane and handles the outcome.
-func (s *Spooler) send(l *lane) {
+// send appends a batch and handles the outcome.
+func (s *Spooler) send(l *appendCall) {
 	ctx, cancel := context.WithTimeout(context.Background(), appendTimeout)
 	defer cancel()
 	records := make([]journaler.Record, len(l.batch))
@@ -149,7 +149,7 @@
 	_, err := s.Log.Append(ctx, records, journaler.AppendCondition{})
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.lanes, l)
+	delete(s.appends, l)
 	s.recordOutcomeLocked(err, l.sentAt, time.Now())
 	for _, e := range l.batch {
 		e.inFlight = false
--- a/internal/spooler/spooler.go
+++ b/internal/spooler/spooler.go
@@ -19,13 +19,13 @@
 	retryDelay = 150 * time.Millisecond
 	// refusalRetention is how long a refused append shows that the log refuses appends.
 	refusalRetention = 2 * retryDelay
-	// laneDelay is the age of an append from which the next one does not wait for it. It is above the delay of a slow log.
-	laneDelay = 250 * time.Millisecond
-	// maxLanes is the number of appends that may be in progress at once. A host keeps few connections to the log.
-	maxLanes = 3
-	// maxProbes is the number of probes without a response beside the append that they wait for. Silence then leaves at most maxLanes
+	// overtakeDelay is the age of an append from which the next one does not wait for it. It is above the delay of a slow log.
+	overtakeDelay = 250 * time.Millisecond
+	// maxAppends is the number of appends that may be in progress at once. A host keeps few connections to the log.
+	maxAppends = 3
+	// maxProbes is the number of probes without a response beside the append that they wait for. Silence then leaves at most maxAppends
 	// callers with an unknown outcome if that append had one record.
-	maxProbes = maxLanes - 1
+	maxProbes = maxAppends - 1
 	// checkInterval is the time between looks at the log and at the waiting submissions.
 	checkInterval = 25 * time.Millisecond
 	// defaultHold is the time for which the submission of a call without a deadline waits.
@@ -54,8 +54,8 @@
 
 	mu           sync.Mutex
 	queue        queue
-	lanes        map[*lane]struct{}
-	entries      int         // entries in the queue and in lanes
+	appends      map[*appendCall]struct{}
+	entries      int         // entries in the queue and in appends
 	bytes        model.Bytes // memory of these entries
 	running      bool        // whether a goroutine runs run
 	wakeup       chan struct{}
@@ -67,8 +67,8 @@
 	outage       outage
 }
 
-// lane is an append in progress.
-type lane struct {
+// appendCall is an append in progress.
+type appendCall struct {
 	batch  []*entry
 	repeat bool // whether its records may be in the log already
 	sentAt time.Time
@@ -221,7 +221,7 @@
 		s.mu.Lock()
 		now := time.Now()
 		s.reviewLocked(now)
-		l := s.nextLaneLocked(now)
+		l := s.nextAppendLocked(now)
 		if l == nil && s.entries == 0 {
 			s.running = false
 			s.mu.Unlock()
--- a/internal/spooler/spooler_test.go
+++ b/internal/spooler/spooler_test.go
@@ -220,7 +220,7 @@
 					var r *Refusal
 					switch {
 					case err == nil && i > 0:
-						is.True(time.Since(start) < laneDelay+2*checkInterval)
+						is.True(time.Since(start) < overtakeDelay+2*checkInterval)
 						results["accepted"]++
 					case errors.Is(err, journaler.ErrOutcomeUnknown):
 						results["unknown"]++
@@ -233,7 +233,7 @@
 			calls.Wait()
 			time.Sleep(2 * appendTimeout)
 			if lasting {
-				is.True(results["unknown"] <= maxLanes)
+				is.True(results["unknown"] <= maxAppends)
 				is.Equal(results["refused"], 40-results["unknown"])
 				return
 			}
@@ -271,7 +271,7 @@
 			calls.Go(func() {
 				start := time.Now()
 				is.NoErr(submit(s, l.submission(fmt.Sprint("j", i), 0)))
-				is.True(time.Since(start) <= laneDelay+2*checkInterval) // one of them is the wait before the repetition
+				is.True(time.Since(start) <= overtakeDelay+2*checkInterval) // one of them is the wait before the repetition
 			})
 			time.Sleep(20 * time.Millisecond)
 		}
