Peer port: end the charge for a request that is cut off

Cause: a connection that was closed inside a request kept its memory charged for good. Connections that read a frame could also count as idle when a call ended, so that they did not give way when the memory was used up.

Change: the charge ends with each failed read; a connection that reads a frame keeps its state.

--- a/internal/peerlog/guard.go
+++ b/internal/peerlog/guard.go
@@ -23,9 +23,10 @@
 	bodies *bodyreader.Reader
 	slots  chan struct{} // has an element for each call in progress
 
-	mu     sync.Mutex
-	calls  int             // calls in progress
-	unread bodyreader.Body // the last message, until its call begins
+	mu      sync.Mutex
+	calls   int             // calls in progress
+	reading bool            // a frame is read
+	unread  bodyreader.Body // the last message, until its call begins
 }
 
 func newGuard(c net.Conn, bodies *bodyreader.Reader) *guard {
@@ -35,27 +36,34 @@
 	return &guard{conn: connlimiter.Of(c), bodies: bodies, slots: make(chan struct{}, maxCallsPerPeer)}
 }
 
-// read reads the content of a frame of n bytes. The memory is charged until the call that it holds has ended.
+// read reads the content of a frame of n bytes. The memory is charged until the call that it holds has ended, or until discard.
 func (g *guard) read(r io.Reader, n int64) ([]byte, error) {
+	g.setReading(true)
+	defer g.setReading(false)
 	body, err := g.bodies.Read(io.LimitReader(r, n), n, maxFrameBytes, g.conn)
-	if err != nil {
-		return nil, err
-	}
 	g.unread = body
-	if int64(len(body.Data)) < n {
-		return nil, io.ErrUnexpectedEOF
-	}
-	if n > bodyreader.FirstStepBytes {
+	switch {
+	case err != nil:
+	case int64(len(body.Data)) < n:
+		err = io.ErrUnexpectedEOF
+	case n > bodyreader.FirstStepBytes:
 		err = g.conn.SetReadDeadline(time.Time{}) // ends the limit for the frame
 	}
 	return body.Data, err
 }
 
-// awaitFrame records that the connection waits for its peer unless calls are in progress, so that it can give way to another one.
+func (g *guard) setReading(reading bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.reading = reading
+}
+
+// awaitFrame records that the connection waits for its peer, so that it can give way to another one, unless calls are in progress or a frame
+// is read.
 func (g *guard) awaitFrame() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.calls == 0 {
+	if g.calls == 0 && !g.reading {
 		g.conn.SetIdle()
 	}
 }
--- a/internal/peerlog/server_test.go
+++ b/internal/peerlog/server_test.go
@@ -46,11 +46,12 @@
 	server := &Server{Logs: map[string]*FallbackLog{"jobs": jobs}, Logger: hclog.NewNullLogger(), Bodies: &p.Peers.Bodies}
 	go func() { _ = server.Serve(t.Context(), l) }()
 	var open atomic.Int64
+	var crowd []net.Conn
 	withheld := append(binary.AppendUvarint([]byte{byte(frameMessage)}, 200_000), bytes.Repeat([]byte(" "), 199_999)...)
 	for range 100 {
 		c, err := net.Dial("tcp", l.Addr().String())
 		is.NoErr(err)
-		defer func() { _ = c.Close() }()
+		crowd = append(crowd, c)
 		open.Add(1)
 		go func() {
 			_, _ = c.Write(withheld)
@@ -58,6 +59,12 @@
 			open.Add(-1)
 		}()
 	}
+	for range 100 {
+		c, err := net.Dial("tcp", l.Addr().String())
+		is.NoErr(err)
+		_, _ = c.Write(withheld[:10_000])
+		_ = c.Close()
+	}
 	time.Sleep(1500 * time.Millisecond)
 	is.True(p.Peers.Bodies.Budget.Used() <= 1<<20)
 	is.True(open.Load() <= 40)
@@ -67,4 +74,10 @@
 		is.NoErr(err)
 		time.Sleep(10 * time.Millisecond)
 	}
+	for _, c := range crowd {
+		_ = c.Close()
+	}
+	for deadline := time.Now().Add(5 * time.Second); p.Peers.Bodies.Budget.Used() > 0; time.Sleep(10 * time.Millisecond) {
+		is.True(time.Now().Before(deadline)) // requests of closed connections are still charged
+	}
 }
--- a/internal/peerlog/stream.go
+++ b/internal/peerlog/stream.go
@@ -123,14 +123,13 @@
 		return errors.New("peerlog: the peer sent an attachment without a response; it may run another version")
 	}
 	data, err := s.guard.read(s.r, n)
-	if err != nil {
-		return err
+	if err == nil {
+		err = json.Unmarshal(data, v)
 	}
-	if err := json.Unmarshal(data, v); err != nil {
+	if err != nil {
 		s.guard.discard()
-		return err
 	}
-	return nil
+	return err
 }
 
 // readHeader reads the kind and the length of a frame.
