--- a/internal/dispatcher/evacuation.go
+++ b/internal/dispatcher/evacuation.go
@@ -129,7 +129,7 @@
 		switch {
 		case v.logged && !known:
 			d.Logger.Warn("starting tasks without the requests to evacuate failure domains, which can't be read", "for-ms", now.Sub(v.since).Milliseconds(),
-				"remedy", "restore the connection to the operator's records; set bounds.evac_ms or evacuation-ms to start nothing without them")
+				"remedy", "restore the connection to the operator's records, or set the bound for evacuations to start nothing without them")
 		case v.logged:
 			d.Logger.Info("requests to evacuate failure domains are confirmed again, starting tasks", "for-ms", now.Sub(v.since).Milliseconds())
 		}
