--- a/internal/spooler/send.go
+++ b/internal/spooler/send.go
@@ -36,8 +36,8 @@
 			s.Metrics.count("held")
 		}
 	}
-	for l := range s.lanes {
-		if now.Sub(l.sentAt) < laneDelay {
+	for l := range s.appends {
+		if now.Sub(l.sentAt) < overtakeDelay {
 			continue
 		}
 		for _, e := range l.batch {
@@ -69,36 +69,60 @@
 	s.confirmedAt, s.retryAt, s.unanswered = now, time.Time{}, false // the log responds to reads again
 }
 
-// nextLaneLocked starts the next append, or returns nil if there is nothing to send now. The caller holds s.mu.
+// nextAppendLocked starts the next append, or returns nil if there is nothing to send now. The caller holds s.mu.
 //
-// Appends of different callers don't wait for one whose response is late. As long as nothing shows that the log still confirms
-// appends, the next one has a single new record: the callers of records that are not sent can be told that their jobs never run.
-func (s *Spooler) nextLaneLocked(now time.Time) *lane {
-	if len(s.queue.entries) == 0 || len(s.lanes) >= maxLanes || now.Before(s.retryAt) || s.View != nil && !s.View().DownSince.IsZero() {
+// Appends of different callers don't wait for one whose response is late, also when it is repeated: records that may be in the log already
+// are sent without others, in one append at a time. As long as nothing shows that the log still confirms appends, the next one has a
+// single new record: the callers of records that are not sent can be told that their jobs never run.
+func (s *Spooler) nextAppendLocked(now time.Time) *appendCall {
+	if len(s.queue.entries) == 0 || len(s.appends) >= maxAppends || now.Before(s.retryAt) || s.View != nil && !s.View().DownSince.IsZero() {
 		return nil
 	}
 	probe := s.unanswered || !s.refusedSince.IsZero()
-	for l := range s.lanes {
-		if now.Sub(l.sentAt) < laneDelay || s.unanswered {
+	repeat := s.queue.hasMaybeStored() && (!s.unanswered || len(s.appends) == 0)
+	for l := range s.appends {
+		if now.Sub(l.sentAt) < overtakeDelay {
 			return nil
 		}
 		probe = probe || l.sentAt.After(s.confirmedAt)
+		repeat = repeat && !l.repeat
 	}
-	batch := s.admitLocked(s.queue.take(probe))
+	probe = probe && !repeat
+	if probe && s.probesLocked() >= maxProbes {
+		return nil
+	}
+	batch := s.admitLocked(s.queue.take(repeat, probe))
 	if len(batch) == 0 {
 		return nil
 	}
 	for _, e := range batch {
 		e.inFlight = true
+		e.probe = e.probe || probe && len(s.appends) > 0
 	}
-	l := &lane{batch: batch, sentAt: now}
-	if s.lanes == nil {
-		s.lanes = map[*lane]struct{}{}
+	l := &appendCall{batch: batch, repeat: repeat, sentAt: now}
+	if s.appends == nil {
+		s.appends = map[*appendCall]struct{}{}
 	}
-	s.lanes[l] = struct{}{}
+	s.appends[l] = struct{}{}
 	return l
 }
 
+// probesLocked returns the number of probes that are in progress, or that got no response and whose callers still wait. The caller holds s.mu.
+func (s *Spooler) probesLocked() (n int) {
+	count := func(entries []*entry) {
+		for _, e := range entries {
+			if e.probe && e.wasSent() {
+				n++
+			}
+		}
+	}
+	count(s.queue.entries)
+	for l := range s.appends {
+		count(l.batch)
+	}
+	return n
+}
+
 // admitLocked decides on the entries that are about to be sent for the first time, and returns those to send. The caller holds s.mu.
 func (s *Spooler) admitLocked(batch []*entry) []*entry {
 	return slices.DeleteFunc(batch, func(e *entry) bool {
@@ -114,8 +138,8 @@
 	})
 }
 
-// send appends the batch of a lane and handles the outcome.
-func (s *Spooler) send(l *lane) {
+// send appends a batch and handles the outcome.
+func (s *Spooler) send(l *appendCall) {
 	ctx, cancel := context.WithTimeout(context.Background(), appendTimeout)
 	defer cancel()
 	records := make([]journaler.Record, len(l.batch))
@@ -125,8 +149,8 @@
 	_, err := s.Log.Append(ctx, records, journaler.AppendCondition{})
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.lanes, l)
-	s.recordOutcomeLocked(err, time.Now())
+	delete(s.appends, l)
+	s.recordOutcomeLocked(err, l.sentAt, time.Now())
 	for _, e := range l.batch {
 		e.inFlight = false
 		e.maybeStored = e.maybeStored || err != nil && !errors.Is(err, journaler.ErrNotAppended)
@@ -142,8 +166,9 @@
 	s.wake()
 }
 
-// recordOutcomeLocked records what the outcome of an append says about the log. The caller holds s.mu.
-func (s *Spooler) recordOutcomeLocked(err error, now time.Time) {
+// recordOutcomeLocked records what the outcome of an append says about the log. One without a response says nothing about others if the
+// log has confirmed one since it was sent. The caller holds s.mu.
+func (s *Spooler) recordOutcomeLocked(err error, sentAt, now time.Time) {
 	switch {
 	case err == nil:
 		s.refusedSince, s.retryAt, s.unanswered = time.Time{}, time.Time{}, false
@@ -156,7 +181,7 @@
 		}
 		s.refusedAt = now
 	default:
-		s.unanswered = true
+		s.unanswered = s.unanswered || !s.confirmedAt.After(sentAt)
 		s.retryAt = now.Add(retryDelay)
 	}
 }
