Elections: log the delay of a candidate and the memory that decides it

It has the election delay, what the process holds, what a leader of the fleet is taken to need, and the limit.

--- a/internal/coordinator/election.go
+++ b/internal/coordinator/election.go
@@ -144,7 +144,9 @@
 		ExpectedEnd: &next, Writer: &journaler.Writer{Name: dispatcher.LeaderWriterName, Epoch: t.Fence, Seq: t.FirstSeq},
 	})
 	cancel()
-	c.cfg.Logger.Info("attempted to become leader", "fence", t.Fence, "at", next, "former", previous.Host, "error", err)
+	m := c.LeaderMemory()
+	c.cfg.Logger.Info("attempted to become leader", "fence", t.Fence, "at", next, "former", previous.Host, "error", err,
+		"election-delay-ms", m.DelayMS, "resident-mb", m.Resident>>20, "expected-mb", m.Expected>>20, "limit-mb", m.Limit>>20)
 	var mismatch *journaler.OffsetMismatchError
 	c.mu.Lock()
 	if errors.As(err, &mismatch) {
