Preemption: a guarantee waits for room that comes as soon as by a preemption

Cause: a gang within a guarantee preempted at once, also where enough room was about to become free by itself. Gain and loss limit counted the whole step, and what a guarantee cost used up the budget of the workspace's other urgent work.

Change: work within a guarantee waits once for room that is expected within a second; if it is overdue, it preempts. Gain and loss limit count the planned tasks. Preemptions for guarantees are not charged to the workspace budget.

--- a/internal/dispatcher/decision.go
+++ b/internal/dispatcher/decision.go
@@ -44,7 +44,7 @@
 	s := u.step
 	out := &preemptor.Step{
 		Priority: s.job.submission.Queue.Priority, Guaranteed: u.rank == 0, PathLeft: preemptor.PathFrom(s.job.submission.Steps, s.ref.Step),
-		Work: s.work(), Spent: s.preemption.spent.Sum(p.now),
+		Spent:       s.preemption.spent.Sum(p.now),
 		RoomOverdue: !s.preemption.roomBy.IsZero() && p.now.After(s.preemption.roomBy),
 	}
 	if !s.spec.LongRunning && s.spec.EstimatedRunMS > 0 {
@@ -75,7 +75,7 @@
 
 // owner describes the job of a running step to the preemptor.
 func (s *step) owner(now time.Time) preemptor.Job {
-	return preemptor.Job{ID: s.ref.Job, Priority: s.job.submission.Queue.Priority, Deadline: s.deadline(now), Work: s.work()}
+	return preemptor.Job{ID: s.ref.Job, Priority: s.job.submission.Queue.Priority, Deadline: s.deadline(now), Work: s.workOf(s.spec.Count)}
 }
 
 // deadline returns the deadline of the step's job, which is counted from the time at which the occurrence is due.
@@ -89,10 +89,9 @@
 	return preemptor.Account{Workspace: s.job.submission.Workspace, Priority: s.job.submission.Queue.Priority}
 }
 
-// work returns the estimated work of all tasks of the step.
-func (s *step) work() preemptor.CoreSeconds {
-	perTask := preemptor.Work(s.spec.Need, s.callerEstimate())
-	return perTask * preemptor.CoreSeconds(s.spec.Count)
+// workOf returns the estimated work of a number of tasks of the step.
+func (s *step) workOf(tasks int) preemptor.CoreSeconds {
+	return preemptor.Work(s.spec.Need, s.callerEstimate()) * preemptor.CoreSeconds(tasks)
 }
 
 // stoppable describes the run to the preemptor.
--- a/internal/dispatcher/preemption.go
+++ b/internal/dispatcher/preemption.go
@@ -18,7 +18,7 @@
 // preempt now; the preemptor says why.
 func (p *schedulingPass) planPreemption(u *placementUnit) ([]*placer.Node, []*placer.PreemptionUnit) {
 	s := u.step
-	if p.preemptionWait(u) > 0 || u.rank > 0 && p.now.Before(s.preemption.retryAt) {
+	if p.preemptionWait(u) > 0 || p.waitsForDecision(u) {
 		return nil, nil
 	}
 	waiting := p.describeWaiting(u)
@@ -48,6 +48,13 @@
 	return places, victims
 }
 
+// waitsForDecision reports whether the last decision against a preemption still counts. Work within a guarantee decides again in each pass, unless
+// it waits for room that is expected.
+func (p *schedulingPass) waitsForDecision(u *placementUnit) bool {
+	state := &u.step.preemption
+	return p.now.Before(state.retryAt) && (u.rank > 0 || state.last.Reason == preemptor.ReasonRoomSoon)
+}
+
 // endPlanningRound ends the planning round with the pass unless the pass had to leave out a unit.
 func (p *schedulingPass) endPlanningRound() {
 	if !p.plansDeferred {
@@ -60,9 +67,9 @@
 	if places == nil {
 		return preemptor.NoRoom()
 	}
-	offer := &preemptor.Offer{Victims: p.describeVictims(victims), RoomIn: -1}
+	waiting.Work = u.step.workOf(len(places))
+	offer := &preemptor.Offer{Victims: p.describeVictims(victims), RoomIn: p.roomIn(r)}
 	if u.rank > 0 {
-		offer.RoomIn = p.roomIn(r)
 		offer.Left = p.d.preemptionBudget.Left(u.step.account(), p.pool(r.Service).Capacity, p.now)
 	}
 	return waiting.Decide(offer)
@@ -148,7 +155,9 @@
 	p.d.Logger.Info("preempting runs", "job", u.step.ref.Job, "step", u.step.ref.Step, "rank", u.rank, "tasks", len(places),
 		"victims", len(victims), "runs", d.Runs, "reason", d.Reason, "gain", int64(d.Gain), "cost", int64(d.Cost), "lost-core-seconds", int64(d.Lost))
 	u.step.preemption.spent.Add(d.Lost, p.now)
-	p.d.preemptionBudget.Spend(u.step.account(), d.Lost, p.now)
+	if u.rank > 0 { // what a guarantee costs leaves the urgent work beyond it its budget
+		p.d.preemptionBudget.Spend(u.step.account(), d.Lost, p.now)
+	}
 	p.d.Metrics.Runs.Add("preempted-blocks", int64(len(victims)))
 	for _, v := range victims {
 		p.stopTarget(p.preemptionTargets[v.ID])
--- a/internal/preemptor/decision.go
+++ b/internal/preemptor/decision.go
@@ -12,6 +12,9 @@
 	// waitMargin is what remains of the slack when a step stops to wait for room that was to become free by itself, because runs may last
 	// longer than expected.
 	waitMargin = 300 * time.Millisecond
+	// guaranteedWait is the longest time for which a job within a guarantee waits for room that becomes free by itself. A preemption makes
+	// room no sooner: the stopped runs need most of that time to end.
+	guaranteedWait = time.Second
 	// minRetry and maxRetry limit the time until a step that does not preempt is considered again. A decision takes as long as some passes.
 	minRetry = 150 * time.Millisecond
 	maxRetry = time.Second
@@ -41,7 +44,7 @@
 	Guaranteed bool // its job is within the guarantee of its workspace
 	Deadline   Deadline
 	PathLeft   time.Duration // run time of the longest chain of steps that begins with this one
-	Work       CoreSeconds   // work of all tasks of the step
+	Work       CoreSeconds   // work of the tasks that start by the preemption
 	Spent      CoreSeconds   // work thrown away for the step in the window of the budget
 	// RoomOverdue says that the room for which the step has waited did not become free in time.
 	RoomOverdue bool
@@ -86,6 +89,8 @@
 	out.Gain = s.gain(offer.RoomIn)
 	slack := s.Deadline.targetIn - s.PathLeft
 	switch {
+	case s.Guaranteed && offer.RoomIn >= 0 && offer.RoomIn <= guaranteedWait && !s.RoomOverdue:
+		out.Reason, out.RetryIn = ReasonRoomSoon, minRetry
 	case s.Guaranteed:
 		out.Preempt, out.Reason = true, ReasonGuarantee
 	case !s.Deadline.isSet:
