Placer: long and urgent work on fast workers

Cause: the placer knew the speed of workers only by the pace of runs within a step, treated differences up to 1.15 as none, and gave long, urgent and short work the same workers. The estimator knows speeds across steps.

Change: with learned run times the estimator is the only source of slowness, without what noise or the mix of work explains. Requests prefer fast workers (priority 0, or 1.25 times the usual run time of the service), slow ones (short and less urgent, if other work prefers fast ones) or neither; speed is weighed against the leftover. Gangs are placed on workers of like speed. With run-time-estimates off, and with equally fast workers, nothing changes. The stand-in of the workers has workers of different speed.

--- a/internal/dispatcher/bench_test.go
+++ b/internal/dispatcher/bench_test.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"chestnutmux.example/chestnutmux/internal/asserter"
+	"chestnutmux.example/chestnutmux/internal/estimator"
 	"chestnutmux.example/chestnutmux/internal/journaler"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
@@ -86,6 +87,29 @@
 	}
 }
 
+// BenchmarkLearnedPass measures the same pass with learned run times, on workers of different speed.
+func BenchmarkLearnedPass(b *testing.B) {
+	for _, n := range []int{350, 1000, 8800} {
+		b.Run(fmt.Sprint("workers=", n), func(b *testing.B) {
+			d := newLoadedDispatcher(b, n, 0)
+			d.LearnRunTimes = true
+			for i := range 20 * n {
+				took := time.Second * time.Duration(10+i%n%5)
+				d.runTimes.estimator.RecordDone(&estimator.Run{Key: estimator.Key{Queue: "q"}, Worker: model.HostID(fmt.Sprint("w", i%n))}, took)
+				if i%n == 0 {
+					d.runTimes.estimator.Update()
+				}
+			}
+			for i := range 50 {
+				d.addJob(journaler.Job{Submission: newSubmission(fmt.Sprint("wait", i), 2, 8)}, time.Now())
+			}
+			for b.Loop() {
+				d.schedule(time.Now())
+			}
+		})
+	}
+}
+
 // BenchmarkPlanPreemption measures the preemption decision for an urgent gang that needs a whole rack of a full fleet.
 func BenchmarkPlanPreemption(b *testing.B) {
 	for _, n := range []int{48, 350, 1000, 8800} {
--- a/internal/dispatcher/health.go
+++ b/internal/dispatcher/health.go
@@ -35,7 +35,7 @@
 	quarantineTime      time.Duration // duration of the last quarantine
 	lastProgressAt      time.Time     // time of the last success, or of progress while consecutiveFailures was 0
 	lastSuccessAt       time.Time     // time of the last success
-	slowness            float64       // moving average of the time per unit of work, relative to the fastest worker of the step; 0 means unknown
+	slowness            float64       // moving average of the time per unit of work, relative to the fastest worker of the step; 0 means unknown. Not used if run times are learned
 }
 
 const (
@@ -115,7 +115,7 @@
 	if percent <= r.percentDone {
 		return
 	}
-	if t := r.task; t != nil && !t.step.spec.Gang && percent-r.percentDone >= minPaceProgress {
+	if t := r.task; t != nil && t.step.job.runTimes == nil && !t.step.spec.Gang && percent-r.percentDone >= minPaceProgress {
 		t.step.recordPace(r.worker, now.Sub(r.lastProgressAt).Seconds()/float64(percent-r.percentDone))
 	}
 	if r.paceFrom.IsZero() {
--- a/internal/dispatcher/learning.go
+++ b/internal/dispatcher/learning.go
@@ -6,6 +6,7 @@
 
 	"chestnutmux.example/chestnutmux/internal/estimator"
 	"chestnutmux.example/chestnutmux/internal/journaler"
+	"chestnutmux.example/chestnutmux/internal/placer"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
@@ -27,6 +28,7 @@
 type runTimes struct {
 	estimator     estimator.Estimator
 	published     map[model.QueueID]journaler.LearnedRunTime // see journaler.Load; replaced at each update
+	usualWork     map[model.ServiceID]*placer.UsualWork
 	updatedAt     time.Time
 	loggedAt      time.Time
 	loggedRuns    int64   // number of runs at the last log line
@@ -112,8 +114,9 @@
 	d.Metrics.recordRunTimes(l)
 	if n := l.estimator.Runs(); n != l.loggedRuns && now.Sub(l.loggedAt) >= learningLogInterval {
 		l.loggedAt, l.loggedRuns = now, n
+		fastest, slowest := l.estimator.SlownessRange()
 		d.Logger.Info("run times learned", "runs", n, "kinds", l.estimator.Kinds(), "caller-error-factor", math.Exp2(l.callerError),
-			"forecast-error-factor", math.Exp2(l.forecastError))
+			"forecast-error-factor", math.Exp2(l.forecastError), "fastest-worker-slowness", fastest, "slowest-worker-slowness", slowest)
 	}
 }
 
--- a/internal/dispatcher/plan.go
+++ b/internal/dispatcher/plan.go
@@ -166,7 +166,7 @@
 		*n = placer.Node{
 			ID: w.info.ID, Service: w.info.Service, Domain: w.info.FailureDomain, Rack: w.info.Rack, Labels: w.info.Labels,
 			Capacity: w.info.Capacity, Free: free, Unused: unused, Unschedulable: !w.isSchedulable(now) || w.hostsSuspect(), Occupied: len(w.runs) > 0, Suspicion: w.suspicion,
-			Quarantined: now.Before(w.quarantinedUntil) && w.canStartTasks() && !w.hostsSuspect(), KnownHealthy: w.isKnownHealthy(now), LastSuccessAt: w.lastSuccessAt, Slowness: w.slowness,
+			Quarantined: now.Before(w.quarantinedUntil) && w.canStartTasks() && !w.hostsSuspect(), KnownHealthy: w.isKnownHealthy(now), LastSuccessAt: w.lastSuccessAt, Slowness: d.slowness(w),
 		}
 		p.markCold(n, w)
 		p.nodes = append(p.nodes, n)
@@ -300,6 +300,7 @@
 		OneRack: s.spec.OneRack && s.spec.Gang, Label: s.spec.Label, NearRack: s.spec.NearRack, MaxPerWorker: s.spec.MaxPerWorker,
 		Excluded: s.exclusions.excluded(p.now), Avoided: s.exclusions.avoided(),
 		WithheldNodes: p.withheldNodes(u), Isolated: u.isolated, PreferWarm: s.job.submission.Queue.Priority == 0, IgnoreColdLimit: p.ignoresColdLimit(s),
+		Speed: p.d.speedPreference(s),
 	}
 	// A gang that fits in no rack may use several racks, on which it runs more slowly, because it could never start otherwise.
 	if r.OneRack && !p.fitsRack(r) {
@@ -358,13 +359,14 @@
 		n.Unused = n.Unused.Sub(s.spec.Need)
 		n.Occupied, n.Unschedulable, n.Quarantined = true, n.Unschedulable || u.isolated, n.Quarantined && !u.isolated
 	}
-	p.d.Logger.Debug("tasks started", "job", s.ref.Job, "step", s.ref.Step, "tasks", len(places), "of", len(u.tasks), "rank", u.rank)
+	p.d.Logger.Debug("tasks started", "job", s.ref.Job, "step", s.ref.Step, "tasks", len(places), "of", len(u.tasks), "rank", u.rank, "speed", p.d.speedPreference(s))
 }
 
 // startTask starts the next attempt of a task. Members of a gang use the attempt number of the gang.
 func (p *schedulingPass) startTask(t *task, w *worker) {
 	t.attempts++
 	p.countColdStart(w)
+	p.d.observeUsualWork(t.step)
 	use := &p.pool(t.step.job.submission.Queue.Service).ready
 	use.used = use.used.Add(t.step.spec.Need)
 	clear(p.slots)
--- a/internal/dispatcher/runtimes.go
+++ b/internal/dispatcher/runtimes.go
@@ -5,6 +5,7 @@
 
 	"chestnutmux.example/chestnutmux/internal/admitter"
 	"chestnutmux.example/chestnutmux/internal/estimator"
+	"chestnutmux.example/chestnutmux/internal/placer"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
@@ -106,6 +107,44 @@
 	return r.task.step.job.runTimes.estimator.Slowness(r.worker.info.ID)
 }
 
+// slowness returns how slow the placer takes a worker to be: by what is known across steps, or by the pace of runs within a step if run
+// times are not learned.
+func (d *Dispatcher) slowness(w *worker) float64 {
+	if d.LearnRunTimes {
+		return d.runTimes.estimator.Slowness(w.info.ID)
+	}
+	return w.slowness
+}
+
+// speedPreference returns how the speed of workers counts for the tasks of the step. Tasks that last have no length to compare.
+func (d *Dispatcher) speedPreference(s *step) placer.SpeedPreference {
+	if !d.LearnRunTimes {
+		return placer.SpeedUnknown
+	}
+	if !s.usesForecast() {
+		return placer.SpeedAny
+	}
+	q := s.job.submission.Queue
+	return d.runTimes.usualWork[q.Service].Preference(q.Priority == 0, s.expectedSeconds())
+}
+
+// observeUsualWork counts a task of the step that starts.
+func (d *Dispatcher) observeUsualWork(s *step) {
+	if !d.LearnRunTimes || !s.usesForecast() {
+		return
+	}
+	service := s.job.submission.Queue.Service
+	usual := d.runTimes.usualWork[service]
+	if usual == nil {
+		if d.runTimes.usualWork == nil {
+			d.runTimes.usualWork = map[model.ServiceID]*placer.UsualWork{}
+		}
+		usual = &placer.UsualWork{}
+		d.runTimes.usualWork[service] = usual
+	}
+	usual.Observe(s.expectedSeconds(), d.speedPreference(s))
+}
+
 // isStalled reports whether the run makes no progress.
 func (r *run) isStalled(now time.Time) bool {
 	if r.state != runRunning || r.task == nil || r.percentDone >= 100 || r.task.step.spec.LongRunning {
--- a/internal/estimator/estimator.go
+++ b/internal/estimator/estimator.go
@@ -66,6 +66,7 @@
 type Estimator struct {
 	kinds   map[kindKey]*kind
 	speeds  map[model.HostID]*speed
+	noise   noise
 	version int64
 	runs    int64 // number of runs that have ended done
 }
--- a/internal/estimator/sketch.go
+++ b/internal/estimator/sketch.go
@@ -33,6 +33,8 @@
 type sketch struct {
 	reached, ended [buckets]float32
 
+	bias float64 // moving average of how much longer than the median the runs take, in octaves, without the speed of their workers
+
 	// Derived from the counts by update.
 	survival [buckets + 1]float32 // probability of reaching each bucket
 	expected [buckets + 1]float32 // mean of the values that reach the bucket, as a multiple of the value of bucket 0
--- a/internal/fake/worker/capacity.go
+++ b/internal/fake/worker/capacity.go
@@ -34,3 +34,11 @@
 		Cores: max(a.Cores, b.Cores), MemoryMB: max(a.MemoryMB, b.MemoryMB), Accelerators: max(a.Accelerators, b.Accelerators),
 	}
 }
+
+// SetSlowness sets the run times of the runs that start on a worker from now on, as a multiple of those in their payloads. A gang is as
+// slow as its slowest worker.
+func (f *Fleet) SetSlowness(id model.HostID, slowness float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[id].slowness = slowness
+}
--- a/internal/fake/worker/fleet.go
+++ b/internal/fake/worker/fleet.go
@@ -77,6 +77,7 @@
 	failRuns           bool      // each run that starts fails
 	downUntil          time.Time // the worker has crashed and refuses connections until then
 	clockRate          float64   // rate of its clock relative to real time; 0 means 1
+	slowness           float64   // run time as a multiple of that in the payload
 }
 
 // run is a run of a task on a worker.
@@ -86,6 +87,7 @@
 	gang            *gang
 	startedAt       time.Time
 	workStartedAt   time.Time     // zero while the run waits for the other members of its gang
+	slowness        float64       // of its worker or, from the start of its gang on, of the slowest one
 	totalWork       time.Duration // work of the whole task
 	resumedProgress time.Duration // work done at the checkpoint that the run resumed from
 	stopAt          time.Time     // time at which a requested stop takes effect; zero if none was requested
@@ -109,7 +111,7 @@
 func (f *Fleet) AddWorker(id model.HostID, capacity model.Resources, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.workers[id] = &workerState{id: id, capacity: capacity}
+	f.workers[id] = &workerState{id: id, capacity: capacity, slowness: 1}
 	f.workers[id].reset(now)
 }
 
@@ -231,7 +233,7 @@
 		return dispatcher.Response{}, errCrashed
 	}
 	totalWork, resumedProgress := f.runDurations(req)
-	r := &run{ref: req.Run, resources: req.Need, startedAt: now, totalWork: totalWork, resumedProgress: resumedProgress, willFail: s.failRuns}
+	r := &run{ref: req.Run, resources: req.Need, startedAt: now, totalWork: totalWork, resumedProgress: resumedProgress, willFail: s.failRuns, slowness: s.slowness}
 	s.runs[req.Run] = r
 	f.ledger.recordStart(s, r)
 	f.joinGang(s, r, req.GangSize, now)
@@ -271,8 +273,13 @@
 		return
 	}
 	g.started = true
+	slowest := 0.0
+	for _, w := range g.workersByTask {
+		slowest = max(slowest, w.slowness)
+	}
 	for ref, w := range g.workersByTask {
-		w.runs[model.RunRef{Task: ref, Number: r.ref.Number}].workStartedAt = now
+		member := w.runs[model.RunRef{Task: ref, Number: r.ref.Number}]
+		member.workStartedAt, member.slowness = now, slowest
 	}
 }
 
@@ -340,7 +347,7 @@
 	if r.workStartedAt.IsZero() {
 		return r.resumedProgress
 	}
-	return min(r.resumedProgress+now.Sub(r.workStartedAt), r.totalWork)
+	return min(r.resumedProgress+time.Duration(float64(now.Sub(r.workStartedAt))/r.slowness), r.totalWork)
 }
 
 func (r *run) percentDone(now time.Time) int {
--- a/internal/fake/worker/run_ends.go
+++ b/internal/fake/worker/run_ends.go
@@ -58,7 +58,7 @@
 	case r.willFail:
 		replaceIfEarlier(model.EndFailed, r.workStartedAt)
 	default:
-		replaceIfEarlier(model.EndDone, r.workStartedAt.Add(r.totalWork-r.resumedProgress))
+		replaceIfEarlier(model.EndDone, r.workStartedAt.Add(time.Duration(float64(r.totalWork-r.resumedProgress)*r.slowness)))
 	}
 	return kind, at
 }
--- a/internal/placer/bench_test.go
+++ b/internal/placer/bench_test.go
@@ -27,14 +27,16 @@
 // BenchmarkPlace measures the placement of a gang on a fleet of which parts are free, within one rack and on all.
 func BenchmarkPlace(b *testing.B) {
 	for _, n := range []int{350, 1000, 8800} {
-		for _, oneRack := range []bool{false, true} {
-			b.Run(fmt.Sprint("workers=", n, "/one-rack=", oneRack), func(b *testing.B) {
-				nodes := newPartlyFreeFleet(n)
-				r := &Request{Count: 5, Need: model.Resources{Cores: 15_000, MemoryMB: 32_768, Accelerators: 2}, Gang: true, OneRack: oneRack}
-				for b.Loop() {
-					Place(nodes, r)
-				}
-			})
+		for _, speed := range []SpeedPreference{SpeedUnknown, SpeedFast} {
+			for _, oneRack := range []bool{false, true} {
+				b.Run(fmt.Sprint("workers=", n, "/speed=", speed, "/one-rack=", oneRack), func(b *testing.B) {
+					nodes := newPartlyFreeFleet(n)
+					r := &Request{Count: 5, Need: model.Resources{Cores: 15_000, MemoryMB: 32_768, Accelerators: 2}, Gang: true, OneRack: oneRack, Speed: speed}
+					for b.Loop() {
+						Place(nodes, r)
+					}
+				})
+			}
 		}
 	}
 }
--- a/internal/placer/node.go
+++ b/internal/placer/node.go
@@ -28,7 +28,7 @@
 	Suspicion     int             // number that grows with each sign of a fault; 0 means no suspicion
 	KnownHealthy  bool            // the worker has recently completed a task or made progress, without a failure since
 	LastSuccessAt time.Time       // time at which a task last succeeded on the worker; zero means never
-	Slowness      float64         // observed run time as a multiple of that on the fastest workers; 0 means unknown
+	Slowness      float64         // run time as a multiple of that on other workers, see SpeedPreference; 0 means unknown
 	Cold          bool            // the worker is slow for a while, because its process or its failure domain is back
 	ColdLimited   bool            // only ColdSlots tasks may be started on the worker now
 	ColdSlots     int
@@ -106,6 +106,7 @@
 	ExcludeSuspected    bool                  // use only nodes without suspicion
 	RequireKnownHealthy bool                  // use only nodes that are known to be healthy
 	SuccessAfter        time.Time             // use only nodes with a success after this time; zero means no such restriction
+	Speed               SpeedPreference       // how the speed of the nodes counts
 }
 
 // tasksThatFit returns how many tasks of the given need fit into the free resources.
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -7,9 +7,6 @@
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
-// slowTolerance is the slowness up to which a worker counts as fast.
-const slowTolerance = 1.15
-
 // Place returns a node for each task that fits into the free resources.
 //
 // It places all tasks or none if the request is for a gang or for one rack. Of other tasks, it places as many as fit. The nodes of
@@ -63,17 +60,14 @@
 		score += 100*float64(n.Suspicion+r.avoidance(n)) + 50*float64(r.coldness(n))
 		maxSlowness = max(maxSlowness, n.Slowness)
 	}
-	if maxSlowness > slowTolerance {
-		score += 50 * maxSlowness
-	}
-	return score
+	return score + r.rackSpeedScore(maxSlowness)
 }
 
 // rankedNode is a node with the keys by which placeBestFit sorts; lower is better.
 type rankedNode struct {
 	node  *Node
 	class nodeClass
-	score float64 // leftover
+	score float64 // leftover and speed
 }
 
 // nodeClass orders nodes by what counts before the fit, the most important property in the highest bits.
@@ -86,20 +80,33 @@
 )
 
 // classOf returns the class of a node. Nodes that the request avoids come last. Of the others, those with less suspicion come first,
-// then the warm ones if the request prefers these, those in the preferred rack, and the faster ones.
+// then the warm ones if the request prefers these, and those in the preferred rack.
 func (r *Request) classOf(n *Node) nodeClass {
 	c := nodeClass(r.avoidance(n))<<suspicionBits + nodeClass(min(n.Suspicion, 1<<suspicionBits-1))
-	c = c<<2 + nodeClass(r.coldness(n))<<1 + nodeClass(1-rackAffinity(n, r))
-	return c<<slownessBits + nodeClass(min(slownessClass(n), 1<<slownessBits-1))
+	return c<<2 + nodeClass(r.coldness(n))<<1 + nodeClass(1-rackAffinity(n, r))
+}
+
+// withSlowness returns the class of a node in which nodes that are clearly slow come last.
+func (r *Request) withSlowness(c nodeClass, n *Node) nodeClass {
+	return c<<slownessBits + nodeClass(min(r.slownessClass(n), 1<<slownessBits-1))
 }
 
-// placeBestFit places tasks on one node after the other until it is full, in the order of their classes and, within a class, of those
-// with the least leftover first.
+// placeBestFit places tasks on the nodes that fit best by their class, leftover and speed.
 func placeBestFit(nodes []*Node, r *Request) []*Node {
-	sorted := make([]rankedNode, len(nodes))
+	ranked := make([]rankedNode, len(nodes))
 	for i, n := range nodes {
-		sorted[i] = rankedNode{node: n, class: r.classOf(n), score: leftover(n, n.Free, r.Need)}
+		ranked[i] = rankedNode{node: n, class: r.withSlowness(r.classOf(n), n), score: leftover(n, n.Free, r.Need) + r.speedScore(n)}
+	}
+	places := fill(ranked, r)
+	if r.Gang && r.Speed != SpeedUnknown {
+		return alignGang(nodes, places, r)
 	}
+	return places
+}
+
+// fill places tasks on one node after the other until it is full, in the order of their classes and, within a class, of their scores. It
+// returns nil if a gang does not fit.
+func fill(sorted []rankedNode, r *Request) []*Node {
 	slices.SortStableFunc(sorted, func(a, b rankedNode) int {
 		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.score, b.score))
 	})
@@ -135,14 +142,6 @@
 	return 0
 }
 
-// slownessClass groups slow workers into coarse classes, so that small differences do not spread the work over more nodes.
-func slownessClass(n *Node) int {
-	if n.Slowness <= slowTolerance {
-		return 0
-	}
-	return int(n.Slowness * 2)
-}
-
 // Feasible reports whether the request would fit on the schedulable nodes if they were empty. A gang must fit as a whole; of other
 // tasks, at least one must fit. The nodes of a rack must be adjacent.
 func Feasible(nodes []*Node, r *Request) bool {
--- a/internal/placer/preemption.go
+++ b/internal/placer/preemption.go
@@ -162,7 +162,7 @@
 func (p *PreemptionPlanner) computeCost(c *candidate) {
 	c.priced = true
 	c.victims, c.feasible = p.findVictims(c)
-	c.cost = 20*float64(c.node.Suspicion+p.request.avoidance(c.node)) + float64(slownessClass(c.node))
+	c.cost = 20*float64(c.node.Suspicion+p.request.avoidance(c.node)) + float64(p.request.slownessClass(c.node)) + 0.1*p.request.speedScore(c.node)
 	for _, u := range c.victims {
 		if p.request.MinimizeWait {
 			c.cost = max(c.cost, u.RemainingSeconds)
