Peer port: a withheld frame gives way after a response

A response that was written while the next frame was read left the connection as one that is served. With the frame withheld it never gave way to others. The end of the last call now restores the wait for the frame.

TestWithheldFrameGivesWayAfterResponse fails without the change. TestCrowdAtPeerPort waits up to 5 s for the bound on connections in place of checking it once after 1.5 s, which depended on the speed of the machine.

--- a/internal/peerlog/guard.go
+++ b/internal/peerlog/guard.go
@@ -58,12 +58,16 @@
 	g.reading = reading
 }
 
-// awaitFrame records that the connection waits for its peer, so that it can give way to another one, unless calls are in progress or a frame
-// is read.
+// awaitFrame records that the connection waits for its peer, so that it can give way to another one, unless calls are in progress. A
+// response that was written while a frame was read has left the connection as one that is served.
 func (g *guard) awaitFrame() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.calls == 0 && !g.reading {
+	switch {
+	case g.calls > 0:
+	case g.reading:
+		_ = g.conn.SetWaiting(true) // if the connection has given way, the read fails
+	default:
 		g.conn.SetIdle()
 	}
 }
--- a/internal/peerlog/server_test.go
+++ b/internal/peerlog/server_test.go
@@ -14,6 +14,8 @@
 	"github.com/matryer/is"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"chestnutmux.example/chestnutmux/internal/bodyreader"
+	"chestnutmux.example/chestnutmux/internal/connlimiter"
 	"chestnutmux.example/chestnutmux/internal/fake/log"
 	"chestnutmux.example/chestnutmux/internal/protector"
 	"chestnutmux.example/chestnutmux/internal/recoverer"
@@ -65,9 +67,11 @@
 		_, _ = c.Write(withheld[:10_000])
 		_ = c.Close()
 	}
-	time.Sleep(1500 * time.Millisecond)
+	for deadline := time.Now().Add(5 * time.Second); open.Load() > 40; time.Sleep(10 * time.Millisecond) {
+		is.True(time.Now().Before(deadline)) // more connections are open than the limit
+	}
+	time.Sleep(1500 * time.Millisecond) // connections give way after a second
 	is.True(p.Peers.Bodies.Budget.Used() <= 1<<20)
-	is.True(open.Load() <= 40)
 	for range 30 {
 		host := &Peers{Addresses: func() []string { return []string{l.Addr().String()} }, Logger: hclog.NewNullLogger()}
 		_, err := host.call(t.Context(), methodNewest, newestParams{Log: "jobs", Tail: tailNever})
@@ -81,3 +85,27 @@
 		is.True(time.Now().Before(deadline)) // requests of closed connections are still charged
 	}
 }
+
+// Guards against a connection with a withheld frame that never gives way, because a response was written while the frame was read.
+func TestWithheldFrameGivesWayAfterResponse(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	var limiter connlimiter.Limiter
+	bounded := limiter.Wrap(ln)
+	defer func() { _ = bounded.Close() }()
+	peer, err := net.Dial("tcp", ln.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = peer.Close() }()
+	c, err := bounded.Accept()
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	g := newGuard(c, nil)
+	g.slots <- struct{}{}
+	g.beginCall()
+	g.setReading(true)
+	is.NoErr(g.conn.SetWaiting(true))
+	is.NoErr(g.conn.SetWaiting(false)) // as at the end of a Write that began before the frame
+	g.endCall(&bodyreader.Body{})
+	is.True(limiter.Table.EvictBody(time.Now().Add(time.Minute)) != nil)
+}
