--- a/internal/peerlog/append_test.go
+++ b/internal/peerlog/append_test.go
@@ -81,9 +81,9 @@
 func TestCountResponding(t *testing.T) {
 	is := is.New(t)
 	l := log.New(log.Options{})
-	dark := newHost(t, l, func() []string { return nil })
-	dark.fault.Store(log.FaultUnavailable)
-	peers := &Peers{Addresses: func() []string { return []string{"127.0.0.1:1", dark.addr} }, Logger: hclog.NewNullLogger()}
+	isolated := newHost(t, l, func() []string { return nil })
+	isolated.fault.Store(log.FaultUnavailable)
+	peers := &Peers{Addresses: func() []string { return []string{"127.0.0.1:1", isolated.addr} }, Logger: hclog.NewNullLogger()}
 	responding, silent := peers.CountResponding()
 	is.Equal(responding+silent, 0) // none was called
 	_, err := (&remoteLog{peers: peers, name: "jobs"}).append(t.Context(), recordsWithKey("a"), journaler.AppendCondition{})
--- a/internal/peerlog/server_test.go
+++ b/internal/peerlog/server_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/binary"
 	"encoding/json"
 	"io"
 	"net"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -109,3 +111,29 @@
 	g.endCall(&bodyreader.Body{})
 	is.True(limiter.Table.EvictBody(time.Now().Add(time.Minute)) != nil)
 }
+
+// Guards against calls in progress without bound, and against calls that are lost at the bound.
+func TestCallsOfPeerAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c, peer := net.Pipe()
+		defer func() { _, _ = c.Close(), peer.Close() }()
+		var begun atomic.Int64
+		release := make(chan struct{})
+		h := newGuard(c, nil).handler(jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
+			begun.Add(1)
+			<-release
+			return nil, nil
+		}))
+		go func() {
+			for range 2 * maxCallsPerPeer {
+				h.Handle(t.Context(), nil, &jsonrpc2.Request{Notif: true})
+			}
+		}()
+		synctest.Wait()
+		is.Equal(begun.Load(), int64(maxCallsPerPeer))
+		close(release)
+		synctest.Wait()
+		is.Equal(begun.Load(), int64(2*maxCallsPerPeer))
+	})
+}
