--- a/internal/dispatcher/health.go
+++ b/internal/dispatcher/health.go
@@ -35,7 +35,7 @@
 	quarantineTime      time.Duration // duration of the last quarantine
 	lastProgressAt      time.Time     // time of the last success, or of progress while consecutiveFailures was 0
 	lastSuccessAt       time.Time     // time of the last success
-	slowness            float64       // moving average of the time per unit of work, relative to the fastest worker of the step; 0 means unknown. Not used if run times are learned
+	slowness            float64       // moving average of the time per unit of work, relative to the fastest worker of the step; 0 means unknown or run times are learned
 }
 
 const (
--- a/internal/estimator/speed.go
+++ b/internal/estimator/speed.go
@@ -25,8 +25,8 @@
 	// workerSignificance is the same for the difference of a single worker to the others. With three, one in a hundred equally fast workers counts
 	// as different where some tasks run seven times as long.
 	workerSignificance = 4.0
-	// minSlowness is the difference in octaves up to which workers count as equally fast, 1%.
-	minSlowness = 0.015
+	// minSpeedDifference is the difference in octaves below which workers count as equally fast, 1%.
+	minSpeedDifference = 0.015
 	// maxWorkers limits the number of workers whose speed is known.
 	maxWorkers = 20_000
 )
@@ -135,8 +135,7 @@
 }
 
 // slowness returns the slowness of a worker from its difference to others in octaves, the variance of that, and the variance of the speeds of
-// all workers. What noise may explain is left out in proportion. If all workers were equally fast, different slowness would spread the
-// work over more of them.
+// all workers. What noise may explain is left out in proportion: differences by noise alone would spread the work over more workers.
 func slowness(octaves, variance, spread float64) float64 {
 	excess := max(0, math.Abs(octaves)-workerSignificance*math.Sqrt(variance))
 	if spread = max(spread, excess*excess); spread > 0 {
@@ -144,7 +143,7 @@
 	} else {
 		octaves = 0
 	}
-	if math.Abs(octaves) < minSlowness {
+	if math.Abs(octaves) < minSpeedDifference {
 		return 1
 	}
 	return math.Exp2(octaves)
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -106,13 +106,13 @@
 
 // fill places tasks on one node after the other until it is full, in the order of their classes and, within a class, of their scores. It
 // returns nil if a gang does not fit.
-func fill(sorted []rankedNode, r *Request) []*Node {
-	slices.SortStableFunc(sorted, func(a, b rankedNode) int {
+func fill(ranked []rankedNode, r *Request) []*Node {
+	slices.SortStableFunc(ranked, func(a, b rankedNode) int {
 		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.score, b.score))
 	})
 	places := make([]*Node, 0, r.Count)
-	for _, s := range sorted {
-		n := s.node
+	for _, c := range ranked {
+		n := c.node
 		for k := min(tasksThatFit(n.Free, r.Need), r.startLimit(n), r.Count-len(places)); k > 0; k-- {
 			places = append(places, n)
 		}
--- a/internal/placer/speed.go
+++ b/internal/placer/speed.go
@@ -21,7 +21,7 @@
 	// run time.
 	maxShortSlowness = 1.5
 	// speedWeight is the weight of an octave of slowness beside the leftover, which is 4 for a node that stays empty. A node that is 10% faster
-	// counts as much as a quarter of a node that is left over.
+	// counts as much as a quarter of an empty node.
 	speedWeight = 8
 	// rackSpeedWeight is the weight of an octave of slowness beside the number of tasks that a rack has room for.
 	rackSpeedWeight = 100
@@ -105,7 +105,7 @@
 	minUsualStarts = 100
 	// longFactor is the run time from which a task is long, as a multiple of the usual one. Learned run times vary by a tenth.
 	longFactor = 1.25
-	// minFastShare is the share of the work that prefers fast nodes from which on short work leaves these to it.
+	// minFastShare is the least share of the work that prefers fast nodes for which short work leaves these free.
 	minFastShare = 0.05
 )
 
