Dispatcher: test how guaranteed work waits for room

No test of the dispatcher covered the wait, its end, or that what a guarantee costs isn't charged to the budget. The test fails if the budget is charged, and if the time until there is room isn't given to the preemptor.

--- a/internal/dispatcher/preemption_test.go
+++ b/internal/dispatcher/preemption_test.go
@@ -62,3 +62,25 @@
 		is.True(!protected())
 	}
 }
+
+// Guards against guaranteed work that preempts although room is about to become free, that waits for it for longer than expected, or that
+// uses up the budget of other work of its workspace.
+func TestGuaranteedWorkWaitsOnceForRoom(t *testing.T) {
+	for remaining, wait := range map[time.Duration]time.Duration{500 * time.Millisecond: 500 * time.Millisecond, 5 * time.Second: 0} {
+		is := is.New(t)
+		d := newFleet(t, 1)
+		now := time.Now()
+		d.fill("busy", 4, model.Resources{Accelerators: 8}, 0, 8, now.Add(remaining-10*time.Second)) // 10 s are expected
+		s := d.addStep("urgent", 0, model.Step{Count: 2, Need: model.Resources{Accelerators: 8}, Gang: true}, now)
+		d.entitlements.Guaranteed = map[model.WorkspaceID]model.Accelerators{s.job.submission.Workspace: 16}
+		budget := d.preemptionBudget.Left(s.account(), d.workers["w000"].info.Capacity, now)
+		waited := time.Duration(0)
+		for ; s.reservation == nil && waited < 3*time.Second; waited += 10 * time.Millisecond {
+			d.schedule(now.Add(waited))
+			is.True(s.reservation != nil || s.preemption.last.Reason == preemptor.ReasonRoomSoon)
+		}
+		is.True(waited >= wait && waited <= wait+200*time.Millisecond) // a decision is repeated after 150 ms
+		is.Equal(s.preemption.last.Reason, preemptor.ReasonGuarantee)
+		is.Equal(d.preemptionBudget.Left(s.account(), d.workers["w000"].info.Capacity, now), budget)
+	}
+}
