--- a/internal/dispatcher/decision.go
+++ b/internal/dispatcher/decision.go
@@ -15,7 +15,7 @@
 type stepPreemption struct {
 	last    preemptor.Decision
 	retryAt time.Time        // time before which another decision is not expected to differ
-	roomBy  time.Time        // time by which room was first expected to become free since the step waits; zero if it was not
+	roomBy  time.Time        // time by which room was first expected to become free since the step waits, within a guarantee the earliest one; zero if it was not
 	spent   preemptor.Window // work thrown away for the step
 	asGang  bool             // the step is a gang that was preempted in this term
 	round   int64            // number of the planning round in which a plan was last made for the step; 0 before the first one
@@ -26,8 +26,9 @@
 func (p *schedulingPass) noteDecision(u *placementUnit, d *preemptor.Decision) {
 	state := &u.step.preemption
 	state.last, state.retryAt = *d, p.now.Add(d.RetryIn)
-	if d.Reason == preemptor.ReasonRoomSoon && state.roomBy.IsZero() {
-		state.roomBy = p.now.Add(d.RoomIn)
+	// A guarantee is not kept waiting by what was expected before the step came within it.
+	if by := p.now.Add(d.RoomIn); d.Reason == preemptor.ReasonRoomSoon && (state.roomBy.IsZero() || u.rank == 0 && by.Before(state.roomBy)) {
+		state.roomBy = by
 	}
 	p.d.Metrics.Decisions.Add(string(d.Reason), 1)
 	if d.Preempt || p.now.Sub(p.d.decisionLoggedAt) < decisionLogInterval {
--- a/internal/dispatcher/preemption_test.go
+++ b/internal/dispatcher/preemption_test.go
@@ -73,6 +73,7 @@
 		d.fill("busy", 4, model.Resources{Accelerators: 8}, 0, 8, now.Add(remaining-10*time.Second)) // 10 s are expected
 		s := d.addStep("urgent", 0, model.Step{Count: 2, Need: model.Resources{Accelerators: 8}, Gang: true}, now)
 		d.entitlements.Guaranteed = map[model.WorkspaceID]model.Accelerators{s.job.submission.Workspace: 16}
+		s.preemption.roomBy = now.Add(8 * time.Second) // expected before the job came within its guarantee
 		budget := d.preemptionBudget.Left(s.account(), d.workers["w000"].info.Capacity, now)
 		waited := time.Duration(0)
 		for ; s.reservation == nil && waited < 3*time.Second; waited += 10 * time.Millisecond {
--- a/internal/placer/speed.go
+++ b/internal/placer/speed.go
@@ -105,6 +105,9 @@
 	minUsualStarts = 100
 	// longFactor is the run time from which a task is long, as a multiple of the usual one. Learned run times vary by a tenth.
 	longFactor = 1.25
+	// maxObserved is the run time up to which a single task counts, as a multiple of the usual one. An estimate of days, which may be that of one
+	// caller, would make the work of all others short.
+	maxObserved = 10.0
 	// minFastShare is the least share of the work that prefers fast nodes for which short work leaves these free.
 	minFastShare = 0.05
 )
@@ -120,6 +123,9 @@
 // Observe counts a task that starts, by its expected run time and the preference that it had.
 func (u *UsualWork) Observe(seconds float64, preference SpeedPreference) {
 	const keep = 1 - 1.0/usualWorkMemory
+	if u.starts >= minUsualStarts && u.seconds > 0 {
+		seconds = min(seconds, maxObserved*u.squares/u.seconds)
+	}
 	u.starts++
 	u.seconds = u.seconds*keep + seconds
 	u.squares = u.squares*keep + seconds*seconds
--- a/internal/placer/speed_test.go
+++ b/internal/placer/speed_test.go
@@ -74,4 +74,6 @@
 	u.Observe(100, SpeedFast)
 	is.Equal(u.Preference(false, 1), SpeedSlow)
 	is.Equal(u.Preference(false, 0), SpeedAny) // nothing is known of it
+	u.Observe(1e6, SpeedFast)
+	is.Equal(u.Preference(false, 50), SpeedFast) // one task of days makes no others short
 }
