Check: warn of a call timeout that hosts don't grant

Cause: hosts end each call after 25 s (protector.MaxCallTime), so that a longer timeout of a route has no effect; the check was silent.

--- a/internal/checker/routing.go
+++ b/internal/checker/routing.go
@@ -1,6 +1,7 @@
 package checker
 
 import (
+	"fmt"
 	"net/netip"
 	"strings"
 
@@ -79,6 +80,7 @@
 	DefaultBody int64
 	MaxPriority int64 // least urgent priority
 	MaxTimeMS   int64
+	MaxCallMS   int64 // longest timeout of calls that hosts grant; 0 means unknown
 	Words       Words
 }
 
@@ -89,7 +91,7 @@
 	options Options
 }
 
-// CheckRouting returns the findings of a configuration in the order of the file.
+// CheckRouting returns the findings of a configuration by kind, and those of a kind in the order of the file.
 func CheckRouting(r Routing, o Options) []Finding {
 	c := &routingChecker{Routing: r, options: o}
 	c.checkVersion()
@@ -159,12 +161,16 @@
 	}
 }
 
-// checkTimes compares the target duration of jobs with the timeout of calls. A target with a stretch depends on the job, so that no timeout is
+// checkTimes compares the timeout of calls with the target duration of jobs and with the longest that hosts grant. A target with a stretch depends on the job, so that no timeout is
 // known to be above it.
 func (c *routingChecker) checkTimes(q *model.Queue, place func(string) Place) {
 	if q.TargetStretch == 0 && q.TargetOffsetMS == 0 {
 		c.addWarning(place(FieldTarget), "set {stretch} or {target-ms}", "the target duration of all jobs is 0, so that each result counts as late")
 	}
+	if timeout := int64(q.CallTimeoutMS); c.MaxCallMS > 0 && timeout > c.MaxCallMS && timeout <= c.MaxTimeMS {
+		c.addWarning(place(FieldTimeout), fmt.Sprintf("lower {timeout-ms} to at most %d", c.MaxCallMS),
+			"the timeout of %d ms has the effect of %d ms, the longest that hosts grant", timeout, c.MaxCallMS)
+	}
 	switch {
 	case q.CallTimeoutMS == 0:
 		c.addWarning(place(FieldTimeout), "set {timeout-ms}", "calls have no timeout of the route, and last as long as the caller's deadline or the default allow")
--- a/internal/checker/routing_test.go
+++ b/internal/checker/routing_test.go
@@ -89,6 +89,8 @@
 		"guarantee without priority": {func(r *Routing) { r.Routes[0].Queue.Priority = 1 }, Options{}, []string{"error workspace a: guarantee"}},
 		"guarantees over the fleet":  {func(r *Routing) { r.Workspaces[1].Guaranteed = 1 }, Options{Accelerators: 8}, []string{"error workspace: guarantee"}},
 		"no timeout":                 {func(r *Routing) { r.Routes[0].Queue.CallTimeoutMS = 0 }, Options{}, []string{"warning route urgent: timeout-ms"}},
+		"timeout over that of hosts": {func(r *Routing) { r.MaxCallMS = 2999 }, Options{}, []string{"warning route urgent: timeout-ms", "warning route batch: timeout-ms"}},
+		"timeout of hosts":           {func(r *Routing) { r.MaxCallMS = 3000 }, Options{}, none},
 		"timeout over the target":    {func(r *Routing) { r.Routes[0].Queue.TargetStretch = 0 }, Options{}, []string{"warning route urgent: timeout-ms"}},
 		"no target": {func(r *Routing) {
 			r.Routes[0].Queue.TargetStretch, r.Routes[0].Queue.TargetOffsetMS = 0, 0
