Check: report a route without a service

Cause: without a list of services, an empty service of a route was no finding, but entries of workers without a service are refused. Change: an error.

--- a/internal/checker/routing.go
+++ b/internal/checker/routing.go
@@ -154,6 +154,9 @@
 		c.checkRange(place(FieldMaxAttempts), int64(q.MaxAttempts), 0, maxAttempts)
 		c.checkRange(place(FieldTarget), int64(q.TargetOffsetMS), 0, c.MaxTimeMS)
 		c.checkRange(place(FieldTimeout), int64(q.CallTimeoutMS), 0, c.MaxTimeMS)
+		if q.Service == "" {
+			c.addError(place(FieldService), "name the service whose workers run the jobs", "it is empty, and no worker has an empty service")
+		}
 		if q.TargetStretch < 0 || q.TargetStretch > float64(c.MaxTimeMS) {
 			c.addError(place(FieldStretch), "use the target duration as a multiple of the longest chain of steps", "%v is out of bounds", q.TargetStretch)
 		}
--- a/internal/checker/workspaces.go
+++ b/internal/checker/workspaces.go
@@ -32,7 +32,7 @@
 	for i, r := range c.Routes {
 		service := string(r.Queue.Service)
 		named[service] = true
-		if _, ok := declared[service]; !ok {
+		if _, ok := declared[service]; !ok && service != "" {
 			c.addError(c.routePlaces(i)(FieldService), "declare the service or name a declared one", "the service %q does not exist", service)
 		}
 	}
