--- a/pkg/differ/fields.go
+++ b/pkg/differ/fields.go
@@ -27,7 +27,7 @@
 	Change ChangeKind       `json:"change"`
 	Kind   model.ObjectKind `json:"kind"`
 	Name   string           `json:"name,omitempty"`
-	Field  string           `json:"field,omitempty"` // path with dots; empty for a whole object
+	Field  string           `json:"field,omitempty"` // path with dots, names with dots in quotes; empty for a whole object
 	Old    json.RawMessage  `json:"old,omitempty"`   // absent if it was added
 	New    json.RawMessage  `json:"new,omitempty"`   // absent if it was removed
 }
@@ -97,12 +97,15 @@
 	var members map[string]json.RawMessage
 	if err := json.Unmarshal(value, &members); err != nil || len(members) == 0 {
 		if path != "" || members == nil {
-			out[path] = compact(value)
+			out[path] = Compact(value)
 		}
 		return
 	}
 	for _, name := range slices.Sorted(maps.Keys(members)) {
 		child := name
+		if strings.Contains(name, ".") {
+			child = strconv.Quote(name)
+		}
 		if path != "" {
 			child = path + "." + name
 		}
@@ -110,8 +113,8 @@
 	}
 }
 
-// compact returns the value without blanks and with sorted members, so that equal values have equal encodings.
-func compact(value json.RawMessage) json.RawMessage {
+// Compact returns a JSON value without blanks and with sorted members, so that equal values have equal encodings.
+func Compact(value json.RawMessage) json.RawMessage {
 	d := json.NewDecoder(bytes.NewReader(value))
 	d.UseNumber()
 	var v any
--- a/pkg/differ/fields_test.go
+++ b/pkg/differ/fields_test.go
@@ -21,6 +21,7 @@
 		"changed fields":   {`{"a":1,"b":{"c":[1]}}`, `{"a":2,"b":{"c":[2]}}`, []string{`changed class r: a: 1 -> 2`, `changed class r: b.c: [1] -> [2]`}},
 		"large numbers":    {`{"a":9007199254740993}`, `{"a":9007199254740992}`, []string{`changed class r: a: 9007199254740993 -> 9007199254740992`}},
 		"value and object": {`{"a":1}`, `{"a":{"b":1}}`, []string{`removed class r: a: 1`, `added class r: a.b: 1`}},
+		"names with dots":  {`{"a":{"b":1},"a.b":1}`, `{"a":{"b":2},"a.b":1}`, []string{`changed class r: a.b: 1 -> 2`}},
 		"no object":        {`[1]`, `{"a":1}`, []string{`removed class r: [1]`, `added class r: a: 1`}},
 		"no objects":       {`null`, `3`, []string{`changed class r: null -> 3`}},
 		"empty object":     {`{}`, `{"a":{}}`, []string{`added class r: a: {}`}},
