--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -80,8 +80,10 @@
 // validate checks the flags.
 func (c *checkCommand) validate() error {
 	switch {
-	case c.Settings && (c.Against != "" || c.Format != formatAuto):
-		return errors.New("--settings has nothing to do with --against and --format; leave them out")
+	case c.Settings && (c.Against != "" || c.Format != formatAuto || c.Accelerators != 0 || c.MemoryMB != 0):
+		return errors.New("--settings has nothing to do with --against, --format, --accelerators and --memory-mb; leave them out")
+	case c.File == "-" && c.Against == "-":
+		return errors.New("standard input can't be compared with itself; give a file")
 	case c.Accelerators < 0:
 		return errors.Newf("--accelerators %d is out of bounds; give a number of at least 1", c.Accelerators)
 	case c.MemoryMB < 0 || c.MemoryMB > maxMemoryMB:
--- a/internal/cli/check_test.go
+++ b/internal/cli/check_test.go
@@ -37,6 +37,7 @@
 		"own-fault": `{"workspaces":{"w":{"quota":-1}}}`,
 		"deep":      strings.Repeat("[", 1<<20),
 		"empty":     "",
+		"null":      "null",
 	})
 	is.New(t).NoErr(os.CopyFS(dir, os.DirFS(platformFiles)))
 	t.Chdir(dir)
@@ -68,6 +69,10 @@
 		{"own --format own", ExitOK, "warning: workspace w: it has no callers", ""},
 		{"own-fault", ExitFailure, "error: workspace w: quota: -1 is out of bounds", "2 errors, 1 warning"},
 		{"own --settings --against own", ExitUsage, "", "leave them out"},
+		{"own --settings --memory-mb 5", ExitUsage, "", "leave them out"},
+		{"- --against -", ExitUsage, "", "can't be compared with itself"},
+		{"null", ExitUsage, "", "null: line 1 column 1: the file holds no object"},
+		{"latin-1.json", ExitFailure, "latin-1.json: error: file line 1 column 45: the file is not in UTF-8", "1 error"},
 		{"own --memory-mb=-1", ExitUsage, "", "out of bounds"},
 		{"own --accelerators=-1", ExitUsage, "", "out of bounds"},
 		{"deep", ExitUsage, "", "deep: line 1 column 10001: values are nested deeper"},
--- a/internal/cli/configfile.go
+++ b/internal/cli/configfile.go
@@ -92,11 +92,13 @@
 	if f.format == formatOwn {
 		return checker.CheckSet(f.set, o)
 	}
-	findings := checker.CheckRouting(f.routing, o)
-	if err := parser.CheckDuplicates(f.data); err != nil {
-		findings = append([]checker.Finding{checker.FindingOf(err)}, findings...)
+	var findings []checker.Finding
+	for _, err := range []error{parser.CheckUTF8(f.data), parser.CheckDuplicates(f.data)} {
+		if err != nil {
+			findings = append(findings, checker.FindingOf(err))
+		}
 	}
-	return findings
+	return append(findings, checker.CheckRouting(f.routing, o)...)
 }
 
 // diffFrom returns the differences from another configuration of the same format.
--- a/pkg/parser/json.go
+++ b/pkg/parser/json.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/tailscale/hujson"
 )
@@ -63,6 +64,9 @@
 	if err := json.Unmarshal(v.Pack(), &members); err != nil {
 		return nil, decodeErrorAt(data, 0, err)
 	}
+	if members == nil {
+		return nil, newSyntaxError(data, 0, "the file holds no object")
+	}
 	return members, nil
 }
 
@@ -74,6 +78,18 @@
 	return nil
 }
 
+// CheckUTF8 returns an error for the first byte that is no UTF-8, in whose place encoding/json puts another character.
+func CheckUTF8(data []byte) error {
+	for offset := 0; offset < len(data); {
+		r, size := utf8.DecodeRune(data[offset:])
+		if r == utf8.RuneError && size == 1 {
+			return newSyntaxError(data, offset, "the file is not in UTF-8, and what is not is replaced by another character")
+		}
+		offset += size
+	}
+	return nil
+}
+
 // CheckDuplicates returns an error for the first object member whose name is used twice in its object.
 func CheckDuplicates(data []byte) error {
 	v, err := parseJSON(data)
