Check: report member names of the platform that differ by case only

Cause: encoding/json matches names without regard to case, so that hosts take the last of version and Version; the check was silent. The error of a name given twice showed unknown names, which may be keys. Change: known names are compared without regard to case, unknown ones are not shown. Measured: the new cases of TestCheck pass.

--- a/internal/cli/check_test.go
+++ b/internal/cli/check_test.go
@@ -59,6 +59,8 @@
 		{"base.json --against syntax.json", ExitUsage, "no route names the service", "syntax.json: line 2"},
 		{"base.json --against in-force", ExitUsage, "no route names the service", "give a file"},
 		{"twice.json", ExitFailure, `error: file line 1 column 14: "version" is given twice`, "1 error"},
+		{"twice-in-upper-case.json", ExitFailure, `error: file line 1 column 22: "Version" is given twice`, "1 error"},
+		{"twice-unknown.json", ExitFailure, `error: file line 1 column 30: a member is given twice`, "1 error"},
 		{"type.json", ExitUsage, "", "type.json: line 2 column 11: "},
 		{"type.json --json", ExitUsage, `{"faults":[{"kind":"file","name":"","field":"line 2 column 11"`, "line 2"},
 		{"syntax.json", ExitUsage, "", "syntax.json: line 2 column 25: the file is no JSON with comments: invalid literal;"},
--- a/internal/cli/configfile.go
+++ b/internal/cli/configfile.go
@@ -93,7 +93,7 @@
 		return checker.CheckSet(f.set, o)
 	}
 	var findings []checker.Finding
-	for _, err := range []error{parser.CheckUTF8(f.data), parser.CheckDuplicates(f.data)} {
+	for _, err := range []error{parser.CheckUTF8(f.data), parser.CheckDuplicates(f.data, platform.KnownNames)} {
 		if err != nil {
 			findings = append(findings, checker.FindingOf(err))
 		}
--- a/pkg/parser/jobs.go
+++ b/pkg/parser/jobs.go
@@ -21,7 +21,7 @@
 	if !ok || len(list.Elements) == 0 {
 		return nil, newSyntaxError(data, v.StartOffset, "a list of jobs is expected, like [{\"class\": ...}]")
 	}
-	if err := checkDuplicateNames(data, v); err != nil {
+	if err := checkDuplicateNames(data, v, exactName); err != nil {
 		return nil, err
 	}
 	v.Standardize() // replaces comments and trailing commas with blanks, so offsets in error messages stay correct
--- a/pkg/parser/json.go
+++ b/pkg/parser/json.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
+	"strconv"
 	"strings"
 	"unicode/utf8"
 
@@ -90,11 +92,17 @@
 	return nil
 }
 
-// CheckDuplicates returns an error for the first object member whose name is used twice in its object.
-func CheckDuplicates(data []byte) error {
+// CheckDuplicates returns an error for the first object member whose name is used twice in its object. The known names, given in lower case,
+// are compared without regard to case, as encoding/json does. The error leaves out other names, which may be secrets.
+func CheckDuplicates(data []byte, known []string) error {
 	v, err := parseJSON(data)
 	if err != nil {
 		return err
 	}
-	return checkDuplicateNames(data, v)
+	return checkDuplicateNames(data, v, func(name string) (id, shown string) {
+		if lower := strings.ToLower(name); slices.Contains(known, lower) {
+			return lower, strconv.Quote(name)
+		}
+		return name, "a member"
+	})
 }
--- a/pkg/parser/parser.go
+++ b/pkg/parser/parser.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"reflect"
+	"strconv"
 
 	"github.com/cockroachdb/errors"
 	"github.com/tailscale/hujson"
@@ -32,7 +33,7 @@
 	if err != nil {
 		return set, err
 	}
-	if err := checkDuplicateNames(data, v); err != nil {
+	if err := checkDuplicateNames(data, v, exactName); err != nil {
 		return set, err
 	}
 	v.Standardize() // replaces comments and trailing commas with blanks, so offsets in error messages stay correct
@@ -46,8 +47,8 @@
 }
 
 // checkDuplicateNames returns an error for the first object member whose name is used twice in its object; encoding/json
-// would silently keep the last one.
-func checkDuplicateNames(data []byte, v hujson.Value) error {
+// would silently keep the last one. Names with the same id count as equal; the error has the name as it is shown.
+func checkDuplicateNames(data []byte, v hujson.Value, describe func(name string) (id, shown string)) error {
 	var duplicate error
 	for value := range v.All() {
 		obj, ok := value.Value.(*hujson.Object)
@@ -58,15 +59,19 @@
 		for i := range obj.Members {
 			name := obj.Members[i].Name
 			literal := name.Value.(hujson.Literal).String()
-			if seen[literal] && duplicate == nil {
-				duplicate = newSyntaxError(data, name.StartOffset, fmt.Sprintf("%q is given twice", literal))
+			id, shown := describe(literal)
+			if seen[id] && duplicate == nil {
+				duplicate = newSyntaxError(data, name.StartOffset, shown+" is given twice")
 			}
-			seen[literal] = true
+			seen[id] = true
 		}
 	}
 	return duplicate
 }
 
+// exactName tells all names apart and shows them.
+func exactName(name string) (id, shown string) { return name, strconv.Quote(name) }
+
 // errorOffset returns the offset of an error of a decoder that has no position of its own: that of the first unknown member, or what the decoder has
 // read.
 func errorOffset(v *hujson.Value, t reflect.Type, d *json.Decoder) int64 {
