Check: report host names that hosts refuse

Cause: net/http answers calls with blanks or letters beyond ASCII in the Host header with 400, so that such a route never matches; it was no finding. The remedy for a stretch out of range did not name the range. Change: an error, and the range. Measured: 400 from a net/http server for both; the new cases of TestCheckRouting pass.

--- a/internal/checker/routing.go
+++ b/internal/checker/routing.go
@@ -160,14 +160,15 @@
 			c.addError(place(FieldService), "name the service whose workers run the jobs", "it is empty, and no worker has an empty service")
 		}
 		if q.TargetStretch < 0 || q.TargetStretch > float64(c.MaxTimeMS) {
-			c.addError(place(FieldStretch), "use the target duration as a multiple of the longest chain of steps", "%v is out of bounds", q.TargetStretch)
+			c.addError(place(FieldStretch), fmt.Sprintf("use a number from 0 to %d, by which the duration of the longest chain of steps is multiplied", c.MaxTimeMS),
+				"%v is out of bounds", q.TargetStretch)
 		}
 		c.checkTimes(q, place)
 	}
 }
 
-// checkTimes compares the timeout of calls with the target duration of jobs and with the longest that hosts grant. A target with a stretch depends on the job, so that no timeout is
-// known to be above it.
+// checkTimes compares the timeout of calls with the target duration of jobs and with the longest that hosts grant. A target with a stretch depends
+// on the job, so that no timeout is known to be above it.
 func (c *routingChecker) checkTimes(q *model.Queue, place func(string) Place) {
 	if q.TargetStretch == 0 && q.TargetOffsetMS == 0 {
 		c.addWarning(place(FieldTarget), "set {stretch} or {target-ms}", "the target duration of all jobs is 0, so that each result counts as late")
@@ -242,9 +243,12 @@
 	if r.Prefix != "" && r.Prefix[0] != '/' {
 		c.addError(place(FieldPrefix), "begin {prefix} with a slash", "paths begin with a slash, so that %q never matches", r.Prefix)
 	}
-	if r.HostName == "" {
+	switch {
+	case r.HostName == "":
 		c.addError(place(FieldHostName), "name the host of the calls", "it is empty, and no call has an empty host name")
-	} else if hasPort(r.HostName) {
+	case strings.ContainsFunc(r.HostName, func(ch rune) bool { return ch <= ' ' || ch >= 0x7f }):
+		c.addError(place(FieldHostName), "use ASCII without blanks (Punycode)", "hosts refuse calls with such a host name, so that %q never matches", r.HostName)
+	case hasPort(r.HostName):
 		c.addError(place(FieldHostName), "leave out the port", "calls are matched without their port, so that %q never matches", r.HostName)
 	}
 }
--- a/internal/checker/routing_test.go
+++ b/internal/checker/routing_test.go
@@ -74,6 +74,8 @@
 		"prefix without a slash":  {func(r *Routing) { r.Routes[1].Prefix = "batch" }, Options{}, []string{"error route batch: prefix"}},
 		"no host name":            {func(r *Routing) { r.Routes[1].HostName = "" }, Options{}, []string{"error route batch: host-name"}},
 		"host name with a port":   {func(r *Routing) { r.Routes[1].HostName = "h:80" }, Options{}, []string{"error route batch: host-name"}},
+		"host name with a blank":  {func(r *Routing) { r.Routes[1].HostName = "h " }, Options{}, []string{"error route batch: host-name"}},
+		"host name not in ASCII":  {func(r *Routing) { r.Routes[1].HostName = "bücher" }, Options{}, []string{"error route batch: host-name"}},
 		"IP address":              {func(r *Routing) { r.Routes[1].HostName = "::1" }, Options{}, none},
 		"public under private":    {func(r *Routing) { r.Routes[1].Queue.Public = true }, Options{}, []string{"warning route batch: public"}},
 		"private under public":    {func(r *Routing) { r.Routes[0].Queue.Public = true }, Options{}, []string{"warning route batch: public"}},
