--- a/internal/checker/workspaces.go
+++ b/internal/checker/workspaces.go
@@ -26,7 +26,7 @@
 	for i, s := range c.Services {
 		c.checkName(KindService, s.Name, i, declared)
 		for _, field := range s.InvalidFields {
-			c.addError(Place{Kind: KindService, Name: ObjectName(s.Name, i), Field: field}, "use a number of at least 0", "hosts ignore its value, which is no such number")
+			c.addError(Place{Kind: KindService, Name: ObjectName(s.Name, i), Field: field}, "use a number of at least 0", "its value is no number of at least 0, and hosts ignore it")
 		}
 	}
 	for i, r := range c.Routes {
@@ -50,7 +50,7 @@
 		c.checkName(KindWorkspace, w.Name, i, seen)
 		place := Place{Kind: KindWorkspace, Name: ObjectName(w.Name, i), Field: FieldKeys}
 		if len(w.Keys) == 0 {
-			c.addWarning(place, "issue a key, or remove it", "it has no keys, so that nobody can use it")
+			c.addWarning(place, "issue a key, or remove the entry", "it has no keys, so that nobody can use it")
 		}
 		for _, key := range w.Keys {
 			first, ok := owners[key]
