--- a/internal/checker/routing.go
+++ b/internal/checker/routing.go
@@ -1,7 +1,10 @@
 package checker
 
 import (
+	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
 	"strings"
 
 	"chestnutmux.example/chestnutmux/internal/resolver"
@@ -79,6 +82,7 @@
 	DefaultBody int64
 	MaxPriority int64 // least urgent priority
 	MaxTimeMS   int64
+	MaxCallMS   int64 // longest timeout of calls that hosts grant; 0 means unknown
 	Words       Words
 }
 
@@ -89,7 +93,7 @@
 	options Options
 }
 
-// CheckRouting returns the findings of a configuration in the order of the file.
+// CheckRouting returns the findings of a configuration by kind, and those of a kind in the order of the file.
 func CheckRouting(r Routing, o Options) []Finding {
 	c := &routingChecker{Routing: r, options: o}
 	c.checkVersion()
@@ -152,19 +156,27 @@
 		c.checkRange(place(FieldMaxAttempts), int64(q.MaxAttempts), 0, maxAttempts)
 		c.checkRange(place(FieldTarget), int64(q.TargetOffsetMS), 0, c.MaxTimeMS)
 		c.checkRange(place(FieldTimeout), int64(q.CallTimeoutMS), 0, c.MaxTimeMS)
+		if q.Service == "" {
+			c.addError(place(FieldService), "name the service whose workers run the jobs", "it is empty, and no worker has an empty service")
+		}
 		if q.TargetStretch < 0 || q.TargetStretch > float64(c.MaxTimeMS) {
-			c.addError(place(FieldStretch), "use the target duration as a multiple of the longest chain of steps", "%v is out of bounds", q.TargetStretch)
+			c.addError(place(FieldStretch), fmt.Sprintf("use a number from 0 to %d, by which the duration of the longest chain of steps is multiplied", c.MaxTimeMS),
+				"%v is out of bounds", q.TargetStretch)
 		}
 		c.checkTimes(q, place)
 	}
 }
 
-// checkTimes compares the target duration of jobs with the timeout of calls. A target with a stretch depends on the job, so that no timeout is
-// known to be above it.
+// checkTimes compares the timeout of calls with the target duration of jobs and with the longest that hosts grant. A target with a stretch depends
+// on the job, so that no timeout is known to be above it.
 func (c *routingChecker) checkTimes(q *model.Queue, place func(string) Place) {
 	if q.TargetStretch == 0 && q.TargetOffsetMS == 0 {
 		c.addWarning(place(FieldTarget), "set {stretch} or {target-ms}", "the target duration of all jobs is 0, so that each result counts as late")
 	}
+	if timeout := int64(q.CallTimeoutMS); c.MaxCallMS > 0 && timeout > c.MaxCallMS && timeout <= c.MaxTimeMS {
+		c.addWarning(place(FieldTimeout), fmt.Sprintf("lower {timeout-ms} to at most %d", c.MaxCallMS),
+			"the timeout of %d ms has the effect of %d ms, the longest that hosts grant", timeout, c.MaxCallMS)
+	}
 	switch {
 	case q.CallTimeoutMS == 0:
 		c.addWarning(place(FieldTimeout), "set {timeout-ms}", "calls have no timeout of the route, and last as long as the caller's deadline or the default allow")
@@ -179,42 +191,68 @@
 	return func(field string) Place { return Place{Kind: KindRoute, Name: name, Field: field} }
 }
 
+// hostRoutes holds the routes of a host name.
+type hostRoutes struct {
+	byPrefix map[string]int // index of the first route with a prefix
+	lengths  []int          // lengths of the prefixes, longest first, each once
+}
+
 // checkMatches checks which calls each route matches: those with its host name and no longer prefix of another route.
 func (c *routingChecker) checkMatches() {
-	byHostName := map[string]map[string]int{} // index of the first route with a host name and prefix
+	byHostName := map[string]*hostRoutes{}
 	for i, r := range c.Routes {
-		prefixes := byHostName[r.HostName]
-		if prefixes == nil {
-			prefixes = map[string]int{}
-			byHostName[r.HostName] = prefixes
+		h := byHostName[r.HostName]
+		if h == nil {
+			h = &hostRoutes{byPrefix: map[string]int{}}
+			byHostName[r.HostName] = h
 		}
-		if first, ok := prefixes[r.Prefix]; ok {
+		if first, ok := h.byPrefix[r.Prefix]; ok {
 			c.addError(c.routePlaces(i)(FieldPrefix), "change {host-name} or {prefix}, or remove one of them",
 				"route %s has the same {host-name} and {prefix} and comes first, so that this one never matches", c.routeName(first))
 			continue
 		}
-		prefixes[r.Prefix] = i
+		h.byPrefix[r.Prefix] = i
+	}
+	for _, h := range byHostName {
+		h.sortLengths()
 	}
 	for i, r := range c.Routes {
-		if byHostName[r.HostName][r.Prefix] == i {
-			c.checkReachable(i, byHostName[r.HostName])
-			c.checkVisibility(i, byHostName[r.HostName])
+		if h := byHostName[r.HostName]; h.byPrefix[r.Prefix] == i {
+			c.checkReachable(i)
+			c.checkVisibility(i, h)
 		}
 	}
 }
 
-// checkReachable adds an error if no call can match a route, whatever its neighbours are.
-func (c *routingChecker) checkReachable(index int, prefixes map[string]int) {
-	r, place := &c.Routes[index], c.routePlaces(index)
-	if root, ok := prefixes["/"]; ok && r.Prefix == "" {
-		c.addError(place(FieldPrefix), "remove the route or change {prefix}", "route %s matches all paths of the host name, so that this one never matches", c.routeName(root))
+// sortLengths sets the lengths of the prefixes.
+func (h *hostRoutes) sortLengths() {
+	seen := map[int]bool{}
+	for prefix := range h.byPrefix {
+		seen[len(prefix)] = true
 	}
-	if r.Prefix != "" && r.Prefix[0] != '/' {
+	h.lengths = slices.Sorted(maps.Keys(seen))
+	slices.Reverse(h.lengths)
+}
+
+// checkReachable adds an error if hosts refuse all calls to a route, whatever its neighbours are. Such a call names a job, without a slash, after the
+// prefix.
+func (c *routingChecker) checkReachable(index int) {
+	r, place := &c.Routes[index], c.routePlaces(index)
+	switch {
+	case r.Prefix == "":
+		c.addError(place(FieldPrefix), "use {prefix} /", "it is empty, and hosts refuse names of jobs with a slash, with which all paths begin")
+	case r.Prefix[0] != '/':
 		c.addError(place(FieldPrefix), "begin {prefix} with a slash", "paths begin with a slash, so that %q never matches", r.Prefix)
+	case !strings.HasSuffix(r.Prefix, "/"):
+		c.addWarning(place(FieldPrefix), "end {prefix} with a slash",
+			"the name of a job follows %q without a slash, and calls with a slash between them are refused", r.Prefix)
 	}
-	if r.HostName == "" {
+	switch {
+	case r.HostName == "":
 		c.addError(place(FieldHostName), "name the host of the calls", "it is empty, and no call has an empty host name")
-	} else if hasPort(r.HostName) {
+	case strings.ContainsFunc(r.HostName, func(ch rune) bool { return ch <= ' ' || ch >= 0x7f }):
+		c.addError(place(FieldHostName), "use ASCII without blanks (Punycode)", "hosts refuse calls with such a host name, so that %q never matches", r.HostName)
+	case hasPort(r.HostName):
 		c.addError(place(FieldHostName), "leave out the port", "calls are matched without their port, so that %q never matches", r.HostName)
 	}
 }
@@ -226,10 +264,13 @@
 }
 
 // checkVisibility adds a warning if a route is public and the next wider one of its host name is not, or the reverse.
-func (c *routingChecker) checkVisibility(index int, prefixes map[string]int) {
+func (c *routingChecker) checkVisibility(index int, h *hostRoutes) {
 	r := &c.Routes[index]
-	for length := len(r.Prefix) - 1; length >= 0; length-- {
-		wider, ok := prefixes[r.Prefix[:length]]
+	for _, length := range h.lengths {
+		if length >= len(r.Prefix) {
+			continue
+		}
+		wider, ok := h.byPrefix[r.Prefix[:length]]
 		if !ok {
 			continue
 		}
--- a/internal/cli/check_test.go
+++ b/internal/cli/check_test.go
@@ -37,6 +37,7 @@
 		"own-fault": `{"workspaces":{"w":{"quota":-1}}}`,
 		"deep":      strings.Repeat("[", 1<<20),
 		"empty":     "",
+		"null":      "null",
 	})
 	is.New(t).NoErr(os.CopyFS(dir, os.DirFS(platformFiles)))
 	t.Chdir(dir)
@@ -58,6 +59,8 @@
 		{"base.json --against syntax.json", ExitUsage, "no route names the service", "syntax.json: line 2"},
 		{"base.json --against in-force", ExitUsage, "no route names the service", "give a file"},
 		{"twice.json", ExitFailure, `error: file line 1 column 14: "version" is given twice`, "1 error"},
+		{"twice-in-upper-case.json", ExitFailure, `error: file line 1 column 22: "Version" is given twice`, "1 error"},
+		{"twice-unknown.json", ExitFailure, `error: file line 1 column 30: a member is given twice`, "1 error"},
 		{"type.json", ExitUsage, "", "type.json: line 2 column 11: "},
 		{"type.json --json", ExitUsage, `{"faults":[{"kind":"file","name":"","field":"line 2 column 11"`, "line 2"},
 		{"syntax.json", ExitUsage, "", "syntax.json: line 2 column 25: the file is no JSON with comments: invalid literal;"},
@@ -68,6 +71,10 @@
 		{"own --format own", ExitOK, "warning: workspace w: it has no callers", ""},
 		{"own-fault", ExitFailure, "error: workspace w: quota: -1 is out of bounds", "2 errors, 1 warning"},
 		{"own --settings --against own", ExitUsage, "", "leave them out"},
+		{"own --settings --memory-mb 5", ExitUsage, "", "leave them out"},
+		{"- --against -", ExitUsage, "", "can't be compared with itself"},
+		{"null", ExitUsage, "", "null: line 1 column 1: the file holds no object"},
+		{"latin-1.json", ExitFailure, "latin-1.json: error: file line 1 column 45: the file is not in UTF-8", "1 error"},
 		{"own --memory-mb=-1", ExitUsage, "", "out of bounds"},
 		{"own --accelerators=-1", ExitUsage, "", "out of bounds"},
 		{"deep", ExitUsage, "", "deep: line 1 column 10001: values are nested deeper"},
--- a/pkg/parser/json.go
+++ b/pkg/parser/json.go
@@ -3,7 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
+	"strconv"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/tailscale/hujson"
 )
@@ -63,6 +66,9 @@
 	if err := json.Unmarshal(v.Pack(), &members); err != nil {
 		return nil, decodeErrorAt(data, 0, err)
 	}
+	if members == nil {
+		return nil, newSyntaxError(data, 0, "the file holds no object")
+	}
 	return members, nil
 }
 
@@ -74,11 +80,29 @@
 	return nil
 }
 
-// CheckDuplicates returns an error for the first object member whose name is used twice in its object.
-func CheckDuplicates(data []byte) error {
+// CheckUTF8 returns an error for the first byte that is no UTF-8, in whose place encoding/json puts another character.
+func CheckUTF8(data []byte) error {
+	for offset := 0; offset < len(data); {
+		r, size := utf8.DecodeRune(data[offset:])
+		if r == utf8.RuneError && size == 1 {
+			return newSyntaxError(data, offset, "the file is not in UTF-8, and what is not is replaced by another character")
+		}
+		offset += size
+	}
+	return nil
+}
+
+// CheckDuplicates returns an error for the first object member whose name is used twice in its object. The known names, given in lower case,
+// are compared without regard to case, as encoding/json does. The error leaves out other names, which may be secrets.
+func CheckDuplicates(data []byte, known []string) error {
 	v, err := parseJSON(data)
 	if err != nil {
 		return err
 	}
-	return checkDuplicateNames(data, v)
+	return checkDuplicateNames(data, v, func(name string) (id, shown string) {
+		if lower := strings.ToLower(name); slices.Contains(known, lower) {
+			return lower, strconv.Quote(name)
+		}
+		return name, "a member"
+	})
 }
