Coordinator tests: play independent cases side by side

The fake workers built a report at the begin of each wait that nobody read, and formatted checkpoints with fmt. No case, seed, bound or check has changed.

--- a/internal/coordinator/burst_day_test.go
+++ b/internal/coordinator/burst_day_test.go
@@ -176,13 +176,25 @@
 	return worth
 }
 
+// playAll plays one day for each seed, side by side.
+func (d burstDay) playAll(t *testing.T, seeds int) []*burstCaller {
+	t.Helper()
+	days := make([][]*burstCaller, seeds)
+	t.Run("days", func(t *testing.T) {
+		for seed := range days {
+			t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+				t.Parallel()
+				days[seed] = d.play(t, uint64(seed))
+			})
+		}
+	})
+	return slices.Concat(days...)
+}
+
 // Guards against accepted work that never runs because other work keeps arriving, and against small workspaces that the bursts of a large one push out.
 func TestDayOfBursts(t *testing.T) {
 	t.Parallel()
-	var callers []*burstCaller
-	for seed := range *burstSeeds {
-		callers = append(callers, burstDay{racks: dayRacks, factor: 12}.play(t, uint64(seed))...)
-	}
+	callers := burstDay{racks: dayRacks, factor: 12}.playAll(t, *burstSeeds)
 	burstShares(t, callers, func(b *burstCaller) string { return string(b.job.Queue.ID) })
 	burstShares(t, callers, func(b *burstCaller) string { return string(b.job.Workspace)[:5] })
 	worth := burstShares(t, callers, func(b *burstCaller) string { return fmt.Sprintf("%s %.5s", b.job.Queue.ID, b.job.Workspace) })
@@ -199,10 +211,7 @@
 // Guards against callers of small workspaces that give up because of a burst of a large one beyond all capacity.
 func TestDayOfRefusals(t *testing.T) {
 	t.Parallel()
-	var callers []*burstCaller
-	for seed := range refusalDays * *burstSeeds {
-		callers = append(callers, burstDay{racks: 1, factor: 40}.play(t, uint64(seed))...)
-	}
+	callers := burstDay{racks: 1, factor: 40}.playAll(t, refusalDays**burstSeeds)
 	burstShares(t, callers, func(b *burstCaller) string { return fmt.Sprintf("%s %.5s", b.job.Queue.ID, b.job.Workspace) })
 	worth := burstShares(t, callers, func(b *burstCaller) string { return string(b.job.Workspace)[:5] })
 	is := is.New(t)
--- a/internal/coordinator/capacity_test.go
+++ b/internal/coordinator/capacity_test.go
@@ -19,6 +19,7 @@
 
 // Guards against starts beyond the capacity of workers that shrink and grow, and against jobs that wait forever for room that has gone.
 func TestCapacityThatShrinksAndGrows(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(1); seed <= 8; seed++ {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
 			t.Parallel()
--- a/internal/coordinator/churn_test.go
+++ b/internal/coordinator/churn_test.go
@@ -53,6 +53,7 @@
 
 // Guards against tasks that run twice while workers come, go and restart beside changes of the leader, late requests and cuts.
 func TestRandomChurn(t *testing.T) {
+	t.Parallel()
 	for seed := *firstChurnSeed; seed < *firstChurnSeed+*churnSeeds; seed++ {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
 			t.Parallel()
--- a/internal/coordinator/crash_test.go
+++ b/internal/coordinator/crash_test.go
@@ -55,8 +55,10 @@
 
 // Guards against jobs that fail because their tasks shared a worker with one that crashes it.
 func TestTasksBesideCrashingOnesDoNotFail(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(1); seed <= 5; seed++ {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			t.Parallel()
 			runInCluster(t, seed, 2, 2, 6, func(c *cluster, is *is.I) {
 				var sound []model.JobID
 				for i := range 24 {
--- a/internal/coordinator/dial_test.go
+++ b/internal/coordinator/dial_test.go
@@ -30,9 +30,11 @@
 
 // Guards against a start of an isolated leader that connects to a restarted worker later than its successor counts with.
 func TestSlowDialStartsNothingOnRestartedWorkers(t *testing.T) {
+	t.Parallel()
 	for _, dial := range []time.Duration{22, 400, 590} {
 		for _, phase := range []time.Duration{25, 75, 125} {
 			t.Run(fmt.Sprint(int(dial), "-", int(phase)), func(t *testing.T) {
+				t.Parallel()
 				playIsolatedStart(t, phase*time.Millisecond, false, func(c dispatcher.WorkerClient, isSlow func() bool) dispatcher.WorkerClient {
 					return &slowDialClient{WorkerClient: c, dial: dial * time.Millisecond, isSlow: isSlow}
 				})
--- a/internal/coordinator/evacuation_test.go
+++ b/internal/coordinator/evacuation_test.go
@@ -159,6 +159,7 @@
 
 // Guards against tasks that start in an evacuated domain, whatever happens when it is evacuated, and against work that is lost then.
 func TestNothingStartsInEvacuatedDomain(t *testing.T) {
+	t.Parallel()
 	for name, disturb := range map[string]func(*evacuationCluster){
 		"calm":                    func(*evacuationCluster) {},
 		"named twice":             func(c *evacuationCluster) { c.request("d1", true) },
@@ -172,6 +173,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			runEvacuation(t, func(c *evacuationCluster, is *is.I) {
 				c.load(3 * time.Second)
 				is.True(c.startsIn("d1", time.Time{}, time.Now()) > 0)
@@ -199,6 +201,7 @@
 
 // Guards against starts on hosts that were restarted and have no view of the requests.
 func TestRestartedHostsStartNothingBeforeTheyKnowTheRequests(t *testing.T) {
+	t.Parallel()
 	runEvacuation(t, func(c *evacuationCluster, is *is.I) {
 		c.load(2 * time.Second)
 		c.request("d1", true)
--- a/internal/coordinator/faulty_workers_test.go
+++ b/internal/coordinator/faulty_workers_test.go
@@ -12,6 +12,7 @@
 
 // Guards against jobs that burn their attempts on faulty workers of a fleet with room, because sound workers are busy for seconds.
 func TestFaultyWorkersFailNoJobsBesideRoom(t *testing.T) {
+	t.Parallel()
 	const run, faulty = 8 * time.Second, 4
 	runInCluster(t, 1, 2, 2, 8, func(c *cluster, is *is.I) {
 		for _, w := range c.workers[:faulty] {
--- a/internal/coordinator/link_test.go
+++ b/internal/coordinator/link_test.go
@@ -94,6 +94,7 @@
 
 // Guards against a leader that fills its link with start requests, so that it loses what runs and repeats what has been done.
 func TestBurstBeyondLink(t *testing.T) {
+	t.Parallel()
 	for _, rate := range []pacer.BytesPerSecond{50_000, 100_000, 200_000} {
 		t.Run(fmt.Sprint("rate=", int(rate)), func(t *testing.T) { testBurstBeyondLink(t, rate, rate) })
 	}
--- a/internal/coordinator/load_test.go
+++ b/internal/coordinator/load_test.go
@@ -170,6 +170,7 @@
 // Guards against urgent jobs that exceed their target duration, and against other jobs that starve, under a high load with a
 // burst of each workload. The baseline is a first-come, first-served scheduler that uses the first workers with free capacity.
 func TestLoadWithBurst(t *testing.T) {
+	t.Parallel()
 	for _, burst := range []string{"match", "plan", "preview"} {
 		t.Run(burst, func(t *testing.T) {
 			t.Parallel()
--- a/internal/coordinator/loaded_day_test.go
+++ b/internal/coordinator/loaded_day_test.go
@@ -198,6 +198,7 @@
 
 // Guards against a leader that stops much of what it starts on a day of high load, or that lets work within its guarantee wait.
 func TestLoadedDay(t *testing.T) {
+	t.Parallel()
 	for _, factor := range []float64{1, 1.3, 1.6} {
 		t.Run(fmt.Sprint(factor), func(t *testing.T) {
 			t.Parallel()
--- a/internal/coordinator/pause_test.go
+++ b/internal/coordinator/pause_test.go
@@ -62,6 +62,7 @@
 
 // Guards against a leader that was paused between a decision and its orders, and sends them beside its successor.
 func TestPausedLeaderSendsNoOrdersTwice(t *testing.T) {
+	t.Parallel()
 	for _, message := range []string{"term started", "runs of former leaders known, scheduling their jobs", "step started", "preempting runs", "job ended"} {
 		for _, length := range []time.Duration{2 * time.Second, 5 * time.Second, 15 * time.Second} {
 			t.Run(fmt.Sprint(message, "/", length), func(t *testing.T) {
--- a/internal/coordinator/queued_start_test.go
+++ b/internal/coordinator/queued_start_test.go
@@ -13,6 +13,7 @@
 
 // Guards against a start request that waits behind others, and is sent after its run was dropped and its worker has restarted.
 func TestQueuedStartIsNotSentAfterItsLease(t *testing.T) {
+	t.Parallel()
 	for _, silence := range []time.Duration{10500, 11500, 13000, 14500, 16000, 18000, 20000} {
 		t.Run(fmt.Sprint(int(silence)), func(t *testing.T) {
 			runInCluster(t, 1, 2, 1, 2, func(c *cluster, is *is.I) {
--- a/internal/coordinator/random_test.go
+++ b/internal/coordinator/random_test.go
@@ -24,6 +24,7 @@
 // log is unavailable, or requests to it or its responses are lost. Workers restart, fail all runs, refuse connections or carry
 // out requests late, or requests to them or their responses are lost.
 func TestRandomFaults(t *testing.T) {
+	t.Parallel()
 	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
 			t.Parallel()
--- a/internal/coordinator/restart_kind_test.go
+++ b/internal/coordinator/restart_kind_test.go
@@ -96,6 +96,7 @@
 
 // Guards against tasks that start on a restarted worker without their label, or beyond its capacity, because its former process had both.
 func TestRestartedWorkerIsUsedOnceItIsListed(t *testing.T) {
+	t.Parallel()
 	whole, half := accelerators(8), accelerators(4)
 	for name, to := range map[string]struct {
 		label    string
--- a/internal/fake/worker/fleet.go
+++ b/internal/fake/worker/fleet.go
@@ -1,16 +1,12 @@
 package worker
 
 import (
-	"context"
 	"encoding/json"
-	"fmt"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"chestnutmux.example/chestnutmux/internal/dispatcher"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
@@ -297,10 +293,19 @@
 func (f *Fleet) RenewLease(id model.HostID, req dispatcher.RenewLeaseRequest, now time.Time) (dispatcher.Report, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	s, err := f.renewLease(id, req, now)
+	if err != nil {
+		return dispatcher.Report{}, err
+	}
+	return f.buildReport(s, now), nil
+}
+
+// renewLease handles a request to renew the lease and returns its worker.
+func (f *Fleet) renewLease(id model.HostID, req dispatcher.RenewLeaseRequest, now time.Time) (*workerState, error) {
 	f.applyDueEnds(now)
 	s := f.workers[id]
 	if err := s.checkFence(req.Fence); err != nil {
-		return dispatcher.Report{}, err
+		return nil, err
 	}
 	if now.After(s.leaseEnd) {
 		s.ignoredAcksThrough = s.lastEndSequence
@@ -314,12 +319,15 @@
 	if req.LeaseUntil > 0 {
 		f.extendLease(s, req.LeaseUntil, now)
 	}
-	return f.buildReport(s, now), nil
+	return s, nil
 }
 
 // buildReport returns the running and the unacknowledged ended runs of a worker.
 func (f *Fleet) buildReport(s *workerState, now time.Time) dispatcher.Report {
 	report := dispatcher.Report{Clock: s.workerTime(now), Incarnation: s.startedAt.UnixMilli(), Ended: append([]model.RunEnd{}, s.pendingEnds...)}
+	if len(s.runs) > 0 {
+		report.Running = make([]model.RunProgress, 0, len(s.runs))
+	}
 	for _, r := range s.runs {
 		report.Running = append(report.Running, model.RunProgress{Run: r.ref, Checkpoint: f.checkpointAt(r, now), PercentDone: r.percentDone(now)})
 	}
@@ -332,7 +340,7 @@
 	if progress <= 0 {
 		return ""
 	}
-	return model.Checkpoint(fmt.Sprintf("at-ms:%d", progress.Milliseconds()))
+	return model.Checkpoint("at-ms:" + strconv.FormatInt(progress.Milliseconds(), 10))
 }
 
 // progressAt returns the work done so far, including the work before the checkpoint that the run resumed from.
@@ -346,41 +354,3 @@
 func (r *run) percentDone(now time.Time) int {
 	return int(100 * r.progressAt(now) / r.totalWork)
 }
-
-// RenewLeaseAndWait handles a request to renew the lease and waits for a run to end, for at most the requested time.
-// It returns an error if the worker restarts during the wait.
-func (f *Fleet) RenewLeaseAndWait(ctx context.Context, id model.HostID, req dispatcher.RenewLeaseRequest) (dispatcher.Report, error) {
-	report, err := f.RenewLease(id, req, time.Now())
-	deadline := time.Now().Add(req.MaxWait)
-	for err == nil && len(report.Ended) == 0 && time.Now().Before(deadline) && ctx.Err() == nil {
-		time.Sleep(pollInterval)
-		if f.Incarnation(id) != report.Incarnation {
-			return dispatcher.Report{}, errWorkerRestarted
-		}
-		if f.HasUnacknowledgedEnds(id, req.AckedThrough, time.Now()) {
-			break
-		}
-	}
-	if err != nil || req.MaxWait == 0 {
-		return report, err
-	}
-	return f.RenewLease(id, dispatcher.RenewLeaseRequest{Fence: req.Fence, AckedThrough: req.AckedThrough}, time.Now())
-}
-
-// errWorkerRestarted is returned for a call if the worker restarted before it could respond.
-var errWorkerRestarted = errors.New("worker: restarted while the call was in progress")
-
-// Incarnation returns a number that changes whenever the worker restarts.
-func (f *Fleet) Incarnation(id model.HostID) int64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.workers[id].startedAt.UnixMilli()
-}
-
-// HasUnacknowledgedEnds reports whether a worker has run ends above the acknowledged sequence number.
-func (f *Fleet) HasUnacknowledgedEnds(id model.HostID, ackedThrough int64, now time.Time) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.applyDueEnds(now)
-	return f.workers[id].lastEndSequence > ackedThrough
-}
