Process tests: wait less, run what doesn't fail hosts side by side

Cause: four clusters at once and one group of subtests after the other, while the machine idles; the evacuation test waited out times after the domain was in use. Change: up to six clusters at once, of which at most two fail hosts or the log (four before); the parents of subtests are parallel; where the domain has to be in use again, the test polls with the same limit. The two tests of submissions in a failing log share checkSubmission, so both check the retry hint, that no job is in the log, that no task was started, and that accepted jobs were started once.

--- a/test/process/cluster_test.go
+++ b/test/process/cluster_test.go
@@ -63,6 +63,15 @@
 	return startClusterAlone(t, opts)
 }
 
+// startTakeoverCluster is like startCluster, for tests in which hosts fail or lose the log.
+func startTakeoverCluster(t *testing.T, opts launcher.Options) *cluster {
+	t.Helper()
+	t.Parallel()
+	takeoverSlots <- struct{}{}
+	t.Cleanup(func() { <-takeoverSlots })
+	return startClusterAlone(t, opts)
+}
+
 // startClusterAlone is like startCluster, but no other test of the package runs at the same time.
 func startClusterAlone(t *testing.T, opts launcher.Options) *cluster {
 	t.Helper()
--- a/test/process/evacuation_test.go
+++ b/test/process/evacuation_test.go
@@ -32,12 +32,12 @@
 	c.is.NoErr(c.AwaitVersion(inForceTimeout, operator1Token, v, c.Hosts...))
 }
 
-// playShortJobs submits short jobs for a time, and returns the most accelerators that were in use in a failure domain, and the statuses of its workers at that time.
-func (c *cluster) playShortJobs(name string, domain model.DomainID, length time.Duration) (inUse model.Accelerators, health map[string]int) {
+// playShortJobs submits short jobs for a time, or until the failure domain is in use where that is expected, and returns the most accelerators that were in use in a failure domain, and the statuses of its workers at that time.
+func (c *cluster) playShortJobs(name string, domain model.DomainID, length time.Duration, expected bool) (inUse model.Accelerators, health map[string]int) {
 	c.t.Helper()
 	leader, end := c.leader(), time.Now().Add(length)
 	inUse = -1
-	for i := 0; time.Now().Before(end); i++ {
+	for i := 0; time.Now().Before(end) && (!expected || inUse <= 0); i++ {
 		if i%4 == 0 {
 			c.submit(leader, bridalToken, gangSpec(fmt.Sprint(name, "-", i), 3, time.Second/2))
 		}
@@ -60,16 +60,17 @@
 
 // Guards against tasks in a failure domain that an operator has evacuated by the configuration, before and after the hosts were killed.
 func TestEvacuationByConfiguration(t *testing.T) {
+	t.Parallel()
 	for _, killed := range []string{"leader", "all hosts"} {
 		t.Run(killed, func(t *testing.T) {
-			c := startCluster(t, launcher.Options{
+			c := startTakeoverCluster(t, launcher.Options{
 				HostsPerDomain: twoHostsPerDomain(domainA, domainB), AdjustSettings: func(s *settings.Settings) { s.EvacuationBoundMS = 5000 },
 			})
-			inUse, _ := c.playShortJobs("before", domainC, 2*time.Second) // the domain whose name comes first is used first
+			inUse, _ := c.playShortJobs("before", domainC, 2*time.Second, true) // the domain whose name comes first is used first
 			c.is.True(inUse > 0)
 			c.evacuate(domainC, false)
 			time.Sleep(evacuationTime)
-			inUse, health := c.playShortJobs("during", domainC, 2*time.Second)
+			inUse, health := c.playShortJobs("during", domainC, 2*time.Second, false)
 			c.is.Equal(inUse, model.Accelerators(0))
 			c.is.Equal(health, map[string]int{"evacuated": 16})
 			leader := c.leader()
@@ -84,11 +85,10 @@
 				}
 			}
 			time.Sleep(evacuationTime)
-			inUse, _ = c.playShortJobs("after", domainC, 4*time.Second)
+			inUse, _ = c.playShortJobs("after", domainC, 4*time.Second, false)
 			c.is.Equal(inUse, model.Accelerators(0))
 			c.evacuate(domainC, true)
-			time.Sleep(evacuationTime)
-			inUse, _ = c.playShortJobs("back", domainC, 2*time.Second)
+			inUse, _ = c.playShortJobs("back", domainC, evacuationTime+2*time.Second, true)
 			c.is.True(inUse > 0)
 		})
 	}
--- a/test/process/jobs_test.go
+++ b/test/process/jobs_test.go
@@ -11,7 +11,6 @@
 
 	"chestnutmux.example/chestnutmux/internal/fake/fault"
 	"chestnutmux.example/chestnutmux/internal/fake/launcher"
-	"chestnutmux.example/chestnutmux/internal/fake/platform"
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
@@ -46,6 +45,7 @@
 
 // Guards against gangs that are not restarted after the loss of a worker, or that are restarted too early.
 func TestWorkerLost(t *testing.T) {
+	t.Parallel()
 	for _, tc := range []struct {
 		name       string
 		loseWorker func(*cluster, string) error
@@ -123,35 +123,6 @@
 	}
 }
 
-// Guards against submissions during log failures that are reported as not-run but run, or that are accepted but lost.
-func TestSubmitWhileLogFails(t *testing.T) {
-	c := startCluster(t, launcher.Options{HostsPerDomain: twoHostsPerDomain(domainA)})
-	outcomes := map[model.JobID]model.Outcome{}
-	n := 0
-	for _, faults := range []fault.Faults{{Down: true}, {ResponseLost: true}, {SlowMS: 400}, {Refuse: true}, {}} {
-		c.is.NoErr(c.SetFaults(platform.LogName, faults))
-		for range 3 {
-			n++
-			spec := gangSpec(fmt.Sprintf("s-%d", n), 1, 100*time.Millisecond)
-			_, err := c.Client(c.Hosts[n%2], workshopToken).Submit(withTimeout(defaultTimeout), spec)
-			outcomes[spec.ID] = outcomeOf(err)
-		}
-		c.is.NoErr(c.SetFaults(platform.LogName, fault.Faults{}))
-		time.Sleep(time.Second)
-	}
-	t.Logf("outcomes: %v", outcomes)
-	for id, o := range outcomes {
-		if o == model.OutcomeAnswered {
-			c.awaitJobState(defaultTimeout, c.Hosts[0], workshopToken, id, model.JobFinished)
-		}
-	}
-	for id, o := range outcomes {
-		if o == model.OutcomeNotRun {
-			c.is.Equal(len(c.startCounts(id)), 0)
-		}
-	}
-}
-
 // Guards against steps that start before the steps they depend on have ended.
 func TestStepsInOrder(t *testing.T) {
 	c := startCluster(t, launcher.Options{HostsPerDomain: twoHostsPerDomain(domainA)})
--- a/test/process/leader_test.go
+++ b/test/process/leader_test.go
@@ -43,6 +43,7 @@
 // Guards against jobs that are lost, run twice or restart when the leader fails, and against a failed leader that no other
 // host replaces.
 func TestLeaderFails(t *testing.T) {
+	t.Parallel()
 	for _, tc := range []struct {
 		name       string
 		failLeader func(c *cluster, leader *launcher.Host) (recoverLeader func() error, err error)
@@ -61,7 +62,7 @@
 		}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			c := startCluster(t, launcher.Options{HostsPerDomain: twoHostsPerDomain(domainA, domainB), UseRelays: true})
+			c := startTakeoverCluster(t, launcher.Options{HostsPerDomain: twoHostsPerDomain(domainA, domainB), UseRelays: true})
 			oldLeader, h := c.leader(), c.follower()
 			jobIDs := c.submitGangs(h, 12)
 			recoverLeader, err := tc.failLeader(c, oldLeader)
@@ -88,6 +89,7 @@
 // Guards against a log outage that stops running tasks, loses the ends of tasks, or leaves the cluster without a leader for
 // good.
 func TestLogOutageUnderLoad(t *testing.T) {
+	t.Parallel()
 	for _, tc := range []struct {
 		name   string
 		faults fault.Faults
@@ -97,7 +99,7 @@
 		{"answers lost", fault.Faults{ResponseLost: true}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			c := startCluster(t, launcher.Options{HostsPerDomain: twoHostsPerDomain(domainA)})
+			c := startTakeoverCluster(t, launcher.Options{HostsPerDomain: twoHostsPerDomain(domainA)})
 			jobIDs := c.submitGangs(c.Hosts[0], 10)
 			c.is.NoErr(c.SetFaults(platform.LogName, tc.faults))
 			time.Sleep(4 * time.Second)
@@ -109,7 +111,7 @@
 
 // Guards against jobs that are lost when all hosts are killed at once.
 func TestAllHostsLost(t *testing.T) {
-	c := startCluster(t, launcher.Options{HostsPerDomain: twoHostsPerDomain(domainA)})
+	c := startTakeoverCluster(t, launcher.Options{HostsPerDomain: twoHostsPerDomain(domainA)})
 	jobIDs := c.submitGangs(c.Hosts[0], 8)
 	for _, h := range c.Hosts {
 		c.is.NoErr(c.KillHost(h))
--- a/test/process/main_test.go
+++ b/test/process/main_test.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"flag"
 	"fmt"
 	"os"
 	"os/exec"
@@ -10,11 +11,14 @@
 // binDir is the directory of the built programs under test.
 var binDir string
 
-// maxClusters limits the number of clusters that run at the same time.
-const maxClusters = 4
+const (
+	maxClusters = 6 // clusters that run at the same time
+	// maxTakeovers limits those in which hosts fail, so that the start of one cluster's processes does not delay the takeover of another.
+	maxTakeovers = 2
+)
 
-// clusterSlots is a semaphore in which each running cluster occupies one slot.
-var clusterSlots = make(chan struct{}, maxClusters)
+// clusterSlots and takeoverSlots are semaphores in which each running cluster, and each of those in which hosts fail, occupies one slot.
+var clusterSlots, takeoverSlots = make(chan struct{}, maxClusters), make(chan struct{}, maxTakeovers)
 
 func TestMain(m *testing.M) { os.Exit(runTests(m)) }
 
@@ -32,5 +36,11 @@
 		return 1
 	}
 	binDir = dir
+	flag.Parse()
+	// The semaphores limit what runs at once. A test that waits for one would otherwise take the place of another.
+	if err := flag.Set("test.parallel", "100"); err != nil {
+		fmt.Fprintln(os.Stderr, "process:", err)
+		return 1
+	}
 	return m.Run()
 }
--- a/test/process/outage_test.go
+++ b/test/process/outage_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -17,6 +19,7 @@
 
 // Guards against jobs that run although their callers were told that they don't, and accepted jobs that are lost, while the log is in trouble.
 func TestSubmissionsInLogOutage(t *testing.T) {
+	t.Parallel()
 	for _, tc := range []struct {
 		name     string
 		faults   fault.Faults
@@ -48,29 +51,47 @@
 			}
 			c.is.NoErr(c.SetFaults(platform.LogName, fault.Faults{}))
 			calls.Wait()
-			counts := map[model.Outcome]int{}
 			for i, err := range results {
-				id := model.JobID(fmt.Sprint("j", i))
-				var e *model.Error
-				switch {
-				case err == nil:
-					counts["accepted"]++
-					c.awaitFinished(c.Hosts[0], []model.JobID{id})
-				case !errors.As(err, &e):
-					t.Errorf("%s: %v", id, err)
-				default:
-					counts[e.Outcome]++
-				}
-			}
-			t.Logf("outcomes %v", counts)
-			for i, err := range results {
-				var e *model.Error
-				if errors.As(err, &e) && e.Outcome == model.OutcomeNotRun {
-					c.is.True(e.RetryAfterMS > 0)
-					_, err := c.Client(c.Hosts[0], bridalToken).Job(withTimeout(defaultTimeout), model.JobID(fmt.Sprint("j", i)), 0)
-					c.is.True(errors.As(err, &e) && e.Kind == model.ErrorKindNotFound) // it is not in the log
-				}
+				c.checkSubmission(bridalToken, model.JobID(fmt.Sprint("j", i)), err)
 			}
 		})
 	}
 }
+
+// Guards against submissions that are reported as not-run but run, or that are accepted but lost, when the log fails until their callers are answered.
+func TestSubmitWhileLogFails(t *testing.T) {
+	c := startCluster(t, launcher.Options{HostsPerDomain: twoHostsPerDomain(domainA)})
+	var results []error
+	for _, faults := range []fault.Faults{{Down: true}, {ResponseLost: true}, {SlowMS: 400}, {Refuse: true}, {}} {
+		c.is.NoErr(c.SetFaults(platform.LogName, faults))
+		for range 3 {
+			spec := gangSpec(fmt.Sprint("s", len(results)), 1, 100*time.Millisecond)
+			_, err := c.Client(c.Hosts[(len(results)+1)%2], workshopToken).Submit(withTimeout(defaultTimeout), spec)
+			results = append(results, err)
+		}
+		c.is.NoErr(c.SetFaults(platform.LogName, fault.Faults{}))
+		time.Sleep(time.Second)
+	}
+	for i, err := range results {
+		c.checkSubmission(workshopToken, model.JobID(fmt.Sprint("s", i)), err)
+	}
+}
+
+// checkSubmission checks that an accepted job finishes, and that a job reported as not-run is unknown and has not run.
+func (c *cluster) checkSubmission(token string, id model.JobID, err error) {
+	c.t.Helper()
+	var e *model.Error
+	c.t.Logf("%s: %s", id, outcomeOf(err))
+	switch {
+	case err == nil:
+		c.awaitJobState(defaultTimeout, c.Hosts[0], token, id, model.JobFinished)
+		c.is.Equal(slices.Collect(maps.Values(c.startCounts(id))), []int{1})
+	case !errors.As(err, &e):
+		c.t.Errorf("%s: %v", id, err)
+	case e.Outcome == model.OutcomeNotRun:
+		c.is.True(e.RetryAfterMS > 0)
+		_, err := c.Client(c.Hosts[0], token).Job(withTimeout(defaultTimeout), id, 0)
+		c.is.Equal(kindOf(err), model.ErrorKindNotFound) // it is not in the log
+		c.is.Equal(len(c.startCounts(id)), 0)
+	}
+}
--- a/test/process/publish_test.go
+++ b/test/process/publish_test.go
@@ -115,7 +115,7 @@
 
 // Guards against hosts that, after being cut off from the log, fall back to an older version or permanently miss changes.
 func TestHostCutOffFromLog(t *testing.T) {
-	c := startCluster(t, launcher.Options{HostsPerDomain: twoHostsPerDomain(domainA, domainB), UseRelays: true})
+	c := startTakeoverCluster(t, launcher.Options{HostsPerDomain: twoHostsPerDomain(domainA, domainB), UseRelays: true})
 	baseVersion, oldQuota, err := c.workshopQuota(withTimeout(defaultTimeout), c.Hosts[0])
 	c.is.NoErr(err)
 	cutOffHost := c.follower()
