Call peers that have not failed first

Cause: a host without a direct connection calls its three nearest peers that are not in backoff. A busy host takes so long for the unreachable ones that the backoffs of the first end before it has called those further away, and calls the first again (TestHostFindsLivePeerBehindUnreachableOnes). Change: peers whose last calls got no response come last, and one peer without failures is among those called if there is any.

--- a/internal/peerlog/client.go
+++ b/internal/peerlog/client.go
@@ -1,9 +1,11 @@
 package peerlog
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -79,7 +81,9 @@
 	return resp, err
 }
 
-// pickPeers returns the first maxPeersPerCall peers that are not in backoff, in random order to spread the load over them.
+// pickPeers returns the first maxPeersPerCall peers that are not in backoff, in random order to spread the load over them. Peers
+// whose last calls got no response come last. If all of them are such peers, the nearest other one replaces the last: the backoffs of
+// unreachable peers may end before a busy host has called the others, and it would call the same ones in each round.
 func (p *Peers) pickPeers() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -95,10 +99,13 @@
 			out = append(out, addr)
 		}
 	}
-	if n := min(len(out), maxPeersPerCall); n > 1 {
-		rand.Shuffle(n, func(i, j int) { out[i], out[j] = out[j], out[i] })
-		out = out[:n]
+	n := min(len(out), maxPeersPerCall)
+	if i := slices.IndexFunc(out, func(addr string) bool { return p.backoffs[addr].failures == 0 }); i >= n {
+		out[n-1] = out[i]
 	}
+	out = out[:n]
+	rand.Shuffle(n, func(i, j int) { out[i], out[j] = out[j], out[i] })
+	slices.SortStableFunc(out, func(a, b string) int { return cmp.Compare(p.backoffs[a].failures, p.backoffs[b].failures) })
 	return out
 }
 
--- a/internal/peerlog/client_test.go
+++ b/internal/peerlog/client_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -87,3 +89,21 @@
 		}
 	}
 }
+
+// Guards against a host that calls the same unreachable peers again and again because their backoffs end before it has called the others.
+func TestPeersThatHaveNotFailedAreCalledFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := &Peers{Addresses: func() []string { return []string{"a", "b", "c", "d", "live"} }}
+		for _, failed := range []string{"a", "b", "c", "d"} {
+			p.startBackoff(failed)
+		}
+		is.Equal(p.pickPeers(), []string{"live"})
+		time.Sleep(unreachableBackoff + time.Millisecond)
+		picked := p.pickPeers()
+		is.Equal(len(picked), maxPeersPerCall)
+		is.Equal(picked[0], "live")
+		slices.Sort(picked)
+		is.Equal(picked, []string{"a", "b", "live"})
+	})
+}
