--- a/review/standin/entry.go
+++ b/review/standin/entry.go
@@ -60,7 +60,7 @@
 		"bounds.catch_up_s=4", "bounds.drain_ms=2500", "bounds.grace_s=6", "bounds.loss_slack_ms=200", "bounds.config_apply_ms=2500",
 		"bounds.rollback_slack_ms=250", "bounds.max_stretch_ms=6000", "bounds.recovery_s=12", "bounds.max_hold_ms=10000", "bounds.stop_ms=200",
 		"bounds.gang_wait_ms=3000", "bounds.cancel_ms=3000", "bounds.visible_ms=3000", "bounds.early_ms=250", "bounds.finish_s=14",
-		"bounds.status_s=120", "bounds.evac_ms=5000", "bounds.remote_factor=3", "bounds.checkpoint_s=1", "bounds.restore_ms=100", "bounds.require_fence=false",
+		"bounds.status_s=120", "bounds.remote_factor=3", "bounds.checkpoint_s=1", "bounds.restore_ms=100", "bounds.require_fence=false",
 		"orders=rpc", "platform.address=" + store, "platform.form=log", "platform.writes_per_s=800", "platform.reads_per_s=2000",
 		"platform.parts=12", "platform.append_ms=2.0", "platform.keep_s=300", "platform.ttl_min_ms=1000",
 	}
