--- a/internal/coordinator/burst_day_test.go
+++ b/internal/coordinator/burst_day_test.go
@@ -150,7 +150,7 @@
 	return out
 }
 
-// burstShares returns the worth of the jobs of each group, and prints what its callers got.
+// burstShares returns the mean value of the results of each group, and prints what its callers got.
 func burstShares(t *testing.T, callers []*burstCaller, group func(*burstCaller) string) map[string]float64 {
 	t.Helper()
 	n, worth := map[string]float64{}, map[string]float64{}
--- a/internal/coordinator/runtimes_test.go
+++ b/internal/coordinator/runtimes_test.go
@@ -41,7 +41,7 @@
 	status string
 }
 
-// offer submits the load through the admission control, as callers with 4 retries do, and returns the worth of the results by kind: 1 for each job that ends within its target duration by its usual run time, less for later ones, and 0 after three times that.
+// offer submits the load through the admission control, as callers with 4 retries do, and returns the mean value of the results by kind: 1 for each job that ends within its target duration by its usual run time, less for later ones, and 0 after three times that.
 func offer(c *cluster, load []*offeredJob) map[model.QueueID]float64 {
 	start := time.Now()
 	replica := c.hosts[0].coordinator.Replica()
@@ -137,7 +137,7 @@
 
 // Guards against learned run times that serve callers worse than their own estimates do, or that leave urgent jobs to the errors of these.
 func TestCallersWithLearnedRunTimes(t *testing.T) {
-	const plays = 3 // the order of goroutines changes the worth of a play by up to 0.1
+	const plays = 3 // the order of goroutines changes the result by up to 0.1
 	for name := range estimates {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/preemptor/deadline.go
+++ b/internal/preemptor/deadline.go
@@ -6,7 +6,7 @@
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
-// lateWorth is the worth of a result that comes right after its target. It falls to 0 until the result is of no use.
+// lateWorth is the value of a result that comes right after its target, as a share of one within it. It falls to 0 until the result is of no use.
 const lateWorth = 0.25
 
 // Deadline tells what the result of a job is worth by the time that passes until its end. The zero value is that of work without a target.
