--- a/internal/cli/check_test.go
+++ b/internal/cli/check_test.go
@@ -14,8 +14,7 @@
 	"chestnutmux.example/chestnutmux/pkg/model"
 )
 
-// platformFiles is the directory of configurations in the platform's format, whose names appear there only. base.json has one warning, a
-// service that is not used.
+// platformFiles is the directory of configurations in the platform's format, whose names appear there only. base.json has one warning.
 const platformFiles = "../../platform/testdata/check"
 
 // writeFiles writes files to a new directory and returns it.
--- a/internal/coordinator/speed_test.go
+++ b/internal/coordinator/speed_test.go
@@ -20,8 +20,7 @@
 	{"short", 2, 1.5, 4 * time.Second, 4, []int{2}, false, 3, 3 * time.Second},
 }
 
-// offerToUneven offers a load to 3 racks of 8 workers and returns the mean time from arrival to end by kind, as a multiple of the usual run
-// time, without the first 40 s.
+// offerToUneven offers a load to 3 racks of 8 workers and returns the mean time from arrival to end by kind, as a multiple of the usual run time, without the first 40 s.
 func offerToUneven(t *testing.T, learns bool, slowness func(rack, i int) float64) map[model.QueueID]float64 {
 	sum, n := map[model.QueueID]float64{}, map[model.QueueID]float64{}
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/dispatcher/preemption_test.go
+++ b/internal/dispatcher/preemption_test.go
@@ -63,8 +63,7 @@
 	}
 }
 
-// Guards against guaranteed work that preempts although room is about to become free, that waits for it for longer than expected, or that
-// uses up the budget of other work of its workspace.
+// Guards against guaranteed work that preempts beside room that comes soon, waits for it too long, or uses up the budget of its workspace.
 func TestGuaranteedWorkWaitsOnceForRoom(t *testing.T) {
 	for remaining, wait := range map[time.Duration]time.Duration{500 * time.Millisecond: 500 * time.Millisecond, 5 * time.Second: 0} {
 		is := is.New(t)
--- a/internal/preemptor/deadline.go
+++ b/internal/preemptor/deadline.go
@@ -22,7 +22,7 @@
 	return Deadline{isSet: true, targetIn: target - ago, uselessIn: uselessAfter - ago}
 }
 
-// worth returns the worth of a result that comes in the given time, as a share of its worth within the target.
+// worth returns the value of a result that comes in the given time, as a share of its value within the target.
 func (d *Deadline) worth(endsIn time.Duration) float64 {
 	switch {
 	case d.allows(endsIn):
--- a/internal/preemptor/decision.go
+++ b/internal/preemptor/decision.go
@@ -61,8 +61,8 @@
 type Decision struct {
 	Preempt bool
 	Reason  Reason
-	Gain    CoreSeconds   // worth of the earlier start
-	Cost    CoreSeconds   // worth of what is lost
+	Gain    CoreSeconds   // value of the earlier start
+	Cost    CoreSeconds   // value of what is lost
 	Lost    CoreSeconds   // work thrown away
 	Runs    int           // runs stopped
 	RoomIn  time.Duration // see Offer
