--- /dev/null
+++ b/review/standin3/cases.go
@@ -0,0 +1,218 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// cases holds the cases by name.
+var cases = map[string]func(s *site, trouble bool) error{
+	"ends-at-takeover":  playEndsAtTakeover,
+	"crashes":           playCrashes,
+	"id-of-two-tenants": playIDOfTwoTenants,
+}
+
+// startDeployment starts entries and runners and waits until they serve.
+func startDeployment(s *site, entries, runners int) error {
+	for i := range runners {
+		if err := s.addRunner(fmt.Sprintf("i-%d", i), fmt.Sprintf("r%d", i/8)); err != nil {
+			return err
+		}
+	}
+	zones := []string{"kartli-a", "kartli-b", "imereti-a"}
+	for i := range entries {
+		if err := s.addEntry(fmt.Sprintf("front-%d", i), zones[i%len(zones)]); err != nil {
+			return err
+		}
+	}
+	if !s.awaitReady() {
+		return errors.New("the entries are not ready")
+	}
+	return nil
+}
+
+// submit hands a job in, and reports an error unless it was accepted.
+func submit(s *site, e *entry, key, id string, work time.Duration, steps ...map[string]any) error {
+	s.mu.Lock()
+	s.works[id] = work
+	s.mu.Unlock()
+	status, _ := s.call(e, http.MethodPost, key, id, map[string]any{"task_spec": "cut " + id, "steps": steps})
+	if status != http.StatusOK {
+		return fmt.Errorf("job %s was not accepted: %d", id, status)
+	}
+	return nil
+}
+
+// playEndsAtTakeover lets more than 500 runs of one runner end while no process leads.
+func playEndsAtTakeover(s *site, trouble bool) error {
+	const (
+		id    = "5c0e7a21d94b36f8"
+		tasks = 600
+		work  = 6 * time.Second
+	)
+	if err := startDeployment(s, 3, 4); err != nil {
+		return err
+	}
+	time.Sleep(2 * time.Second)
+	if err := submit(s, s.entries[0], firstKey, id, work, map[string]any{"count": tasks, "cpu": 50, "mem_mb": 64, "est_runtime_ms": work.Milliseconds()}); err != nil {
+		return err
+	}
+	if !s.await(work-500*time.Millisecond, func() bool { return s.running() == tasks }) {
+		return fmt.Errorf("%d of %d tasks run", s.running(), tasks)
+	}
+	s.note("all %d tasks run", tasks)
+	first := s.firstStart()
+	time.Sleep(time.Until(first.Add(work - 150*time.Millisecond)))
+	if trouble {
+		leader := s.leader()
+		if leader == nil {
+			return errors.New("no process leads")
+		}
+		leader.kill()
+		go func() {
+			time.Sleep(3500 * time.Millisecond)
+			_ = leader.start()
+		}()
+	}
+	alive := s.entries[0]
+	for _, e := range s.entries {
+		if e.starts == 1 && !e.hasExited() {
+			alive = e
+		}
+	}
+	var state string
+	s.await(25*time.Second, func() bool {
+		time.Sleep(500 * time.Millisecond)
+		state = s.state(alive, firstKey, id)
+		return state == "completed" && s.running() == 0
+	})
+	time.Sleep(2 * time.Second)
+	again := s.startsAfterDone()
+	s.note("state of the job: %s; %d tasks were started after they had ended done", state, len(again))
+	for _, line := range again {
+		s.note("TWICE %s", line)
+	}
+	if len(again) > 0 {
+		return fmt.Errorf("%w: TWICE: %d of %d tasks were started again after a run had ended done", errBroken, len(again), tasks)
+	}
+	if state != "completed" {
+		return errors.New("the job has not completed")
+	}
+	return nil
+}
+
+// playCrashes crashes the runner of a task three times and starts it again, and then asks for the state of its job. No run ends `failed`.
+func playCrashes(s *site, trouble bool) error {
+	const (
+		id      = "5c0e7a21d94b36f9"
+		work    = 15 * time.Second
+		crashes = 3
+		down    = 2 * time.Second
+	)
+	if err := startDeployment(s, 3, 8); err != nil {
+		return err
+	}
+	time.Sleep(2 * time.Second)
+	if err := submit(s, s.entries[0], firstKey, id, work, map[string]any{"count": 1, "cpu": 2000, "mem_mb": 1024, "gpu": 1, "est_runtime_ms": work.Milliseconds()}); err != nil {
+		return err
+	}
+	for n := range crashes {
+		if !trouble {
+			break
+		}
+		var at *runner
+		if !s.await(15*time.Second, func() bool { at = s.runnerOf(id + ".0.0.0"); return at != nil }) {
+			if state := s.state(s.entries[1], firstKey, id); state == "failed" {
+				break
+			}
+			return fmt.Errorf("the task does not run before crash %d", n+1)
+		}
+		time.Sleep(4 * time.Second)
+		at.crash()
+		time.Sleep(down)
+		if err := at.start(); err != nil {
+			return err
+		}
+	}
+	state := ""
+	s.await(30*time.Second, func() bool {
+		time.Sleep(time.Second)
+		state = s.state(s.entries[1], firstKey, id)
+		return state == "completed" || state == "failed"
+	})
+	switch {
+	case state == "completed":
+		return nil
+	case state == "failed" && s.endsOf(id, "failed") == 0:
+		return fmt.Errorf("%w: LOST: the job is shown as failed, and no run of its task has ended failed", errBroken)
+	}
+	return errors.New("the job is shown as " + state)
+}
+
+// playIDOfTwoTenants lets a second tenant hand a job in under an ID that the first one has chosen for a job of its own.
+func playIDOfTwoTenants(s *site, trouble bool) error {
+	const (
+		work     = 2 * time.Second
+		firstID  = "0000000000000001"
+		secondID = "0000000000000002"
+	)
+	if err := startDeployment(s, 3, 2); err != nil {
+		return err
+	}
+	time.Sleep(2 * time.Second)
+	step := map[string]any{"count": 1, "cpu": 2000, "mem_mb": 1024, "gpu": 1, "est_runtime_ms": work.Milliseconds()}
+	if err := submit(s, s.entries[0], firstKey, firstID, work, step); err != nil {
+		return err
+	}
+	time.Sleep(500 * time.Millisecond)
+	id := secondID
+	if trouble {
+		id = firstID
+	}
+	s.mu.Lock()
+	s.works[id] = work
+	s.mu.Unlock()
+	status, _ := s.call(s.entries[1], http.MethodPost, secondKey, id, map[string]any{"task_spec": "cut for the second tenant", "steps": []any{step}})
+	if status < 200 || status > 299 {
+		return nil // the second tenant knows that its job was not accepted
+	}
+	time.Sleep(5 * time.Second) // later than visible_ms
+	lost := 0
+	for _, e := range s.entries {
+		if state := s.state(e, secondKey, id); state == "410" {
+			lost++
+		}
+	}
+	if lost > 0 {
+		return fmt.Errorf("%w: LOST: the job of the second tenant was accepted, %d of %d processes say that there is no such job, and its task ran %d times",
+			errBroken, lost, len(s.entries), s.startsWith("cut for the second tenant"))
+	}
+	return nil
+}
+
+// firstStart returns when the first run has started.
+func (s *site) firstStart() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var first time.Time
+	for _, runs := range s.seen {
+		for _, x := range runs {
+			if first.IsZero() || x.run.startedAt.Before(first) {
+				first = x.run.startedAt
+			}
+		}
+	}
+	return first
+}
+
+// hasExited reports whether the process has ended.
+func (e *entry) hasExited() bool {
+	select {
+	case <-e.exited:
+		return true
+	default:
+		return false
+	}
+}
