--- a/review/standin3/cases.go
+++ b/review/standin3/cases.go
@@ -12,16 +12,21 @@
 	"ends-at-takeover":  playEndsAtTakeover,
 	"crashes":           playCrashes,
 	"id-of-two-tenants": playIDOfTwoTenants,
+	"cancel-far":        playCancelFar,
 }
 
-// startDeployment starts entries and runners and waits until they serve.
+// startDeployment starts entries and runners next to them, and waits until they serve.
 func startDeployment(s *site, entries, runners int) error {
+	return startSite(s, entries, runners, []string{"kartli-a", "kartli-b", "imereti-a"}, "kartli-a", 0)
+}
+
+// startSite starts entries in zones and runners in one zone, and waits until they serve.
+func startSite(s *site, entries, runners int, zones []string, runnerZone string, oneWay time.Duration) error {
 	for i := range runners {
-		if err := s.addRunner(fmt.Sprintf("i-%d", i), fmt.Sprintf("r%d", i/8)); err != nil {
+		if err := s.addRunner(fmt.Sprintf("i-%d", i), runnerZone, fmt.Sprintf("r%d", i/8), oneWay); err != nil {
 			return err
 		}
 	}
-	zones := []string{"kartli-a", "kartli-b", "imereti-a"}
 	for i := range entries {
 		if err := s.addEntry(fmt.Sprintf("front-%d", i), zones[i%len(zones)]); err != nil {
 			return err
@@ -192,6 +197,47 @@
 	return nil
 }
 
+// playCancelFar cancels a job with many small tasks on a runner in the other region.
+func playCancelFar(s *site, trouble bool) error {
+	const (
+		id       = "5c0e7a21d94b36fa"
+		tasks    = 600
+		work     = 60 * time.Second
+		cancelMS = 3000
+	)
+	oneWay := 900 * time.Microsecond // between zones
+	if trouble {
+		oneWay = 20 * time.Millisecond // between regions
+	}
+	if err := startSite(s, 3, 4, []string{"kartli-a", "kartli-b"}, "imereti-a", oneWay); err != nil {
+		return err
+	}
+	time.Sleep(2 * time.Second)
+	if err := submit(s, s.entries[0], firstKey, id, work, map[string]any{"count": tasks, "cpu": 50, "mem_mb": 64, "est_runtime_ms": work.Milliseconds()}); err != nil {
+		return err
+	}
+	if !s.await(40*time.Second, func() bool { return s.running() == tasks }) {
+		return fmt.Errorf("%d of %d tasks run", s.running(), tasks)
+	}
+	s.note("all %d tasks run", tasks)
+	time.Sleep(6 * time.Second) // longer than contact_ms
+	if status, _ := s.call(s.entries[1], http.MethodDelete, firstKey, id, nil); status != http.StatusOK {
+		return fmt.Errorf("the cancellation was answered %d", status)
+	}
+	acked := time.Now()
+	if !s.await(30*time.Second, func() bool { return s.running() == 0 }) {
+		s.note("%d tasks still run", s.running())
+	}
+	bound := acked.Add((cancelMS + stopMS) * time.Millisecond)
+	last, late := s.lastEnd(id, bound)
+	s.note("the last task ends %.3f s after the cancellation, %d of %d after cancel_ms + stop_ms", last.Sub(acked).Seconds(), late, tasks)
+	if late > 0 {
+		return fmt.Errorf("%w: UNASKED: %d of %d tasks ran on later than %d ms after the cancellation, the last for %.1f s", errBroken, late, tasks,
+			cancelMS+stopMS, last.Sub(acked).Seconds())
+	}
+	return nil
+}
+
 // firstStart returns when the first run has started.
 func (s *site) firstStart() time.Time {
 	s.mu.Lock()
--- a/review/standin3/runner.go
+++ b/review/standin3/runner.go
@@ -42,6 +42,8 @@
 type runner struct {
 	site    *site
 	id      string
+	zone    string
+	oneWay  time.Duration // delay of the link to the entries, one way
 	address string
 	labels  []string
 	cpu     int64
@@ -125,7 +127,7 @@
 		state = "draining"
 	}
 	entry := map[string]any{
-		"service": serviceName, "address": r.address, "zone": "kartli-a", "version": "1", "slots": 8, "state": state, "cold_left_ms": 0, "seq": r.seq,
+		"service": serviceName, "address": r.address, "zone": r.zone, "version": "1", "slots": 8, "state": state, "cold_left_ms": 0, "seq": r.seq,
 		"capacity": map[string]any{"cpu": r.cpu, "mem_mb": 131072, "gpu": 8}, "labels": r.labels, "born": r.bornAt.UnixMilli(),
 	}
 	r.mu.Unlock()
@@ -188,6 +190,8 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	time.Sleep(r.oneWay)
+	defer time.Sleep(r.oneWay) // the response is sent when the handler returns
 	switch strings.TrimPrefix(req.URL.Path, "/chestnutmux/") {
 	case "run-start":
 		r.serveStart(w, o)
--- a/review/standin3/site.go
+++ b/review/standin3/site.go
@@ -107,9 +107,9 @@
 	fmt.Fprintf(s.record, "%9.3f %s\n", time.Since(s.started).Seconds(), fmt.Sprintf(format, args...))
 }
 
-// addRunner starts a runner.
-func (s *site) addRunner(id, rack string) error {
-	r := &runner{site: s, id: id, labels: []string{"kind-a", rack}, cpu: 32000}
+// addRunner starts a runner in a zone, with a delay of its link one way.
+func (s *site) addRunner(id, zone, rack string, oneWay time.Duration) error {
+	r := &runner{site: s, id: id, zone: zone, oneWay: oneWay, labels: []string{"kind-a", rack}, cpu: 32000}
 	s.runners = append(s.runners, r)
 	return r.start()
 }
@@ -408,3 +408,23 @@
 	}
 	return n
 }
+
+// lastEnd returns when the last run of a job has ended, and how many of its runs have ended later than a time.
+func (s *site) lastEnd(job string, late time.Time) (last time.Time, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for task, runs := range s.seen {
+		for _, x := range runs {
+			if jobOf(task) != job {
+				continue
+			}
+			if x.endedAt.After(last) {
+				last = x.endedAt
+			}
+			if x.endedAt.After(late) {
+				n++
+			}
+		}
+	}
+	return last, n
+}
