--- a/review/standin3/cases.go
+++ b/review/standin3/cases.go
@@ -13,6 +13,7 @@
 	"crashes":           playCrashes,
 	"id-of-two-tenants": playIDOfTwoTenants,
 	"cancel-far":        playCancelFar,
+	"gang-far":          playGangFar,
 }
 
 // startDeployment starts entries and runners next to them, and waits until they serve.
@@ -238,6 +239,45 @@
 	return nil
 }
 
+// playGangFar hands in a gang of many small tasks that fits on a runner in the other region.
+func playGangFar(s *site, trouble bool) error {
+	const (
+		id    = "5c0e7a21d94b36fb"
+		tasks = 400
+		work  = 3 * time.Second
+	)
+	oneWay := 900 * time.Microsecond // between zones
+	if trouble {
+		oneWay = 20 * time.Millisecond // between regions
+	}
+	if err := startSite(s, 3, 4, []string{"kartli-a", "kartli-b"}, "imereti-a", oneWay); err != nil {
+		return err
+	}
+	time.Sleep(5 * time.Second) // longer than contact_ms
+	s.mu.Lock()
+	s.gangs[id] = tasks
+	s.mu.Unlock()
+	step := map[string]any{"count": tasks, "cpu": 50, "mem_mb": 64, "est_runtime_ms": work.Milliseconds(), "gang": true}
+	if err := submit(s, s.entries[0], firstKey, id, work, step); err != nil {
+		return err
+	}
+	state := ""
+	s.await(80*time.Second, func() bool {
+		time.Sleep(time.Second)
+		state = s.state(s.entries[1], firstKey, id)
+		return state == "completed" || state == "failed"
+	})
+	alone := s.endsOf(id, "alone")
+	s.note("state of the job: %s; %d runs have ended alone, %d broken, %d done", state, alone, s.endsOf(id, "broken"), s.endsOf(id, "done"))
+	if alone > 0 {
+		return fmt.Errorf("%w: GANG: %d runs have ended alone; 80 s after its acceptance the job is shown as %s", errBroken, alone, state)
+	}
+	if state != "completed" {
+		return errors.New("the job has not completed")
+	}
+	return nil
+}
+
 // firstStart returns when the first run has started.
 func (s *site) firstStart() time.Time {
 	s.mu.Lock()
--- a/review/standin3/runner.go
+++ b/review/standin3/runner.go
@@ -28,6 +28,7 @@
 	endsAt     time.Time
 	stopping   bool
 	checkpoint string
+	waiting    bool // the run is a member of a gang that waits for the others
 }
 
 // end is an entry of the list of ends.
@@ -145,6 +146,19 @@
 	}
 	lapsed := r.clockMS(now) >= r.untilMS
 	for _, x := range r.runs {
+		how, since := r.site.gangOf(x, now)
+		switch {
+		case x.stopping || lapsed:
+		case how == "":
+			if x.waiting = false; x.startedAt.Before(since) {
+				x.startedAt, x.endsAt = since, since.Add(r.site.workOf(x.task))
+			}
+		case how != waits:
+			r.end(x, how, now)
+			continue
+		default:
+			continue
+		}
 		switch {
 		case !now.Before(x.endsAt) && x.stopping:
 			r.end(x, "stopped", now)
@@ -251,7 +265,7 @@
 		reply(w, http.StatusConflict, r.answer("old"))
 	default:
 		r.extend(o.UntilMS)
-		x := &run{task: o.Task, number: o.Run, startedAt: now, endsAt: now.Add(r.site.workOf(o.Task)), checkpoint: o.Checkpoint}
+		x := &run{task: o.Task, number: o.Run, startedAt: now, endsAt: now.Add(r.site.workOf(o.Task)), checkpoint: o.Checkpoint, waiting: r.site.isGang(o.Task)}
 		r.runs[o.Task] = x
 		r.site.runStarted(r, x, o, now)
 		reply(w, http.StatusOK, r.answer(""))
@@ -308,6 +322,10 @@
 	out := r.answer("")
 	running := [][]any{}
 	for _, x := range r.runs {
+		if x.waiting {
+			running = append(running, []any{x.task, x.number, x.checkpoint, 0, 0})
+			continue
+		}
 		percent := int64(100 * now.Sub(x.startedAt) / max(1, x.endsAt.Sub(x.startedAt)))
 		running = append(running, []any{x.task, x.number, x.checkpoint, min(percent, 99), 1000})
 	}
--- a/review/standin3/site.go
+++ b/review/standin3/site.go
@@ -58,9 +58,11 @@
 	runners []*runner
 	entries []*entry
 
-	mu    sync.Mutex
-	works map[string]time.Duration // by job
-	seen  map[string][]*seenRun    // by task
+	mu       sync.Mutex
+	gangs    map[string]int // size of the gang of a job that consists of one
+	gangRuns map[gangRun]*gang
+	works    map[string]time.Duration // by job
+	seen     map[string][]*seenRun    // by task
 }
 
 // newSite starts a store and writes the first configuration.
@@ -73,7 +75,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &site{dir: dir, ip: fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250)), record: rec, started: time.Now(), works: map[string]time.Duration{}, seen: map[string][]*seenRun{}}
+	s := &site{dir: dir, ip: fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250)), record: rec, started: time.Now(), works: map[string]time.Duration{}, gangs: map[string]int{}, gangRuns: map[gangRun]*gang{}, seen: map[string][]*seenRun{}}
 	s.store, err = newStore(s.ip)
 	if err != nil {
 		return nil, err
@@ -317,6 +319,7 @@
 	s.note("%s starts %s run %d, fence %d", r, x.task, x.number, o.Fence)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.joinGang(x)
 	s.seen[x.task] = append(s.seen[x.task], &seenRun{runner: r, process: r.bornAt, run: x, taskSpec: o.TaskSpec})
 }
 
@@ -324,6 +327,7 @@
 	s.note("%s ends %s run %d: %s", r, x.task, x.number, how)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.leaveGang(x, how)
 	for _, seen := range s.seen[x.task] {
 		if seen.run == x {
 			seen.how, seen.endedAt = how, now
