--- a/review/standin3/runner.go
+++ b/review/standin3/runner.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"time"
@@ -204,6 +205,10 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if strings.HasSuffix(req.URL.Path, "/run-start") && r.site.holdsBack(r, o) {
+		<-req.Context().Done() // the order gets no answer
+		return
+	}
 	time.Sleep(r.oneWay)
 	defer time.Sleep(r.oneWay) // the response is sent when the handler returns
 	switch strings.TrimPrefix(req.URL.Path, "/chestnutmux/") {
@@ -272,6 +277,14 @@
 	}
 }
 
+// carryOutLate carries out a start that got no answer, at the process that runs now.
+func (r *runner) carryOutLate(o order) {
+	r.site.note("%s gets the start of %s run %d late", r, o.Task, o.Run)
+	w := httptest.NewRecorder()
+	r.serveStart(w, o)
+	r.site.note("%s carries it out: %d %s", r, w.Code, w.Body)
+}
+
 func (r *runner) serveStop(w http.ResponseWriter, o order) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/review/standin3/site.go
+++ b/review/standin3/site.go
@@ -26,6 +26,13 @@
 	secondKey   = "k-77ab02"
 )
 
+// lateStart is a start that got no answer.
+type lateStart struct {
+	runner *runner
+	order  order
+	sentAt time.Time
+}
+
 // entry is an entry process of the system.
 type entry struct {
 	site                       *site
@@ -61,6 +68,9 @@
 	mu       sync.Mutex
 	gangs    map[string]int // size of the gang of a job that consists of one
 	gangRuns map[gangRun]*gang
+	lateTask string // the first start of this task gets no answer and is carried out late
+	late     *lateStart
+	orders   int                      // starts that runners have got
 	works    map[string]time.Duration // by job
 	seen     map[string][]*seenRun    // by task
 }
@@ -432,3 +442,42 @@
 	}
 	return last, n
 }
+
+// holdsBack reports whether a start gets no answer, and notes it.
+func (s *site) holdsBack(r *runner, o order) bool {
+	s.mu.Lock()
+	s.orders++
+	held := o.Task == s.lateTask && s.late == nil
+	if held {
+		s.late = &lateStart{runner: r, order: o, sentAt: time.Now()}
+	}
+	s.mu.Unlock()
+	if held {
+		s.note("%s gives no answer to the start of %s run %d", r, o.Task, o.Run)
+	}
+	return held
+}
+
+// overlap returns for how long two runs of a task have worked at the same time, at most.
+func (s *site) overlap(task string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	longest := time.Duration(0)
+	runs := s.seen[task]
+	for i, a := range runs {
+		for _, b := range runs[i+1:] {
+			from, to := a.run.startedAt, a.endedAt
+			if b.run.startedAt.After(from) {
+				from = b.run.startedAt
+			}
+			if to.IsZero() || !b.endedAt.IsZero() && b.endedAt.Before(to) {
+				to = b.endedAt
+			}
+			if to.IsZero() {
+				to = time.Now()
+			}
+			longest = max(longest, to.Sub(from))
+		}
+	}
+	return longest
+}
