--- a/review/standin3/cases.go
+++ b/review/standin3/cases.go
@@ -62,6 +62,9 @@
 		return err
 	}
 	time.Sleep(2 * time.Second)
+	s.mu.Lock()
+	s.together[id] = time.Time{}
+	s.mu.Unlock()
 	if err := submit(s, s.entries[0], firstKey, id, work, map[string]any{"count": tasks, "cpu": 50, "mem_mb": 64, "est_runtime_ms": work.Milliseconds()}); err != nil {
 		return err
 	}
@@ -270,7 +273,7 @@
 		if err := late.runner.start(); err != nil {
 			return err
 		}
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(2 * time.Millisecond)
 		s.note("%d starts so far, one of them without an answer %.1f s ago", s.orders, time.Since(late.sentAt).Seconds())
 		late.runner.carryOutLate(late.order)
 	}
--- a/review/standin3/runner.go
+++ b/review/standin3/runner.go
@@ -152,7 +152,7 @@
 		case x.stopping || lapsed:
 		case how == "":
 			if x.waiting = false; x.startedAt.Before(since) {
-				x.startedAt, x.endsAt = since, since.Add(r.site.workOf(x.task))
+				x.startedAt, x.endsAt = since, r.site.endOf(x.task, since)
 			}
 		case how != waits:
 			r.end(x, how, now)
@@ -270,7 +270,7 @@
 		reply(w, http.StatusConflict, r.answer("old"))
 	default:
 		r.extend(o.UntilMS)
-		x := &run{task: o.Task, number: o.Run, startedAt: now, endsAt: now.Add(r.site.workOf(o.Task)), checkpoint: o.Checkpoint, waiting: r.site.isGang(o.Task)}
+		x := &run{task: o.Task, number: o.Run, startedAt: now, endsAt: r.site.endOf(o.Task, now), checkpoint: o.Checkpoint, waiting: r.site.isGang(o.Task)}
 		r.runs[o.Task] = x
 		r.site.runStarted(r, x, o, now)
 		reply(w, http.StatusOK, r.answer(""))
--- a/review/standin3/site.go
+++ b/review/standin3/site.go
@@ -68,7 +68,8 @@
 	mu       sync.Mutex
 	gangs    map[string]int // size of the gang of a job that consists of one
 	gangRuns map[gangRun]*gang
-	lateTask string // the first start of this task gets no answer and is carried out late
+	together map[string]time.Time // when the tasks of a job end that end together; zero before the first one starts
+	lateTask string               // the first start of this task gets no answer and is carried out late
 	late     *lateStart
 	orders   int                      // starts that runners have got
 	works    map[string]time.Duration // by job
@@ -85,7 +86,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &site{dir: dir, ip: fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250)), record: rec, started: time.Now(), works: map[string]time.Duration{}, gangs: map[string]int{}, gangRuns: map[gangRun]*gang{}, seen: map[string][]*seenRun{}}
+	s := &site{dir: dir, ip: fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250)), record: rec, started: time.Now(), works: map[string]time.Duration{}, gangs: map[string]int{}, together: map[string]time.Time{}, gangRuns: map[gangRun]*gang{}, seen: map[string][]*seenRun{}}
 	s.store, err = newStore(s.ip)
 	if err != nil {
 		return nil, err
@@ -318,11 +319,21 @@
 	return id
 }
 
-// workOf returns how long a task runs.
-func (s *site) workOf(task string) time.Duration {
+// endOf returns when a run that starts now has done its work. The tasks of a job in together all end at the same time.
+func (s *site) endOf(task string, now time.Time) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.works[jobOf(task)]
+	job := jobOf(task)
+	if at, ok := s.together[job]; ok {
+		if at.IsZero() {
+			at = now.Add(s.works[job])
+			s.together[job] = at
+		}
+		if at.After(now) {
+			return at
+		}
+	}
+	return now.Add(s.works[job])
 }
 
 func (s *site) runStarted(r *runner, x *run, o order, _ time.Time) {
